--- /dev/null
+++ b/Source/Core/Common/log.cc
@@ -0,0 +1,114 @@
+#include "Common/log.h"
+
+#include <log4cplus/consoleappender.h>
+#include <log4cplus/initializer.h>
+#include <log4cplus/layout.h>
+#include <log4cplus/logger.h>
+#include <log4cplus/loggingmacros.h>
+
+#include <memory>
+
+namespace camphorferry::common {
+
+namespace {
+
+constexpr std::string_view kPattern =
+    "time=%D{%Y-%m-%dT%H:%M:%S.%qZ} level=%p subsystem=%c{1} %m%n";
+
+const char* LoggerName(Subsystem subsystem) {
+  switch (subsystem) {
+    case Subsystem::kCommon:
+      return "camphorferry.common";
+    case Subsystem::kRequest:
+      return "camphorferry.request";
+    case Subsystem::kConnection:
+      return "camphorferry.connection";
+    case Subsystem::kVersion:
+      return "camphorferry.version";
+    case Subsystem::kProcess:
+      return "camphorferry.process";
+  }
+  return "camphorferry";
+}
+
+log4cplus::LogLevel ToLibraryLevel(LogLevel level) {
+  switch (level) {
+    case LogLevel::kDebug:
+      return log4cplus::DEBUG_LOG_LEVEL;
+    case LogLevel::kInfo:
+      return log4cplus::INFO_LOG_LEVEL;
+    case LogLevel::kWarning:
+      return log4cplus::WARN_LOG_LEVEL;
+    case LogLevel::kError:
+      return log4cplus::ERROR_LOG_LEVEL;
+  }
+  return log4cplus::INFO_LOG_LEVEL;
+}
+
+bool NeedsQuotes(std::string_view value) {
+  if (value.empty()) return true;
+  for (const char letter : value) {
+    const auto byte = static_cast<unsigned char>(letter);
+    if (byte <= ' ' || byte == '"' || byte == '=' || byte == 0x7f) return true;
+  }
+  return false;
+}
+
+void AppendQuoted(std::string_view value, std::string* line) {
+  line->push_back('"');
+  for (const char letter : value) {
+    const auto byte = static_cast<unsigned char>(letter);
+    if (letter == '"' || letter == '\\') line->push_back('\\');
+    // A control character could start a forged line.
+    line->push_back(byte < ' ' || byte == 0x7f ? '?' : letter);
+  }
+  line->push_back('"');
+}
+
+}  // namespace
+
+void InitializeLogging(LogLevel level) {
+  static const log4cplus::Initializer kInitializer;
+  log4cplus::Logger root = log4cplus::Logger::getRoot();
+  root.removeAllAppenders();
+  log4cplus::SharedAppenderPtr appender(
+      new log4cplus::ConsoleAppender(/*logToStdErr=*/true,
+                                     /*immediateFlush=*/true));
+  appender->setLayout(
+      std::make_unique<log4cplus::PatternLayout>(log4cplus::tstring(kPattern)));
+  root.addAppender(appender);
+  root.setLogLevel(ToLibraryLevel(level));
+}
+
+void SetLogLevel(Subsystem subsystem, LogLevel level) {
+  log4cplus::Logger::getInstance(LoggerName(subsystem))
+      .setLogLevel(ToLibraryLevel(level));
+}
+
+void Log(Subsystem subsystem, LogLevel level, std::string_view event,
+         std::initializer_list<LogField> fields) {
+  log4cplus::Logger logger =
+      log4cplus::Logger::getInstance(LoggerName(subsystem));
+  const log4cplus::LogLevel library_level = ToLibraryLevel(level);
+  if (!logger.isEnabledFor(library_level)) return;
+  logger.log(library_level, FormatLogLine(event, fields));
+}
+
+std::string FormatLogLine(std::string_view event,
+                          std::initializer_list<LogField> fields) {
+  std::string line = "event=";
+  line.append(event);
+  for (const LogField& field : fields) {
+    line.push_back(' ');
+    line.append(field.key);
+    line.push_back('=');
+    if (NeedsQuotes(field.value)) {
+      AppendQuoted(field.value, &line);
+    } else {
+      line.append(field.value);
+    }
+  }
+  return line;
+}
+
+}  // namespace camphorferry::common
--- /dev/null
+++ b/Source/Core/Common/time.h
@@ -0,0 +1,24 @@
+#ifndef CAMPHORFERRY_COMMON_TIME_H_
+#define CAMPHORFERRY_COMMON_TIME_H_
+
+#include <chrono>
+
+namespace camphorferry::common {
+
+/// Monotonic time of one process; never compared between hosts.
+using SteadyTime = std::chrono::steady_clock::time_point;
+
+/// Wall clock time, used only for key ages and for display.
+using WallTime = std::chrono::system_clock::time_point;
+
+/// Length of time in every signature.
+using Duration = std::chrono::nanoseconds;
+
+/// Whole milliseconds of a duration, rounded down.
+constexpr std::chrono::milliseconds ToMilliseconds(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration);
+}
+
+}  // namespace camphorferry::common
+
+#endif  // CAMPHORFERRY_COMMON_TIME_H_
--- /dev/null
+++ b/Source/Core/Connection/event_loop.cc
@@ -0,0 +1,118 @@
+#include "Connection/event_loop.h"
+
+#include <event2/event.h>
+#include <event2/thread.h>
+#include <sys/time.h>
+
+#include <utility>
+
+namespace camphorferry::connection {
+
+namespace {
+
+timeval ToTimeval(common::Duration duration) {
+  const auto micros =
+      std::chrono::duration_cast<std::chrono::microseconds>(duration).count();
+  constexpr std::int64_t kMicrosPerSecond = 1'000'000;
+  return {micros / kMicrosPerSecond, micros % kMicrosPerSecond};
+}
+
+event_base* NewThreadSafeBase() {
+  evthread_use_pthreads();
+  return event_base_new();
+}
+
+struct OneShot {
+  std::function<void()> action;
+};
+
+void RunOneShot(int /*fd*/, short /*what*/, void* context) {
+  const std::unique_ptr<OneShot> shot(static_cast<OneShot*>(context));
+  shot->action();
+}
+
+}  // namespace
+
+Timer::Timer(event_base* base, common::Duration delay, bool repeat,
+             std::function<void()> action)
+    : action(std::move(action)) {
+  const int kind = repeat ? EV_PERSIST : 0;
+  this->handle = event_new(base, -1, static_cast<short>(kind), OnEvent, this);
+  const timeval interval = ToTimeval(delay);
+  event_add(this->handle, &interval);
+}
+
+Timer::~Timer() { event_free(this->handle); }
+
+void Timer::OnEvent(int /*fd*/, short /*what*/, void* context) {
+  // The action may destroy the timer, so it runs from a copy.
+  const std::function<void()> action = static_cast<Timer*>(context)->action;
+  action();
+}
+
+EventLoop::EventLoop() : base(NewThreadSafeBase()) {
+  this->wakeup = event_new(this->base, -1, EV_PERSIST, OnWakeup, this);
+}
+
+EventLoop::~EventLoop() {
+  for (const auto& handler : this->signal_handlers) event_free(handler->handle);
+  event_free(this->wakeup);
+  event_base_free(this->base);
+}
+
+void EventLoop::Run() { event_base_loop(this->base, EVLOOP_NO_EXIT_ON_EMPTY); }
+
+void EventLoop::Stop() { event_base_loopbreak(this->base); }
+
+void EventLoop::Post(std::function<void()> action) {
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    this->posted.push_back(std::move(action));
+  }
+  event_active(this->wakeup, EV_TIMEOUT, 0);
+}
+
+std::unique_ptr<Timer> EventLoop::After(common::Duration delay,
+                                        std::function<void()> action) {
+  return std::make_unique<Timer>(this->base, delay, false, std::move(action));
+}
+
+std::unique_ptr<Timer> EventLoop::Every(common::Duration period,
+                                        std::function<void()> action) {
+  return std::make_unique<Timer>(this->base, period, true, std::move(action));
+}
+
+void EventLoop::RunLater(common::Duration delay, std::function<void()> action) {
+  auto shot = std::make_unique<OneShot>(OneShot{std::move(action)});
+  const timeval interval = ToTimeval(delay);
+  event_base_once(this->base, -1, EV_TIMEOUT, RunOneShot, shot.release(),
+                  &interval);
+}
+
+void EventLoop::OnSignal(int signal_number, std::function<void()> action) {
+  auto handler = std::make_unique<SignalHandler>();
+  handler->action = std::move(action);
+  handler->handle = event_new(this->base, signal_number, EV_SIGNAL | EV_PERSIST,
+                              OnSignalEvent, handler.get());
+  event_add(handler->handle, nullptr);
+  this->signal_handlers.push_back(std::move(handler));
+}
+
+void EventLoop::OnWakeup(int /*fd*/, short /*what*/, void* context) {
+  static_cast<EventLoop*>(context)->RunPosted();
+}
+
+void EventLoop::OnSignalEvent(int /*fd*/, short /*what*/, void* context) {
+  static_cast<SignalHandler*>(context)->action();
+}
+
+void EventLoop::RunPosted() {
+  std::vector<std::function<void()>> actions;
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    actions.swap(this->posted);
+  }
+  for (const auto& action : actions) action();
+}
+
+}  // namespace camphorferry::connection
--- /dev/null
+++ b/Source/Core/Connection/http_client.cc
@@ -0,0 +1,195 @@
+#include "Connection/http_client.h"
+
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <sys/time.h>
+
+#include <algorithm>
+#include <cctype>
+#include <utility>
+
+namespace camphorferry::connection {
+
+namespace {
+
+evhttp_cmd_type MethodType(const std::string& method) {
+  if (method == "POST") return EVHTTP_REQ_POST;
+  if (method == "PUT") return EVHTTP_REQ_PUT;
+  if (method == "DELETE") return EVHTTP_REQ_DELETE;
+  return EVHTTP_REQ_GET;
+}
+
+std::string EncodeTarget(const HttpRequest& request) {
+  std::string target = request.path;
+  char separator = '?';
+  for (const auto& [name, value] : request.query) {
+    target.push_back(separator);
+    separator = '&';
+    char* encoded = evhttp_uriencode(value.data(),
+                                     static_cast<ev_ssize_t>(value.size()), 0);
+    target += name + "=" + encoded;
+    free(encoded);
+  }
+  return target;
+}
+
+HttpResponse ReadResponse(evhttp_request* request) {
+  HttpResponse response;
+  response.status = evhttp_request_get_response_code(request);
+  const evkeyvalq* headers = evhttp_request_get_input_headers(request);
+  for (const evkeyval* entry = headers->tqh_first; entry != nullptr;
+       entry = entry->next.tqe_next) {
+    std::string name = entry->key;
+    std::transform(name.begin(), name.end(), name.begin(),
+                   [](unsigned char letter) {
+                     return static_cast<char>(std::tolower(letter));
+                   });
+    response.headers[name] = entry->value;
+  }
+  evbuffer* buffer = evhttp_request_get_input_buffer(request);
+  response.body.resize(evbuffer_get_length(buffer));
+  evbuffer_remove(buffer, response.body.data(), response.body.size());
+  const auto connection = response.headers.find("connection");
+  response.close =
+      connection != response.headers.end() && connection->second == "close";
+  return response;
+}
+
+}  // namespace
+
+struct HttpClientConnection::State
+    : std::enable_shared_from_this<HttpClientConnection::State> {
+  State(EventLoop* loop, SocketAddress address)
+      : loop(loop), address(std::move(address)) {}
+  ~State() { this->Close(); }
+
+  /// Ends the request once; called for answers, failures and time-outs.
+  void Finish(HttpResult result) {
+    if (!this->callback) return;
+    const Callback finished = std::exchange(this->callback, nullptr);
+    this->timeout.reset();
+    finished(std::move(result));
+  }
+
+  /// Frees the libevent connection outside of libevent's own callbacks.
+  void Close() {
+    this->usable = false;
+    if (this->connection == nullptr) return;
+    evhttp_connection* closing = std::exchange(this->connection, nullptr);
+    evhttp_connection_free(closing);
+  }
+
+  void CloseLater() {
+    this->usable = false;
+    this->loop->Post([self = this->shared_from_this()] { self->Close(); });
+  }
+
+  EventLoop* loop;
+  SocketAddress address;
+  evhttp_connection* connection = nullptr;
+  Callback callback;
+  std::unique_ptr<Timer> timeout;
+  bool usable = true;
+  bool connected = false;
+};
+
+namespace {
+
+using StatePointer = std::weak_ptr<HttpClientConnection>;
+
+}  // namespace
+
+HttpClientConnection::HttpClientConnection(EventLoop* loop,
+                                           SocketAddress address)
+    : state(std::make_shared<State>(loop, std::move(address))) {
+  this->state->connection = evhttp_connection_base_new(
+      loop->Base(), nullptr, this->state->address.ip.c_str(),
+      this->state->address.port);
+}
+
+HttpClientConnection::~HttpClientConnection() {
+  this->state->callback = nullptr;
+  this->state->timeout.reset();
+  this->state->CloseLater();
+}
+
+void HttpClientConnection::Send(const HttpRequest& request,
+                                common::Duration timeout, Callback callback) {
+  this->state->callback = std::move(callback);
+  // The context outlives this object because libevent may still call back
+  // while the connection is being closed.
+  auto* context = new std::shared_ptr<State>(this->state);
+  evhttp_request* outgoing = evhttp_request_new(
+      [](evhttp_request* answered, void* raw) {
+        const std::unique_ptr<std::shared_ptr<State>> owner(
+            static_cast<std::shared_ptr<State>*>(raw));
+        State& state = **owner;
+        if (answered == nullptr) {
+          state.CloseLater();
+          state.Finish(HttpFailure::kNoAnswer);
+          return;
+        }
+        if (evhttp_request_get_response_code(answered) == 0) {
+          // Libevent reports a failed connect by an answer without a status.
+          state.CloseLater();
+          state.Finish(HttpFailure::kNotSent);
+          return;
+        }
+        HttpResponse response = ReadResponse(answered);
+        if (response.close) state.CloseLater();
+        state.Finish(std::move(response));
+      },
+      context);
+  evkeyvalq* headers = evhttp_request_get_output_headers(outgoing);
+  evhttp_add_header(headers, "Host", this->state->address.ip.c_str());
+  for (const auto& [name, value] : request.headers) {
+    evhttp_add_header(headers, name.c_str(), value.c_str());
+  }
+  evbuffer* body = evhttp_request_get_output_buffer(outgoing);
+  evbuffer_add(body, request.body.data(), request.body.size());
+  this->state->timeout =
+      this->state->loop->After(timeout, [weak = std::weak_ptr(this->state)] {
+        const std::shared_ptr<State> state = weak.lock();
+        if (state == nullptr) return;
+        state->CloseLater();
+        state->Finish(HttpFailure::kNoAnswer);
+      });
+  evhttp_make_request(this->state->connection, outgoing,
+                      MethodType(request.method),
+                      EncodeTarget(request).c_str());
+}
+
+bool HttpClientConnection::Busy() const {
+  return static_cast<bool>(this->state->callback);
+}
+
+bool HttpClientConnection::Usable() const { return this->state->usable; }
+
+void SendHttpOnce(EventLoop* loop, const SocketAddress& address,
+                  const HttpRequest& request, common::Duration timeout,
+                  HttpClientConnection::Callback callback) {
+  auto connection = std::make_shared<HttpClientConnection>(loop, address);
+  HttpClientConnection* sender = connection.get();
+  sender->Send(
+      request, timeout,
+      [connection = std::move(connection), callback = std::move(callback)](
+          HttpResult result) { callback(std::move(result)); });
+}
+
+HttpResult SendHttpBlocking(const SocketAddress& address,
+                            const HttpRequest& request,
+                            common::Duration timeout) {
+  EventLoop loop;
+  HttpResult outcome = HttpFailure::kNotSent;
+  HttpClientConnection connection(&loop, address);
+  connection.Send(request, timeout, [&](HttpResult result) {
+    outcome = std::move(result);
+    loop.Stop();
+  });
+  loop.Run();
+  return outcome;
+}
+
+}  // namespace camphorferry::connection
--- /dev/null
+++ b/Source/Core/Process/process.h
@@ -0,0 +1,8 @@
+#ifndef CAMPHORFERRY_PROCESS_PROCESS_H_
+#define CAMPHORFERRY_PROCESS_PROCESS_H_
+
+/// Public header of the Process library: what lives for the whole process.
+
+#include "Process/counters.h"
+
+#endif  // CAMPHORFERRY_PROCESS_PROCESS_H_
--- /dev/null
+++ b/Source/Core/Request/outcome.h
@@ -0,0 +1,83 @@
+#ifndef CAMPHORFERRY_REQUEST_OUTCOME_H_
+#define CAMPHORFERRY_REQUEST_OUTCOME_H_
+
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string_view>
+#include <variant>
+
+#include "Common/common.h"
+
+namespace camphorferry::request {
+
+/// Why a request was not run. Each reason promises that it had no effect.
+enum class NotRunReason {
+  kBadRequest,
+  kBadSessionToken,
+  kSessionTooWide,
+  kIdempotencyKeyExpired,
+  kIdempotencyMismatch,
+  kMissingKey,
+  kUnknownKey,
+  kRouteForbidden,
+  kUnknownRoute,
+  kConflict,
+  kTooLarge,
+  kRateExceeded,
+  kQueueFull,
+  kDeadlinePassed,
+  kNoPrimary,
+  kNoReplica,
+  kLagging,
+  kStaleTerm,
+  kNotPrimary,
+  kTooManyConnections,
+  kEndpointUnreachable,
+  kDraining,
+  kNoConfiguration,
+};
+
+/// Why it isn't known whether a request had an effect.
+enum class UnknownReason {
+  kConnectionLost,
+  kNoAnswer,
+  kNotConfirmed,
+};
+
+/// The request ran, and its effect is durable.
+struct Done {
+  nlohmann::json results;
+  common::LogPosition position;
+  bool served_by_primary = false;
+  /// Age of the data at the latest; zero from a confirmed primary.
+  common::Duration age = common::Duration::zero();
+};
+
+/// The request had no effect and will have none.
+struct NotRun {
+  NotRunReason reason = NotRunReason::kBadRequest;
+  std::optional<common::Duration> retry_after;
+};
+
+/// The request may or may not have had its effect.
+struct Unknown {
+  UnknownReason reason = UnknownReason::kNoAnswer;
+};
+
+/// How a request ended.
+using Outcome = std::variant<Done, NotRun, Unknown>;
+
+/// Name of a reason in answers and logs, such as rate_exceeded.
+std::string_view ReasonName(NotRunReason reason);
+std::string_view ReasonName(UnknownReason reason);
+
+/// Reverse of ReasonName.
+std::optional<NotRunReason> NotRunReasonFromName(std::string_view name);
+std::optional<UnknownReason> UnknownReasonFromName(std::string_view name);
+
+/// HTTP status that goes with the outcome.
+int HttpStatus(const Outcome& outcome);
+
+}  // namespace camphorferry::request
+
+#endif  // CAMPHORFERRY_REQUEST_OUTCOME_H_
--- /dev/null
+++ b/Source/Core/Request/request.h
@@ -0,0 +1,9 @@
+#ifndef CAMPHORFERRY_REQUEST_REQUEST_H_
+#define CAMPHORFERRY_REQUEST_REQUEST_H_
+
+/// Public header of the Request library: what lives for one request.
+
+#include "Request/operation.h"
+#include "Request/outcome.h"
+
+#endif  // CAMPHORFERRY_REQUEST_REQUEST_H_
--- /dev/null
+++ b/Source/Core/Version/configuration.cc
@@ -0,0 +1,1 @@
+#include "Version/configuration.h"
--- /dev/null
+++ b/Source/StandIns/database_core.cc
@@ -0,0 +1,1 @@
+#include "StandIns/database_core.h"
--- /dev/null
+++ b/Source/UnitTests/Core/Common/hybrid_clock_test.cc
@@ -0,0 +1,25 @@
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+
+#include "Common/common.h"
+
+namespace camphorferry::common {
+namespace {
+
+// Guards against a time line that shows an effect before its cause when the
+// receiver's wall clock is behind or steps backwards.
+RC_GTEST_PROP(HybridClockTest, ReceivedReading_NextNow_IsGreater,
+              (std::uint32_t sender_wall, std::uint32_t receiver_wall)) {
+  HybridClock sender;
+  HybridClock receiver;
+  const HybridTime sent =
+      sender.Now(WallTime(std::chrono::microseconds(sender_wall)));
+  receiver.Observe(sent);
+  const HybridTime received =
+      receiver.Now(WallTime(std::chrono::microseconds(receiver_wall)));
+  RC_ASSERT(received > sent);
+}
+
+}  // namespace
+}  // namespace camphorferry::common
