--- a/Source/Core/Connection/connection.h
+++ b/Source/Core/Connection/connection.h
@@ -3,9 +3,13 @@
 
 /// Public header of the Connection library: what lives for a connection.
 
+#include "Connection/endpoint_link.h"
 #include "Connection/event_loop.h"
 #include "Connection/http_client.h"
+#include "Connection/http_endpoint_link.h"
 #include "Connection/http_message.h"
+#include "Connection/http_object_store.h"
 #include "Connection/http_server.h"
+#include "Connection/object_store.h"
 
 #endif  // CAMPHORFERRY_CONNECTION_CONNECTION_H_
--- /dev/null
+++ b/Source/Core/Process/peer_codec.h
@@ -0,0 +1,31 @@
+#ifndef CAMPHORFERRY_PROCESS_PEER_CODEC_H_
+#define CAMPHORFERRY_PROCESS_PEER_CODEC_H_
+
+#include "Process/peer_link.h"
+#include "peer.pb.h"
+
+namespace camphorferry::process {
+
+/// Conversions between the peer protocol's messages and the types of the peer
+/// port. Deadlines travel as time left, since steady clocks of two hosts can't
+/// be compared.
+peer::v1::ExecuteRequest ToMessage(const connection::StatementCall& call,
+                                   common::SteadyTime now);
+connection::StatementCall FromMessage(const peer::v1::ExecuteRequest& message,
+                                      common::SteadyTime now);
+
+peer::v1::ExecuteReply ToMessage(const connection::StatementReply& reply);
+connection::StatementReply FromMessage(const peer::v1::ExecuteReply& message);
+
+peer::v1::ConfirmReply ToMessage(const connection::ConfirmReply& reply);
+connection::ConfirmReply FromMessage(const peer::v1::ConfirmReply& message);
+
+peer::v1::HeartbeatMessage ToMessage(const PeerHeartbeat& heartbeat);
+PeerHeartbeat FromMessage(const peer::v1::HeartbeatMessage& message);
+
+void ToMessage(common::LogPosition position, peer::v1::LogPosition* message);
+common::LogPosition FromMessage(const peer::v1::LogPosition& message);
+
+}  // namespace camphorferry::process
+
+#endif  // CAMPHORFERRY_PROCESS_PEER_CODEC_H_
--- /dev/null
+++ b/Source/Core/Process/peer_link.h
@@ -0,0 +1,107 @@
+#ifndef CAMPHORFERRY_PROCESS_PEER_LINK_H_
+#define CAMPHORFERRY_PROCESS_PEER_LINK_H_
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "Common/common.h"
+#include "Connection/connection.h"
+
+namespace camphorferry::process {
+
+/// Phase of a daemon's life, as it tells its peers.
+enum class PeerPhase { kStarting, kLive, kDraining };
+
+/// The primary that a daemon knows for a service.
+struct PrimaryHint {
+  common::ServiceId service;
+  common::EndpointId endpoint;
+  common::Term term = 0;
+};
+
+/// What daemons tell each other in a heartbeat and its answer.
+struct PeerHeartbeat {
+  common::HostId host;
+  /// Differs for each start of a daemon on the same host.
+  std::uint64_t incarnation = 0;
+  common::FailureDomainId domain;
+  PeerPhase phase = PeerPhase::kStarting;
+  std::uint64_t configuration_version = 0;
+  std::vector<PrimaryHint> primaries;
+};
+
+/// A configuration document on its way between daemons.
+struct PeerConfiguration {
+  std::uint64_t version = 0;
+  /// JSON text; empty if the receiver is up to date.
+  std::string document;
+};
+
+/// Part of a workspace's rate lent for a limited time, in millitokens.
+struct PeerRateLoan {
+  std::uint64_t rate = 0;
+  std::uint64_t capacity = 0;
+  std::uint64_t level = 0;
+  common::Duration length = common::Duration::zero();
+};
+
+/// Port to the other daemons. Callbacks are called once, from the event loop;
+/// an empty optional means that no answer came.
+class PeerLink {
+ public:
+  virtual ~PeerLink() = default;
+
+  /// Runs a statement at the owner of the endpoint's connections.
+  virtual void Execute(
+      const common::HostId& peer, const connection::StatementCall& call,
+      common::SteadyTime now,
+      std::function<void(connection::StatementReply)> done) = 0;
+
+  virtual void Confirm(const common::HostId& peer,
+                       const common::EndpointId& endpoint,
+                       common::LogPosition position, common::Duration wait,
+                       std::function<void(connection::ConfirmReply)> done) = 0;
+
+  virtual void Heartbeat(
+      const common::HostId& peer, const PeerHeartbeat& heartbeat,
+      std::function<void(std::optional<PeerHeartbeat>)> done) = 0;
+
+  virtual void PullConfiguration(
+      const common::HostId& peer, std::uint64_t have_version,
+      std::function<void(std::optional<PeerConfiguration>)> done) = 0;
+
+  virtual void PushConfiguration(const common::HostId& peer,
+                                 const PeerConfiguration& configuration) = 0;
+
+  virtual void BorrowRate(
+      const common::HostId& peer, const common::WorkspaceId& workspace,
+      std::uint64_t wanted_millitokens,
+      std::function<void(std::optional<PeerRateLoan>)> done) = 0;
+};
+
+/// Receiver of the calls that other daemons make. Called from the event loop.
+class PeerHandler {
+ public:
+  virtual ~PeerHandler() = default;
+
+  virtual void OnExecute(
+      connection::StatementCall call,
+      std::function<void(connection::StatementReply)> done) = 0;
+  virtual void OnConfirm(
+      const common::EndpointId& endpoint, common::LogPosition position,
+      common::Duration wait,
+      std::function<void(connection::ConfirmReply)> done) = 0;
+  virtual PeerHeartbeat OnHeartbeat(const PeerHeartbeat& heartbeat) = 0;
+  virtual PeerConfiguration OnPullConfiguration(std::uint64_t have_version) = 0;
+  virtual std::uint64_t OnPushConfiguration(
+      const PeerConfiguration& configuration) = 0;
+  virtual PeerRateLoan OnBorrowRate(const common::WorkspaceId& workspace,
+                                    std::uint64_t wanted_millitokens) = 0;
+};
+
+}  // namespace camphorferry::process
+
+#endif  // CAMPHORFERRY_PROCESS_PEER_LINK_H_
