--- a/Source/Core/Connection/endpoint_link.h
+++ b/Source/Core/Connection/endpoint_link.h
@@ -36,11 +36,20 @@
   common::SteadyTime deadline;
 };
 
+/// A service's primary as somebody knows it; it may be outdated.
+struct PrimaryHint {
+  /// Empty if no primary is known.
+  common::EndpointId endpoint;
+  common::Term term = 0;
+};
+
 /// What came of a statement call.
 struct StatementReply {
   request::Outcome outcome;
   /// Term that the endpoint reported; zero if it gave no answer.
   common::Term term = 0;
+  /// Added by the owner of the endpoint's connections.
+  PrimaryHint primary{};
 };
 
 /// Whether a replica holds an entry.
--- /dev/null
+++ b/Source/Core/Process/configuration_task.cc
@@ -0,0 +1,176 @@
+#include "Process/configuration_task.h"
+
+#include <utility>
+
+namespace camphorferry::process {
+
+namespace {
+
+constexpr char kConfigurationPath[] = "config";
+constexpr std::chrono::seconds kWatchTimeout(20);
+/// Delay before the next call after the store did not answer.
+constexpr std::chrono::milliseconds kStoreRetryDelay(500);
+
+common::WallTime WallNow() { return std::chrono::system_clock::now(); }
+
+}  // namespace
+
+ConfigurationTask::ConfigurationTask(connection::EventLoop* loop,
+                                     connection::ObjectStore* store,
+                                     PeerLink* peers, EventLog* events,
+                                     Listener on_change)
+    : loop(loop),
+      store(store),
+      peers(peers),
+      events(events),
+      on_change(std::move(on_change)) {}
+
+void ConfigurationTask::Start() { this->ReadStore(); }
+
+void ConfigurationTask::SetDomainPeers(
+    const std::set<common::HostId>& domain_peers) {
+  if (this->domain_peers == domain_peers) return;
+  this->domain_peers = domain_peers;
+  this->tracker.SetDomainPeers(domain_peers);
+}
+
+void ConfigurationTask::SetWatching(bool watching) {
+  this->watching = watching;
+  if (watching) this->Watch();
+}
+
+void ConfigurationTask::ReadStore() {
+  this->store->Read(kConfigurationPath,
+                    [this](const connection::ReadResult& result) {
+                      this->OnStoreRead(result);
+                    });
+}
+
+void ConfigurationTask::Watch() {
+  if (!this->watching || this->watch_open || !this->tracker.Ready()) return;
+  this->watch_open = true;
+  this->store->Watch(kConfigurationPath, this->store_version, kWatchTimeout,
+                     [this](const connection::ReadResult& result) {
+                       this->watch_open = false;
+                       this->OnStoreRead(result);
+                     });
+}
+
+void ConfigurationTask::OnStoreRead(const connection::ReadResult& result) {
+  if (std::holds_alternative<connection::StoreNoAnswer>(result)) {
+    this->tracker.StoreSilent();
+    this->AskPeers();
+    this->retry = this->loop->After(kStoreRetryDelay, [this] {
+      if (this->tracker.Ready() && this->watching) {
+        this->Watch();
+      } else if (!this->tracker.Ready()) {
+        this->ReadStore();
+      }
+    });
+    return;
+  }
+  if (const auto* object = std::get_if<connection::StoredObject>(&result)) {
+    this->store_version = object->version;
+    const version::ConfigurationPointer configuration =
+        object->version == 0 ? nullptr : this->Parse(object->value);
+    this->Report(this->tracker.StoreAnswered(configuration), Source::kStore);
+  }
+  this->Watch();
+}
+
+void ConfigurationTask::AskPeers() {
+  if (this->tracker.Ready()) return;
+  for (const common::HostId& peer : this->tracker.PeersToAsk()) {
+    this->PullFrom(peer, /*bootstrap=*/true);
+  }
+}
+
+void ConfigurationTask::OnPeerVersion(const common::HostId& peer,
+                                      version::ConfigurationVersion reported) {
+  if (this->tracker.IsBehind(reported)) this->PullFrom(peer, false);
+}
+
+void ConfigurationTask::PullFrom(const common::HostId& peer, bool bootstrap) {
+  if (!this->pulling.insert(peer).second) return;
+  this->peers->PullConfiguration(
+      peer, this->tracker.Version(),
+      [this, peer, bootstrap](const std::optional<PeerConfiguration>& answer) {
+        this->pulling.erase(peer);
+        if (!answer) {
+          this->tracker.PeerSilent(peer);
+          return;
+        }
+        const version::ConfigurationPointer configuration =
+            answer->document.empty() ? this->tracker.Current()
+                                     : this->Parse(answer->document);
+        if (bootstrap) {
+          this->Report(this->tracker.PeerAnswered(peer, configuration),
+                       Source::kPeer);
+        } else {
+          this->Report(this->tracker.Offer(configuration), Source::kPeer);
+        }
+        this->Watch();
+      });
+}
+
+version::ConfigurationVersion ConfigurationTask::OnPush(
+    const PeerConfiguration& pushed) {
+  if (this->tracker.IsBehind(pushed.version)) {
+    this->Report(this->tracker.Offer(this->Parse(pushed.document)),
+                 Source::kPeer);
+  }
+  return this->tracker.Version();
+}
+
+PeerConfiguration ConfigurationTask::OnPull(
+    version::ConfigurationVersion have_version) const {
+  const version::ConfigurationVersion held = this->tracker.Version();
+  if (held <= have_version) return {held, ""};
+  return {held, this->document};
+}
+
+void ConfigurationTask::OnWritten(version::ConfigurationPointer configuration) {
+  this->Report(this->tracker.Offer(std::move(configuration)), Source::kStore);
+}
+
+version::ConfigurationPointer ConfigurationTask::Parse(
+    const std::string& document) {
+  try {
+    return std::make_shared<version::Configuration>(
+        version::ParseConfiguration(document));
+  } catch (const version::BadConfigurationError& error) {
+    this->events->Record(
+        WallNow(), common::Subsystem::kVersion, "configuration_rejected",
+        {{"fault", version::ToString(error.Fault())}, {"path", error.Path()}});
+    return nullptr;
+  }
+}
+
+void ConfigurationTask::Report(const version::OfferResult& result,
+                               Source source) {
+  if (const auto* conflict = std::get_if<version::OfferConflict>(&result)) {
+    this->events->Record(WallNow(), common::Subsystem::kVersion,
+                         "configuration_conflict",
+                         {{"version", conflict->version}});
+    return;
+  }
+  const auto* accepted = std::get_if<version::OfferAccepted>(&result);
+  if (accepted == nullptr) return;
+  this->document =
+      version::ConfigurationToJson(*this->tracker.Current()).dump();
+  this->events->Record(
+      WallNow(), common::Subsystem::kVersion, "configuration_in_force",
+      {{"version", accepted->version},
+       {"source", source == Source::kStore ? "store" : "peer"}});
+  this->on_change(this->tracker.Current());
+  if (source == Source::kStore) this->PushToPeers();
+}
+
+void ConfigurationTask::PushToPeers() {
+  const PeerConfiguration pushed{this->tracker.Version(), this->document};
+  for (const common::HostId& peer : this->domain_peers) {
+    this->peers->PushConfiguration(peer, pushed);
+  }
+}
+
+}  // namespace camphorferry::process
--- a/Source/Core/Process/peer_codec.cc
+++ b/Source/Core/Process/peer_codec.cc
@@ -145,11 +145,15 @@
   peer::v1::ExecuteReply message;
   SetOutcome(reply.outcome, &message);
   message.set_term(reply.term);
+  message.set_primary_endpoint(reply.primary.endpoint.Value());
+  message.set_primary_term(reply.primary.term);
   return message;
 }
 
 connection::StatementReply FromMessage(const peer::v1::ExecuteReply& message) {
-  return {OutcomeFrom(message), message.term()};
+  const connection::PrimaryHint primary{
+      common::EndpointId(message.primary_endpoint()), message.primary_term()};
+  return {OutcomeFrom(message), message.term(), primary};
 }
 
 peer::v1::ConfirmReply ToMessage(const connection::ConfirmReply& reply) {
@@ -173,12 +177,6 @@
   message.set_failure_domain(heartbeat.domain.Value());
   message.set_state(ToState(heartbeat.phase));
   message.set_configuration_version(heartbeat.configuration_version);
-  for (const PrimaryHint& hint : heartbeat.primaries) {
-    peer::v1::PrimaryHint* entry = message.add_primaries();
-    entry->set_service(hint.service.Value());
-    entry->set_endpoint(hint.endpoint.Value());
-    entry->set_term(hint.term);
-  }
   return message;
 }
 
@@ -189,11 +187,6 @@
   heartbeat.domain = common::FailureDomainId(message.failure_domain());
   heartbeat.phase = FromState(message.state());
   heartbeat.configuration_version = message.configuration_version();
-  for (const peer::v1::PrimaryHint& entry : message.primaries()) {
-    heartbeat.primaries.push_back({common::ServiceId(entry.service()),
-                                   common::EndpointId(entry.endpoint()),
-                                   entry.term()});
-  }
   return heartbeat;
 }
 
--- a/Source/Core/Process/peer_link.h
+++ b/Source/Core/Process/peer_link.h
@@ -5,7 +5,6 @@
 #include <functional>
 #include <optional>
 #include <string>
-#include <vector>
 
 #include "Common/common.h"
 #include "Connection/connection.h"
@@ -15,13 +14,6 @@
 /// Phase of a daemon's life, as it tells its peers.
 enum class PeerPhase { kStarting, kLive, kDraining };
 
-/// The primary that a daemon knows for a service.
-struct PrimaryHint {
-  common::ServiceId service;
-  common::EndpointId endpoint;
-  common::Term term = 0;
-};
-
 /// What daemons tell each other in a heartbeat and its answer.
 struct PeerHeartbeat {
   common::HostId host;
@@ -30,7 +22,6 @@
   common::FailureDomainId domain;
   PeerPhase phase = PeerPhase::kStarting;
   std::uint64_t configuration_version = 0;
-  std::vector<PrimaryHint> primaries;
 };
 
 /// A configuration document on its way between daemons.
--- a/Source/Core/Process/process.h
+++ b/Source/Core/Process/process.h
@@ -3,6 +3,13 @@
 
 /// Public header of the Process library: what lives for the whole process.
 
+#include "Process/configuration_task.h"
+#include "Process/confirm_batch.h"
 #include "Process/counters.h"
+#include "Process/event_log.h"
+#include "Process/grpc_peer_link.h"
+#include "Process/grpc_peer_server.h"
+#include "Process/peer_link.h"
+#include "Process/primary_directory.h"
 
 #endif  // CAMPHORFERRY_PROCESS_PROCESS_H_
