--- a/Source/Core/Request/request.h
+++ b/Source/Core/Request/request.h
@@ -3,6 +3,7 @@
 
 /// Public header of the Request library: what lives for one request.
 
+#include "Request/endpoint_role.h"
 #include "Request/operation.h"
 #include "Request/outcome.h"
 
