StandIns: Add the database group member

A statement runs whole or not at all, its idempotency record is part of the log entry, and a replica keeps its log until its primary has confirmed the entry that both have in common.

--- a/Source/StandIns/database_core.cc
+++ b/Source/StandIns/database_core.cc
@@ -1,1 +1,261 @@
 #include "StandIns/database_core.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace camphorferry::standins {
+
+namespace {
+
+/// Keeps the answer to one pull well below the size of a large HTTP body.
+constexpr std::size_t kPullLimit = 256;
+
+}  // namespace
+
+DatabaseCore::DatabaseCore(std::string id) : id(std::move(id)) {}
+
+void DatabaseCore::InitializeAsPrimary() {
+  this->term = 1;
+  this->fence = 1;
+  this->role = DatabaseRole::kPrimary;
+  this->AppendTermStart();
+}
+
+ExecuteResult DatabaseCore::Execute(const ExecuteRequest& request,
+                                    common::SteadyTime now) {
+  if (request::IsReadOnly(request.operations)) return this->Read(request, now);
+  return this->Write(request);
+}
+
+ExecuteResult DatabaseCore::Read(const ExecuteRequest& request,
+                                 common::SteadyTime now) const {
+  if (this->unmatched) return this->Refuse(request::NotRunReason::kLagging);
+  if (this->LastPosition() < request.min_position) {
+    return this->Refuse(request::NotRunReason::kLagging);
+  }
+  const common::Duration age = this->Age(now);
+  if (request.max_age && (age == kUnknownAge || age > *request.max_age)) {
+    return this->Refuse(request::NotRunReason::kLagging);
+  }
+  return ExecuteDone{.results = this->records.Read(request.operations),
+                     .position = this->LastPosition(),
+                     .term = this->term,
+                     .role = this->role,
+                     .age = age};
+}
+
+ExecuteResult DatabaseCore::Write(const ExecuteRequest& request) {
+  if (this->role != DatabaseRole::kPrimary) {
+    return this->Refuse(request::NotRunReason::kNotPrimary);
+  }
+  if (request.term != this->term || this->FencedAboveTerm()) {
+    return this->Refuse(request::NotRunReason::kStaleTerm);
+  }
+  // A repeated insert would otherwise conflict with its own first run.
+  if (auto replayed = this->Replay(request)) return *std::move(replayed);
+  std::optional<nlohmann::json> results =
+      this->records.Apply(request.operations);
+  if (!results) return this->Refuse(request::NotRunReason::kConflict);
+  LogEntry entry{.position = this->NextPosition(),
+                 .operations = request.operations,
+                 .idempotency = request.idempotency,
+                 .digest = request.digest,
+                 .results = *results};
+  if (entry.idempotency) {
+    this->idempotency[*entry.idempotency] = entry.position.index;
+  }
+  this->log.push_back(std::move(entry));
+  return ExecuteDone{.results = *std::move(results),
+                     .position = this->LastPosition(),
+                     .term = this->term,
+                     .role = this->role};
+}
+
+std::optional<ExecuteResult> DatabaseCore::Replay(
+    const ExecuteRequest& request) const {
+  if (!request.idempotency) return std::nullopt;
+  const auto found = this->idempotency.find(*request.idempotency);
+  if (found == this->idempotency.end()) return std::nullopt;
+  const LogEntry& entry = this->log[found->second - 1];
+  if (entry.digest != request.digest) {
+    return this->Refuse(request::NotRunReason::kIdempotencyMismatch);
+  }
+  // The last position confirms the old entry too, also if that one belongs to
+  // an earlier term.
+  return ExecuteDone{.results = entry.results,
+                     .position = this->LastPosition(),
+                     .term = this->term,
+                     .role = this->role,
+                     .replayed = true};
+}
+
+FenceResult DatabaseCore::Fence(common::Term term,
+                                const std::string& proposer) {
+  const bool repeated = term == this->fence && !proposer.empty() &&
+                        proposer == this->fence_proposer;
+  const bool granted = term > this->fence || repeated;
+  if (granted) {
+    this->fence = term;
+    this->fence_proposer = proposer;
+  }
+  return FenceResult{.granted = granted,
+                     .fence = this->fence,
+                     .proposer = this->fence_proposer,
+                     .position = this->LastPosition()};
+}
+
+bool DatabaseCore::Promote(common::Term term, const std::string& proposer) {
+  if (proposer.empty() || this->fence != term ||
+      this->fence_proposer != proposer) {
+    return false;
+  }
+  if (this->term == term) {
+    // Either a repeated request, or the database already follows another
+    // primary of this term, which must stay the only one.
+    return this->role == DatabaseRole::kPrimary;
+  }
+  this->term = term;
+  this->role = DatabaseRole::kPrimary;
+  this->primary_address.clear();
+  this->fresh_at.reset();
+  this->unmatched = false;
+  this->AppendTermStart();
+  return true;
+}
+
+bool DatabaseCore::Follow(common::Term term,
+                          const std::string& primary_address) {
+  if (this->fence > term) return false;
+  const bool was_primary = this->role == DatabaseRole::kPrimary;
+  if (was_primary && this->term == term) return false;
+  if (this->fence < term) this->fence_proposer.clear();
+  this->fence = term;
+  this->term = term;
+  this->role = DatabaseRole::kReplica;
+  this->primary_address = primary_address;
+  this->pull_index = this->log.size();
+  if (was_primary) this->unmatched = true;
+  return true;
+}
+
+ReplicateRequest DatabaseCore::NextPull() const {
+  common::LogPosition from;
+  if (this->pull_index > 0) from = this->log[this->pull_index - 1].position;
+  return ReplicateRequest{
+      .term = this->term, .from = from, .limit = kPullLimit};
+}
+
+ReplicateResult DatabaseCore::Replicate(const ReplicateRequest& request) const {
+  ReplicateResult result;
+  result.accepted = this->role == DatabaseRole::kPrimary &&
+                    request.term == this->term && !this->FencedAboveTerm();
+  if (!result.accepted) return result;
+  result.matched = this->Holds(request.from);
+  if (!result.matched) return result;
+  const std::size_t first = request.from.index;
+  const std::size_t count = std::min(request.limit, this->log.size() - first);
+  for (std::size_t index = first; index < first + count; ++index) {
+    result.entries.push_back(this->log[index]);
+  }
+  result.complete = first + count == this->log.size();
+  return result;
+}
+
+void DatabaseCore::ApplyPull(const ReplicateRequest& request,
+                             const ReplicateResult& result,
+                             common::SteadyTime pull_sent) {
+  if (!result.accepted || this->role != DatabaseRole::kReplica) return;
+  if (request.term != this->term || this->FencedAboveTerm()) return;
+  // An answer to an older pull says nothing about the present log.
+  if (request.from != this->NextPull().from) return;
+  if (!result.matched) {
+    if (this->pull_index > 0) --this->pull_index;
+    return;
+  }
+  if (!Continues(request.from, result.entries)) return;
+  if (this->pull_index < this->log.size()) this->Truncate(this->pull_index);
+  for (const LogEntry& entry : result.entries) this->Append(entry);
+  this->pull_index = this->log.size();
+  this->unmatched = false;
+  if (result.complete) this->fresh_at = pull_sent;
+}
+
+ConfirmResult DatabaseCore::Confirm(common::LogPosition position) const {
+  // A primary cannot confirm its own entry: that would acknowledge a write
+  // that only one database has.
+  const bool held = this->role == DatabaseRole::kReplica &&
+                    position.index > 0 && this->Holds(position);
+  return ConfirmResult{
+      .held = held, .fence = this->fence, .position = this->LastPosition()};
+}
+
+DatabaseStatus DatabaseCore::Status(common::SteadyTime now) const {
+  return DatabaseStatus{.term = this->term,
+                        .fence = this->fence,
+                        .role = this->role,
+                        .position = this->LastPosition(),
+                        .age = this->Age(now)};
+}
+
+ExecuteResult DatabaseCore::Refuse(request::NotRunReason reason) const {
+  return ExecuteNotRun{.reason = reason, .term = this->term};
+}
+
+common::Duration DatabaseCore::Age(common::SteadyTime now) const {
+  if (this->role == DatabaseRole::kPrimary) {
+    // A later primary may have written since the fence.
+    return this->FencedAboveTerm() ? kUnknownAge : common::Duration::zero();
+  }
+  if (!this->fresh_at) return kUnknownAge;
+  return now - *this->fresh_at;
+}
+
+common::LogPosition DatabaseCore::LastPosition() const {
+  return this->log.empty() ? common::LogPosition() : this->log.back().position;
+}
+
+common::LogPosition DatabaseCore::NextPosition() const {
+  return {.term = this->term, .index = this->log.size() + 1};
+}
+
+bool DatabaseCore::Holds(common::LogPosition position) const {
+  if (position.index == 0) return position.term == 0;
+  if (position.index > this->log.size()) return false;
+  return this->log[position.index - 1].position == position;
+}
+
+void DatabaseCore::Append(LogEntry entry) {
+  this->records.Apply(entry.operations);
+  if (entry.idempotency) {
+    this->idempotency[*entry.idempotency] = entry.position.index;
+  }
+  this->log.push_back(std::move(entry));
+}
+
+void DatabaseCore::AppendTermStart() {
+  LogEntry entry;
+  entry.position = this->NextPosition();
+  this->Append(std::move(entry));
+}
+
+void DatabaseCore::Truncate(std::size_t length) {
+  std::vector<LogEntry> kept = std::move(this->log);
+  kept.resize(length);
+  this->log.clear();
+  this->records.Clear();
+  this->idempotency.clear();
+  for (LogEntry& entry : kept) this->Append(std::move(entry));
+}
+
+bool DatabaseCore::Continues(common::LogPosition from,
+                             const std::vector<LogEntry>& entries) {
+  common::LogPosition previous = from;
+  for (const LogEntry& entry : entries) {
+    if (entry.position.index != previous.index + 1) return false;
+    if (entry.position.term < previous.term) return false;
+    previous = entry.position;
+  }
+  return true;
+}
+
+}  // namespace camphorferry::standins
--- a/Source/StandIns/database_core.h
+++ b/Source/StandIns/database_core.h
@@ -1,23 +1,27 @@
 #ifndef CAMPHORFERRY_STANDINS_DATABASE_CORE_H_
 #define CAMPHORFERRY_STANDINS_DATABASE_CORE_H_
 
-#include <cstdint>
+#include <cstddef>
 #include <map>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
-#include <utility>
 #include <variant>
 #include <vector>
 
 #include "Common/common.h"
 #include "Request/request.h"
+#include "StandIns/record_store.h"
 
 namespace camphorferry::standins {
 
 /// What a database does in its group.
 enum class DatabaseRole { kPrimary, kReplica };
 
+/// Age of data whose age cannot be known, such as that of a replica which has
+/// never had a complete answer from its primary.
+inline constexpr common::Duration kUnknownAge = common::Duration::max();
+
 /// Identifies a repeated statement of one workspace.
 struct IdempotencyRecordKey {
   std::string workspace;
@@ -155,7 +159,36 @@
 
   DatabaseStatus Status(common::SteadyTime now) const;
 
+  const std::string& Id() const { return this->id; }
+
+  /// All tables as JSON.
+  nlohmann::json DumpTables() const { return this->records.Dump(); }
+
+  /// Number of entries in the log.
+  std::size_t LogLength() const { return this->log.size(); }
+
  private:
+  ExecuteResult Read(const ExecuteRequest& request,
+                     common::SteadyTime now) const;
+  ExecuteResult Write(const ExecuteRequest& request);
+  /// The outcome of an earlier statement with the same idempotency key.
+  std::optional<ExecuteResult> Replay(const ExecuteRequest& request) const;
+  ExecuteResult Refuse(request::NotRunReason reason) const;
+  bool FencedAboveTerm() const { return this->fence > this->term; }
+  common::Duration Age(common::SteadyTime now) const;
+  common::LogPosition LastPosition() const;
+  common::LogPosition NextPosition() const;
+  /// True if the log holds the entry; the position before the first entry
+  /// counts as held.
+  bool Holds(common::LogPosition position) const;
+  void Append(LogEntry entry);
+  void AppendTermStart();
+  /// Keeps the first entries of the log and rebuilds everything else from them.
+  void Truncate(std::size_t length);
+  /// True if the entries continue the log after the position without a gap.
+  static bool Continues(common::LogPosition from,
+                        const std::vector<LogEntry>& entries);
+
   std::string id;
   common::Term term = 0;
   common::Term fence = 0;
@@ -163,9 +196,18 @@
   DatabaseRole role = DatabaseRole::kReplica;
   std::string primary_address;
   std::vector<LogEntry> log;
-  std::map<std::pair<std::string, std::string>, nlohmann::json> records;
-  std::map<IdempotencyRecordKey, LogEntry> idempotency;
+  RecordStore records;
+  /// Index of the entry that a key's effect and results are in.
+  std::map<IdempotencyRecordKey, common::LogIndex> idempotency;
+  /// When the pull was sent whose complete answer was applied last.
   std::optional<common::SteadyTime> fresh_at;
+  /// Entry after which the next pull starts. It moves back from the end of the
+  /// log until the primary knows the entry; only then is the log truncated.
+  std::size_t pull_index = 0;
+  /// True while the log may end in entries of a superseded primary, which were
+  /// never acknowledged and must not be read. Entries that a replica pulled are
+  /// held by two databases, so every later primary has them.
+  bool unmatched = false;
 };
 
 }  // namespace camphorferry::standins
