--- a/Source/Core/Process/process.h
+++ b/Source/Core/Process/process.h
@@ -3,10 +3,12 @@
 
 /// Public header of the Process library: what lives for the whole process.
 
+#include "Process/acknowledgement_rule.h"
 #include "Process/configuration_task.h"
 #include "Process/confirm_batch.h"
 #include "Process/counters.h"
 #include "Process/event_log.h"
+#include "Process/failover_coordinator.h"
 #include "Process/grpc_peer_link.h"
 #include "Process/grpc_peer_server.h"
 #include "Process/peer_link.h"
