Request: Add the session token

A session must read its own writes at any daemon without a shared table, so the last position of each service travels with the client.

--- a/Source/Core/Request/request.h
+++ b/Source/Core/Request/request.h
@@ -5,5 +5,6 @@
 
 #include "Request/operation.h"
 #include "Request/outcome.h"
+#include "Request/session_token.h"
 
 #endif  // CAMPHORFERRY_REQUEST_REQUEST_H_
