--- a/Source/Core/Process/process.h
+++ b/Source/Core/Process/process.h
@@ -13,5 +13,6 @@
 #include "Process/grpc_peer_server.h"
 #include "Process/peer_link.h"
 #include "Process/primary_directory.h"
+#include "Process/rate_share.h"
 
 #endif  // CAMPHORFERRY_PROCESS_PROCESS_H_
