Request: Add the idempotency key

A write whose outcome is unknown is settled by repeating it under its key, so the key's age has to stay below the time that its record is kept.

Ages are compared in whole seconds, rounded so that both limits are exact: the eleven digits that the form allows overflow a 64-bit count of nanoseconds. A random part below 8 characters is refused, since counters of two clients meet within a second. The digest covers the CBOR form of route and operations; JSON text was ruled out because dumping invalid UTF-8 throws, and replacing the bytes would give two requests one digest.

--- /dev/null
+++ b/Source/Core/Request/idempotency_key.h
@@ -0,0 +1,89 @@
+#ifndef CAMPHORFERRY_REQUEST_IDEMPOTENCY_KEY_H_
+#define CAMPHORFERRY_REQUEST_IDEMPOTENCY_KEY_H_
+
+#include <chrono>
+#include <cstddef>
+#include <string>
+#include <string_view>
+
+#include "Common/common.h"
+#include "Request/operation.h"
+
+namespace camphorferry::request {
+
+/// Base of the errors that refuse an idempotency key.
+class BadIdempotencyKeyError : public common::Error {
+ protected:
+  using Error::Error;
+};
+
+/// The key is not of the form UNIXSECONDS-RANDOM.
+class MalformedIdempotencyKeyError : public BadIdempotencyKeyError {
+ public:
+  MalformedIdempotencyKeyError();
+};
+
+/// The key is so old that its record may be gone.
+class IdempotencyKeyExpiredError : public BadIdempotencyKeyError {
+ public:
+  explicit IdempotencyKeyExpiredError(std::chrono::seconds age);
+
+  /// Whole seconds since the key's issue time.
+  std::chrono::seconds Age() const { return this->age; }
+
+ private:
+  std::chrono::seconds age;
+};
+
+/// The key's issue time lies further in the future than clocks may differ.
+class IdempotencyKeyFromFutureError : public BadIdempotencyKeyError {
+ public:
+  explicit IdempotencyKeyFromFutureError(std::chrono::seconds lead);
+
+  /// Whole seconds until the key's issue time.
+  std::chrono::seconds Lead() const { return this->lead; }
+
+ private:
+  std::chrono::seconds lead;
+};
+
+/// Greatest age of a key. Records are kept for 48 h, so a retry that is
+/// accepted always meets the record of its first attempt.
+inline constexpr std::chrono::hours kMaxIdempotencyKeyAge{24};
+/// How far a client's clock may run ahead.
+inline constexpr std::chrono::minutes kMaxIdempotencyKeyLead{5};
+/// The random part. Fewer than 8 characters would let clients of one workspace
+/// choose the same key within a second; 64 hold a hexadecimal SHA-256.
+inline constexpr std::size_t kMinIdempotencyRandomLength = 8;
+inline constexpr std::size_t kMaxIdempotencyRandomLength = 64;
+
+/// Names one request of a client over all its attempts. The form is
+/// UNIXSECONDS-RANDOM: the issue time in 1 to 11 decimal digits without leading
+/// zeros, a hyphen, and 8 to 64 of the characters A-Z a-z 0-9 - _.
+class IdempotencyKey {
+ public:
+  /// Throws an error derived from BadIdempotencyKeyError. A key exactly at one
+  /// of the limits of age is accepted.
+  static IdempotencyKey Parse(std::string_view text, common::WallTime now);
+
+  /// The whole key, as it is recorded with the effect.
+  const std::string& Text() const { return this->text; }
+
+  common::WallTime IssuedAt() const { return this->issued_at; }
+
+ private:
+  IdempotencyKey(std::string_view text, common::WallTime issued_at)
+      : text(text), issued_at(issued_at) {}
+
+  std::string text;
+  common::WallTime issued_at;
+};
+
+/// Digest that binds an idempotency key to one request: equal for the same
+/// route and operations, in lower-case hexadecimal digits.
+std::string OperationsDigest(const common::RouteId& route,
+                             const Operations& operations);
+
+}  // namespace camphorferry::request
+
+#endif  // CAMPHORFERRY_REQUEST_IDEMPOTENCY_KEY_H_
--- a/Source/Core/Request/request.h
+++ b/Source/Core/Request/request.h
@@ -3,6 +3,7 @@
 
 /// Public header of the Request library: what lives for one request.
 
+#include "Request/idempotency_key.h"
 #include "Request/operation.h"
 #include "Request/outcome.h"
 #include "Request/session_token.h"
