Version: Add the document codec, the key ring and the tracker

Daemons need one exact form of the configuration for the store and for peers, a lookup from presented key to workspace, and the rule that decides which version is in force.

--- a/Source/Core/Common/common.h
+++ b/Source/Core/Common/common.h
@@ -11,6 +11,7 @@
 #include "Common/log.h"
 #include "Common/overloaded.h"
 #include "Common/rendezvous.h"
+#include "Common/text_rules.h"
 #include "Common/time.h"
 
 #endif  // CAMPHORFERRY_COMMON_COMMON_H_
--- a/Source/Core/Version/version.h
+++ b/Source/Core/Version/version.h
@@ -5,5 +5,8 @@
 /// configuration.
 
 #include "Version/configuration.h"
+#include "Version/configuration_json.h"
+#include "Version/configuration_tracker.h"
+#include "Version/key_ring.h"
 
 #endif  // CAMPHORFERRY_VERSION_VERSION_H_
--- /dev/null
+++ b/Source/UnitTests/Core/Version/key_ring_test.cc
@@ -0,0 +1,52 @@
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "configuration_generator.h"
+
+namespace camphorferry::version {
+namespace {
+
+class KeyRingTest : public testing::Test {
+ protected:
+  static Configuration WithKey(const std::string& key_text) {
+    Configuration configuration;
+    configuration.workspaces[common::WorkspaceId("w")] = Workspace{10, 5, 1};
+    configuration.keys[common::KeyId("k")] =
+        Key{common::WorkspaceId("w"), common::Sha256Hex(key_text)};
+    return configuration;
+  }
+};
+
+// Guards against keys that open another workspace or none, and against a key
+// text that ends up in the store.
+RC_GTEST_PROP(KeyRingPropertyTest, IssuedKey_WorkspaceOf_IsItsOwnOnly,
+              (const std::array<unsigned char, kKeyBytes>& random)) {
+  const std::string text = GenerateKey(random);
+  Configuration configuration = *GenConfiguration();
+  configuration.workspaces[common::WorkspaceId("w")] = Workspace{};
+  RC_ASSERT(KeyRing(configuration).WorkspaceOf(text) == std::nullopt);
+  configuration.keys[common::KeyId("issued")] =
+      Key{common::WorkspaceId("w"), common::Sha256Hex(text)};
+  RC_ASSERT(KeyRing(configuration).WorkspaceOf(text) ==
+            common::WorkspaceId("w"));
+  const std::string stored = ConfigurationToJson(configuration).dump();
+  RC_ASSERT(stored.find(text) == std::string::npos);
+}
+
+// Guards against a digest, which operators may read, that works as a key.
+TEST_F(KeyRingTest, DigestPresentedAsKey_WorkspaceOf_IsNone) {
+  const KeyRing ring(WithKey("secret"));
+  EXPECT_EQ(ring.WorkspaceOf("secret"), common::WorkspaceId("w"));
+  EXPECT_EQ(ring.WorkspaceOf(common::Sha256Hex("secret")), std::nullopt);
+  EXPECT_EQ(ring.WorkspaceOf(""), std::nullopt);
+}
+
+// Guards against keys that outlive their workspace.
+TEST_F(KeyRingTest, WorkspaceRemoved_WorkspaceOf_IsNone) {
+  Configuration configuration = WithKey("secret");
+  configuration.workspaces.clear();
+  EXPECT_EQ(KeyRing(configuration).WorkspaceOf("secret"), std::nullopt);
+}
+
+}  // namespace
+}  // namespace camphorferry::version
