Request: Add the retry policy and its budget

One policy object lives for one request, because the rule that an unknown attempt stays unknown needs memory over all attempts; a stateless function would leave that memory, and invariant 9, to each caller.

A conflict after an unknown attempt is reported as unknown. A conflict aborts the transaction and so writes no idempotency record: an earlier attempt that is still on its way runs once the conflicting row is gone, and "not run" would have been false. A mismatch is reported, since the key's record belongs to another request. Waiting for a late attempt was ruled out, as nothing bounds its delay.

--- a/Source/Core/Request/request.h
+++ b/Source/Core/Request/request.h
@@ -6,6 +6,8 @@
 #include "Request/idempotency_key.h"
 #include "Request/operation.h"
 #include "Request/outcome.h"
+#include "Request/retry_budget.h"
+#include "Request/retry_policy.h"
 #include "Request/session_token.h"
 
 #endif  // CAMPHORFERRY_REQUEST_REQUEST_H_
