--- a/Source/Core/Process/process.h
+++ b/Source/Core/Process/process.h
@@ -5,5 +5,6 @@
 
 #include "Process/counters.h"
 #include "Process/rate_share.h"
+#include "Process/rate_slot_lease.h"
 
 #endif  // CAMPHORFERRY_PROCESS_PROCESS_H_
