--- a/Source/Core/Process/process.h
+++ b/Source/Core/Process/process.h
@@ -14,5 +14,6 @@
 #include "Process/peer_link.h"
 #include "Process/primary_directory.h"
 #include "Process/rate_share.h"
+#include "Process/rate_slot_lease.h"
 
 #endif  // CAMPHORFERRY_PROCESS_PROCESS_H_
