Process: Add daemon settings that report all faults at once

An operator who mistypes several settings should see all of them in one run, with file, line, key, what was found and what is allowed. The settings are declared in one table with section, key, rule and default.

The TOML reading and the fault list are in Common, because the operators' declarations need the same. A fault never shows a value that may be a secret: secrets show their length only, unknown keys show the type only, and syntax errors lose everything that the parser quotes.

Host names are refused where an address is expected, since processes resolve none. peers.tls accepts only "off" until TLS is implemented.

--- a/Source/Core/Common/common.h
+++ b/Source/Core/Common/common.h
@@ -6,6 +6,7 @@
 
 #include "Common/digest.h"
 #include "Common/error.h"
+#include "Common/fault_list.h"
 #include "Common/hybrid_clock.h"
 #include "Common/ids.h"
 #include "Common/log.h"
--- a/Source/Core/Process/process.h
+++ b/Source/Core/Process/process.h
@@ -4,5 +4,6 @@
 /// Public header of the Process library: what lives for the whole process.
 
 #include "Process/counters.h"
+#include "Process/settings.h"
 
 #endif  // CAMPHORFERRY_PROCESS_PROCESS_H_
