--- a/Source/Core/Process/process.h
+++ b/Source/Core/Process/process.h
@@ -15,5 +15,6 @@
 #include "Process/primary_directory.h"
 #include "Process/rate_share.h"
 #include "Process/rate_slot_lease.h"
+#include "Process/settings.h"
 
 #endif  // CAMPHORFERRY_PROCESS_PROCESS_H_
