--- a/Source/Core/Connection/endpoint_link.h
+++ b/Source/Core/Connection/endpoint_link.h
@@ -62,14 +62,11 @@
   common::LogPosition position;
 };
 
-/// What a database does in its group.
-enum class EndpointRole { kPrimary, kReplica };
-
 /// State that a database reports.
 struct EndpointStatus {
   common::Term term = 0;
   common::Term fence = 0;
-  EndpointRole role = EndpointRole::kReplica;
+  request::EndpointRole role = request::EndpointRole::kReplica;
   common::LogPosition position;
 };
 
--- a/Source/Core/Connection/http_endpoint_link.cc
+++ b/Source/Core/Connection/http_endpoint_link.cc
@@ -111,8 +111,8 @@
   EndpointStatus status;
   status.term = body.at("term").get<common::Term>();
   status.fence = body.at("fence").get<common::Term>();
-  status.role = body.at("role") == "primary" ? EndpointRole::kPrimary
-                                             : EndpointRole::kReplica;
+  status.role = body.at("role") == "primary" ? request::EndpointRole::kPrimary
+                                             : request::EndpointRole::kReplica;
   status.position = PositionFromJson(body.at("position"));
   return status;
 }
--- /dev/null
+++ b/Source/Core/Process/endpoint_owner.cc
@@ -0,0 +1,242 @@
+#include "Process/endpoint_owner.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace camphorferry::process {
+
+namespace {
+
+/// How long a write waits at the owner for a promotion that is under way.
+constexpr std::chrono::seconds kMaxPromotionWait(3);
+constexpr std::chrono::milliseconds kPromotionCheckInterval(20);
+
+common::SteadyTime Now() { return std::chrono::steady_clock::now(); }
+
+connection::StatementReply NotRun(request::NotRunReason reason,
+                                  const connection::PrimaryHint& hint) {
+  return {request::NotRun{reason, std::nullopt}, hint.term, hint};
+}
+
+bool NeedsAcknowledgement(const connection::StatementCall& call,
+                          const connection::StatementReply& reply) {
+  const auto* done = std::get_if<request::Done>(&reply.outcome);
+  return done != nullptr && (call.is_write || done->served_by_primary);
+}
+
+}  // namespace
+
+EndpointOwner::EndpointOwner(connection::EventLoop* loop, EventLog* events,
+                             Counters* counters, PrimaryDirectory* directory,
+                             std::string incarnation,
+                             ConfirmRouter confirm_router)
+    : loop(loop),
+      events(events),
+      counters(counters),
+      directory(directory),
+      incarnation(std::move(incarnation)),
+      confirm_router(std::move(confirm_router)) {}
+
+void EndpointOwner::SetConfiguration(
+    version::ConfigurationPointer configuration) {
+  const version::ConfigurationPointer old =
+      std::exchange(this->configuration, std::move(configuration));
+  if (old == nullptr) return;
+  for (const auto& [id, service] : old->services) {
+    const auto kept = this->configuration->services.find(id);
+    if (kept != this->configuration->services.end() &&
+        kept->second == service) {
+      continue;
+    }
+    // Tasks of a changed service are made anew on their next use.
+    for (const version::Endpoint& endpoint : service.endpoints) {
+      const auto task = this->tasks.extract(endpoint.id);
+      if (!task.empty()) this->Drop(std::move(task.mapped()));
+    }
+    const auto failover = this->failovers.extract(id);
+    if (!failover.empty()) this->Drop(std::move(failover.mapped()));
+  }
+}
+
+void EndpointOwner::SetOwnership(
+    const std::map<common::ServiceId, ServiceOwnership>& ownership) {
+  for (auto entry = this->failovers.begin(); entry != this->failovers.end();) {
+    if (ownership.contains(entry->first)) {
+      ++entry;
+      continue;
+    }
+    this->Drop(std::move(entry->second));
+    entry = this->failovers.erase(entry);
+  }
+  for (const auto& [service, owned] : ownership) {
+    const auto declared = this->configuration->services.find(service);
+    if (declared == this->configuration->services.end()) continue;
+    std::unique_ptr<FailoverTask>& task = this->failovers[service];
+    if (task != nullptr) {
+      task->SetRank(owned.rank);
+      continue;
+    }
+    const std::string proposer =
+        this->incarnation + "." + std::to_string(this->next_coordinator++);
+    task = std::make_unique<FailoverTask>(this->loop, service, declared->second,
+                                          proposer, owned.rank, this->events,
+                                          this->directory);
+  }
+}
+
+void EndpointOwner::Execute(connection::StatementCall call,
+                            EndpointTask::Callback done) {
+  ++this->unfinished;
+  EndpointTask::Callback counted =
+      [this, service = call.service,
+       done = std::move(done)](connection::StatementReply reply) {
+        --this->unfinished;
+        if (reply.primary.endpoint.Empty()) {
+          const FailoverTask* failover = this->FailoverOf(service);
+          if (failover != nullptr) reply.primary = failover->Primary();
+        }
+        done(std::move(reply));
+      };
+  if (!call.is_write) {
+    this->Run(std::move(call), std::move(counted));
+    return;
+  }
+  const common::SteadyTime until =
+      std::min(call.deadline, Now() + kMaxPromotionWait);
+  this->ExecuteWrite(std::move(call), until, std::move(counted));
+}
+
+void EndpointOwner::ExecuteWrite(connection::StatementCall call,
+                                 common::SteadyTime until,
+                                 EndpointTask::Callback done) {
+  const FailoverTask* failover = this->FailoverOf(call.service);
+  if (failover == nullptr) {
+    this->Run(std::move(call), std::move(done));
+    return;
+  }
+  const connection::PrimaryHint primary = failover->Primary();
+  if (primary.endpoint.Empty()) {
+    if (Now() >= until) {
+      done(NotRun(request::NotRunReason::kNoPrimary, primary));
+      return;
+    }
+    // Nothing was sent, so waiting here for the promotion costs no retry.
+    this->loop->RunLater(
+        kPromotionCheckInterval, [this, call = std::move(call), until,
+                                  done = std::move(done)]() mutable {
+          this->ExecuteWrite(std::move(call), until, std::move(done));
+        });
+    return;
+  }
+  if (primary.endpoint != call.endpoint) {
+    done(NotRun(request::NotRunReason::kNotPrimary, primary));
+    return;
+  }
+  call.term = primary.term;
+  this->Run(std::move(call), std::move(done));
+}
+
+void EndpointOwner::Run(connection::StatementCall call,
+                        EndpointTask::Callback done) {
+  EndpointTask* task = this->TaskOf(call.endpoint);
+  if (task == nullptr) {
+    done(NotRun(request::NotRunReason::kEndpointUnreachable, {}));
+    return;
+  }
+  const connection::StatementCall sent = call;
+  task->Execute(std::move(call), [this, sent, done = std::move(done)](
+                                     connection::StatementReply reply) {
+    if (NeedsAcknowledgement(sent, reply)) {
+      this->Acknowledge(sent, std::move(reply), done);
+      return;
+    }
+    done(std::move(reply));
+  });
+}
+
+void EndpointOwner::Acknowledge(const connection::StatementCall& call,
+                                connection::StatementReply reply,
+                                EndpointTask::Callback done) {
+  const auto service = this->configuration->services.find(call.service);
+  std::vector<common::EndpointId> replicas;
+  if (service != this->configuration->services.end()) {
+    for (const version::Endpoint& endpoint : service->second.endpoints) {
+      if (endpoint.id != call.endpoint) replicas.push_back(endpoint.id);
+    }
+  }
+  const Execution execution{call.endpoint, reply.term,
+                            std::get<request::Done>(reply.outcome).position};
+  const auto task = std::make_shared<AcknowledgementTask>(
+      this->loop, execution, replicas, call.deadline, this->confirm_router,
+      [this, is_write = call.is_write, reply = std::move(reply),
+       done = std::move(done)](bool acknowledged) mutable {
+        if (acknowledged) {
+          done(std::move(reply));
+          return;
+        }
+        this->counters->Add("statements_not_confirmed");
+        if (is_write) {
+          reply.outcome =
+              request::Unknown{request::UnknownReason::kNotConfirmed};
+        } else {
+          // An unconfirmed read changed nothing and may be made again.
+          reply.outcome =
+              request::NotRun{request::NotRunReason::kNoPrimary, std::nullopt};
+        }
+        done(std::move(reply));
+      });
+  task->Start();
+}
+
+void EndpointOwner::Confirm(const common::EndpointId& endpoint,
+                            common::LogPosition position, common::Duration wait,
+                            ConfirmBatch::Callback done) {
+  EndpointTask* task = this->TaskOf(endpoint);
+  if (task == nullptr) {
+    done(connection::ConfirmReply{});
+    return;
+  }
+  task->Confirm(position, Now() + wait, std::move(done));
+}
+
+bool EndpointOwner::Idle() const { return this->unfinished == 0; }
+
+EndpointTask* EndpointOwner::TaskOf(const common::EndpointId& endpoint) {
+  const auto found = this->tasks.find(endpoint);
+  if (found != this->tasks.end()) return found->second.get();
+  if (this->configuration == nullptr) return nullptr;
+  for (const auto& [service_id, service] : this->configuration->services) {
+    for (const version::Endpoint& declared : service.endpoints) {
+      if (declared.id != endpoint) continue;
+      auto task = std::make_unique<EndpointTask>(
+          this->loop, declared, service, this->events, this->counters,
+          [this, service_id,
+           endpoint](const connection::StatementReply* reply) {
+            FailoverTask* failover = this->FailoverOf(service_id);
+            if (failover != nullptr) failover->Observe(endpoint, reply);
+          });
+      return (this->tasks[endpoint] = std::move(task)).get();
+    }
+  }
+  return nullptr;
+}
+
+FailoverTask* EndpointOwner::FailoverOf(const common::ServiceId& service) {
+  const auto found = this->failovers.find(service);
+  return found == this->failovers.end() ? nullptr : found->second.get();
+}
+
+void EndpointOwner::Drop(std::unique_ptr<EndpointTask> task) {
+  // Statements that run on the task still have to end.
+  constexpr std::chrono::seconds kLongestStatement(30);
+  this->loop->RunLater(
+      kLongestStatement,
+      [task = std::shared_ptr<EndpointTask>(std::move(task))] {});
+}
+
+void EndpointOwner::Drop(std::unique_ptr<FailoverTask> task) {
+  // The task may be dropped from within one of its own callbacks.
+  this->loop->Post([task = std::shared_ptr<FailoverTask>(std::move(task))] {});
+}
+
+}  // namespace camphorferry::process
--- /dev/null
+++ b/Source/Core/Process/failover_task.cc
@@ -0,0 +1,188 @@
+#include "Process/failover_task.h"
+
+#include <utility>
+#include <vector>
+
+namespace camphorferry::process {
+
+namespace {
+
+constexpr std::chrono::milliseconds kTickInterval(50);
+/// Time allowed for fence, promote and follow calls.
+constexpr std::chrono::milliseconds kControlTimeout(500);
+
+common::SteadyTime Now() { return std::chrono::steady_clock::now(); }
+
+common::WallTime WallNow() { return std::chrono::system_clock::now(); }
+
+std::vector<common::EndpointId> EndpointIds(const version::Service& service) {
+  std::vector<common::EndpointId> ids;
+  for (const version::Endpoint& endpoint : service.endpoints) {
+    ids.push_back(endpoint.id);
+  }
+  return ids;
+}
+
+EndpointStatus ToCoordinatorStatus(const connection::EndpointStatus& status) {
+  return {status.term, status.fence, status.role, status.position};
+}
+
+MissKind ToMissKind(connection::ControlFailure failure) {
+  return failure == connection::ControlFailure::kRefused ? MissKind::kRefused
+                                                         : MissKind::kTimedOut;
+}
+
+}  // namespace
+
+FailoverTask::FailoverTask(connection::EventLoop* loop,
+                           common::ServiceId service,
+                           const version::Service& declared,
+                           const std::string& proposer, std::size_t rank,
+                           EventLog* events, PrimaryDirectory* directory)
+    : loop(loop),
+      service(std::move(service)),
+      events(events),
+      directory(directory),
+      coordinator(EndpointIds(declared), proposer, rank) {
+  for (const version::Endpoint& endpoint : declared.endpoints) {
+    this->members[endpoint.id].address =
+        connection::ParseSocketAddress(endpoint.address);
+  }
+  this->tick =
+      loop->Every(kTickInterval, [this] { this->Handle(FailoverTick{}); });
+  this->Handle(FailoverTick{});
+}
+
+FailoverTask::~FailoverTask() { *this->alive = false; }
+
+void FailoverTask::SetRank(std::size_t rank) {
+  this->coordinator.SetRank(rank);
+}
+
+void FailoverTask::Observe(const common::EndpointId& endpoint,
+                           const connection::StatementReply* reply) {
+  if (reply == nullptr) {
+    this->Handle(StatusMissed{endpoint, std::nullopt, MissKind::kTimedOut});
+  }
+}
+
+connection::PrimaryHint FailoverTask::Primary() const {
+  const std::optional<KnownPrimary> primary = this->coordinator.Primary();
+  if (!primary || this->coordinator.IsSuspect(primary->endpoint)) return {};
+  return {primary->endpoint, primary->term};
+}
+
+void FailoverTask::Handle(const FailoverEvent& event) {
+  const std::vector<FailoverAction> actions =
+      this->coordinator.Handle(event, Now());
+  for (const FailoverAction& action : actions) {
+    std::visit([this](const auto& typed) { this->Perform(typed); }, action);
+  }
+}
+
+void FailoverTask::Perform(const SendStatus& action) {
+  Member& member = this->members.at(action.endpoint);
+  const bool reusable = member.status_link != nullptr &&
+                        member.status_link->Usable() &&
+                        !member.status_link->Busy();
+  if (action.new_connection || !reusable) {
+    member.status_link = this->NewLink(action.endpoint);
+  }
+  member.status_link->Status(
+      kStatusTimeout,
+      [this, action, link = member.status_link, alive = this->alive](
+          const connection::ControlResult<connection::EndpointStatus>& result) {
+        if (!*alive) return;
+        if (const auto* status =
+                std::get_if<connection::EndpointStatus>(&result)) {
+          this->Handle(StatusSeen{action.endpoint, action.request,
+                                  ToCoordinatorStatus(*status)});
+          return;
+        }
+        this->Handle(StatusMissed{
+            action.endpoint, action.request,
+            ToMissKind(std::get<connection::ControlFailure>(result))});
+      });
+}
+
+void FailoverTask::Perform(const SendFence& action) {
+  this->events->Record(WallNow(), common::Subsystem::kProcess, "fence_sent",
+                       {{"service", this->service},
+                        {"endpoint", action.endpoint},
+                        {"term", action.term}});
+  const auto link = this->NewLink(action.endpoint);
+  link->Fence(
+      action.term, this->coordinator.Proposer(), kControlTimeout,
+      [this, action, link, alive = this->alive](
+          const connection::ControlResult<connection::FenceReply>& result) {
+        if (!*alive) return;
+        const auto* reply = std::get_if<connection::FenceReply>(&result);
+        if (reply == nullptr) {
+          this->Handle(FenceFailed{action.endpoint, action.request});
+          return;
+        }
+        this->Handle(FenceReply{action.endpoint, action.request, reply->granted,
+                                reply->fence, reply->proposer,
+                                reply->position});
+      });
+}
+
+void FailoverTask::Perform(const SendPromote& action) {
+  this->events->Record(WallNow(), common::Subsystem::kProcess, "promote_sent",
+                       {{"service", this->service},
+                        {"endpoint", action.endpoint},
+                        {"term", action.term}});
+  const auto link = this->NewLink(action.endpoint);
+  link->Promote(
+      action.term, this->coordinator.Proposer(), kControlTimeout,
+      [this, action, link, alive = this->alive](
+          const connection::ControlResult<connection::ControlAccepted>&
+              result) {
+        if (!*alive) return;
+        const auto* reply = std::get_if<connection::ControlAccepted>(&result);
+        if (reply == nullptr) {
+          this->Handle(PromoteFailed{action.endpoint, action.request});
+          return;
+        }
+        this->Handle(PromoteReply{action.endpoint, action.request, action.term,
+                                  reply->accepted});
+      });
+}
+
+void FailoverTask::Perform(const SendFollow& action) {
+  const auto link = this->NewLink(action.endpoint);
+  const std::string primary =
+      connection::ToString(this->members.at(action.primary).address);
+  link->Follow(
+      action.term, this->coordinator.Proposer(), primary, kControlTimeout,
+      [this, action, link, alive = this->alive](
+          const connection::ControlResult<connection::ControlAccepted>&
+              result) {
+        if (!*alive) return;
+        const auto* reply = std::get_if<connection::ControlAccepted>(&result);
+        if (reply == nullptr) {
+          this->Handle(FollowFailed{action.endpoint, action.request});
+          return;
+        }
+        this->Handle(FollowReply{action.endpoint, action.request, action.term,
+                                 reply->accepted});
+      });
+}
+
+void FailoverTask::Perform(const AnnouncePrimary& action) {
+  const bool changed =
+      this->directory->Learn(this->service, {action.endpoint, action.term});
+  if (!changed) return;
+  this->events->Record(WallNow(), common::Subsystem::kProcess, "primary_known",
+                       {{"service", this->service},
+                        {"endpoint", action.endpoint},
+                        {"term", action.term}});
+}
+
+std::shared_ptr<connection::HttpEndpointLink> FailoverTask::NewLink(
+    const common::EndpointId& endpoint) {
+  return std::make_shared<connection::HttpEndpointLink>(
+      this->loop, this->members.at(endpoint).address);
+}
+
+}  // namespace camphorferry::process
--- a/Source/Core/Process/grpc_peer_link.cc
+++ b/Source/Core/Process/grpc_peer_link.cc
@@ -135,8 +135,8 @@
 }
 
 void GrpcPeerLink::Heartbeat(
-    const common::HostId& peer, const PeerHeartbeat& heartbeat,
-    std::function<void(std::optional<PeerHeartbeat>)> done) {
+    const common::HostId& peer, const HeartbeatExchange& heartbeat,
+    std::function<void(std::optional<HeartbeatExchange>)> done) {
   const auto method = [](peer::v1::Peer::Stub* stub, auto*... arguments) {
     return [=](auto finish) { stub->async()->Heartbeat(arguments..., finish); };
   };
--- a/Source/Core/Process/grpc_peer_link.h
+++ b/Source/Core/Process/grpc_peer_link.h
@@ -30,8 +30,8 @@
                common::LogPosition position, common::Duration wait,
                std::function<void(connection::ConfirmReply)> done) override;
   void Heartbeat(
-      const common::HostId& peer, const PeerHeartbeat& heartbeat,
-      std::function<void(std::optional<PeerHeartbeat>)> done) override;
+      const common::HostId& peer, const HeartbeatExchange& heartbeat,
+      std::function<void(std::optional<HeartbeatExchange>)> done) override;
   void PullConfiguration(
       const common::HostId& peer, std::uint64_t have_version,
       std::function<void(std::optional<PeerConfiguration>)> done) override;
--- /dev/null
+++ b/Source/Core/Process/membership_task.cc
@@ -0,0 +1,121 @@
+#include "Process/membership_task.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace camphorferry::process {
+
+namespace {
+
+constexpr std::chrono::seconds kHostListInterval(1);
+
+common::SteadyTime Now() { return std::chrono::steady_clock::now(); }
+
+}  // namespace
+
+MembershipTask::MembershipTask(connection::EventLoop* loop,
+                               connection::ObjectStore* store,
+                               GrpcPeerLink* peers, Membership* membership,
+                               const Settings& settings,
+                               std::uint64_t incarnation, Hooks hooks)
+    : loop(loop),
+      store(store),
+      peers(peers),
+      membership(membership),
+      self(settings.host),
+      domain(settings.domain),
+      incarnation(incarnation),
+      configured(settings.peer_hosts),
+      hooks(std::move(hooks)) {}
+
+void MembershipTask::Start() {
+  this->ApplyHosts({});
+  this->round =
+      this->loop->Every(kHeartbeatInterval, [this] { this->Round(); });
+  this->host_list =
+      this->loop->Every(kHostListInterval, [this] { this->ReadHosts(); });
+  this->Round();
+  this->ReadHosts();
+}
+
+void MembershipTask::SetState(PeerState state) {
+  this->state = state;
+  this->membership->SetOwnState(state);
+  this->Round();
+}
+
+HeartbeatExchange MembershipTask::OnHeartbeat(
+    const HeartbeatExchange& exchange) {
+  this->Learn(exchange);
+  return this->OwnExchange(exchange.heartbeat.domain);
+}
+
+void MembershipTask::Round() {
+  for (const common::HostId& target :
+       this->membership->HeartbeatTargets(Now())) {
+    const auto target_domain = this->domains.find(target);
+    if (target_domain == this->domains.end()) continue;
+    this->peers->Heartbeat(
+        target, this->OwnExchange(target_domain->second),
+        [this](const std::optional<HeartbeatExchange>& answer) {
+          if (answer) this->Learn(*answer);
+        });
+  }
+  this->hooks.on_round();
+}
+
+void MembershipTask::ReadHosts() {
+  // The list is only needed for hosts that the settings don't name, so one
+  // watcher a domain could read it for all at a larger size.
+  if (this->reading_hosts) return;
+  this->reading_hosts = true;
+  this->store->ReadHosts([this](const connection::HostListResult& result) {
+    this->reading_hosts = false;
+    const auto* listed =
+        std::get_if<std::vector<connection::HostListEntry>>(&result);
+    if (listed != nullptr) this->ApplyHosts(*listed);
+  });
+}
+
+void MembershipTask::Learn(const HeartbeatExchange& exchange) {
+  this->membership->OnHeartbeat(exchange.heartbeat, Now());
+  this->hooks.on_version(exchange.heartbeat.host,
+                         exchange.configuration_version);
+}
+
+HeartbeatExchange MembershipTask::OwnExchange(
+    const common::FailureDomainId& receiver) const {
+  HeartbeatExchange exchange;
+  exchange.heartbeat.host = this->self;
+  exchange.heartbeat.incarnation = this->incarnation;
+  exchange.heartbeat.domain = this->domain;
+  exchange.heartbeat.state = this->state;
+  exchange.heartbeat.reports = this->membership->Reports(receiver, Now());
+  exchange.configuration_version = this->hooks.configuration_version();
+  return exchange;
+}
+
+void MembershipTask::ApplyHosts(
+    const std::vector<connection::HostListEntry>& listed) {
+  std::map<common::HostId, ListedHost> hosts;
+  hosts[this->self] = {this->self, this->domain, false};
+  for (const PeerSetting& peer : this->configured) {
+    hosts[peer.id] = {peer.id, peer.domain, false};
+    this->peers->SetAddress(peer.id, connection::ToString(peer.address));
+  }
+  for (const connection::HostListEntry& entry : listed) {
+    const bool leaving = entry.state == connection::HostListState::kLeaving;
+    hosts[entry.host] = {entry.host, entry.domain, leaving};
+    if (entry.host == this->self) continue;
+    this->peers->SetAddress(entry.host, entry.address);
+  }
+  std::vector<ListedHost> all;
+  this->domains.clear();
+  for (const auto& [id, host] : hosts) {
+    all.push_back(host);
+    if (id != this->self) this->domains[id] = host.domain;
+  }
+  this->membership->SetHosts(all, Now());
+}
+
+}  // namespace camphorferry::process
--- /dev/null
+++ b/Source/Core/Process/operator_task.cc
@@ -0,0 +1,249 @@
+#include "Process/operator_task.h"
+
+#include <charconv>
+#include <utility>
+#include <vector>
+
+namespace camphorferry::process {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr char kConfigurationPath[] = "config";
+constexpr int kBadRequest = 400;
+constexpr int kNotFound = 404;
+constexpr int kConflict = 409;
+constexpr int kUnavailable = 503;
+
+common::WallTime WallNow() { return std::chrono::system_clock::now(); }
+
+void SendJson(const std::shared_ptr<connection::HttpResponder>& responder,
+              int status, const json& body) {
+  connection::HttpResponse response;
+  response.status = status;
+  response.headers["Content-Type"] = "application/json";
+  response.body = body.dump() + "\n";
+  responder->Send(response);
+}
+
+void SendText(const std::shared_ptr<connection::HttpResponder>& responder,
+              const std::string& text) {
+  connection::HttpResponse response;
+  response.headers["Content-Type"] = "text/plain; charset=utf-8";
+  response.body = text;
+  responder->Send(response);
+}
+
+/// The operator's request was not understood.
+class BadOperatorRequestError : public common::Error {
+ public:
+  explicit BadOperatorRequestError(const std::string& detail) : Error(detail) {}
+};
+
+/// Declarations and, for a confirmation, the digest of the plan.
+struct OperatorRequest {
+  version::Configuration declared;
+  std::string digest;
+};
+
+/// Throws the first issue that keeps the declarations from being put in force.
+void RequireValid(const version::Configuration& declared) {
+  const std::vector<version::ConfigurationIssue> issues =
+      version::CheckConfiguration(declared);
+  if (issues.empty()) return;
+  const version::ConfigurationIssue& first = issues.front();
+  throw BadOperatorRequestError(first.object + " " + first.field + ": found " +
+                                first.found + ", allowed " + first.allowed);
+}
+
+OperatorRequest ParseOperatorRequest(const std::string& text) {
+  const json body = json::parse(text, nullptr, /*allow_exceptions=*/false);
+  if (!body.is_object() || !body.contains("declarations")) {
+    throw BadOperatorRequestError("expected an object with declarations");
+  }
+  OperatorRequest request;
+  request.declared = version::DeclarationsFromJson(body.at("declarations"));
+  RequireValid(request.declared);
+  const auto digest = body.find("digest");
+  if (digest != body.end() && digest->is_string()) {
+    request.digest = digest->get<std::string>();
+  }
+  return request;
+}
+
+std::uint64_t ParseSequence(const std::string& text) {
+  std::uint64_t value = 0;
+  std::from_chars(text.data(), text.data() + text.size(), value);
+  return value;
+}
+
+}  // namespace
+
+OperatorTask::OperatorTask(connection::EventLoop* loop,
+                           const connection::SocketAddress& address,
+                           connection::ObjectStore* store,
+                           ConfigurationTask* configuration, Counters* counters,
+                           EventLog* events, OperatorHooks hooks)
+    : store(store),
+      configuration(configuration),
+      counters(counters),
+      events(events),
+      hooks(std::move(hooks)),
+      server(
+          loop, address, connection::HttpServerLimits{},
+          [this](const connection::HttpRequest& request, Responder responder) {
+            this->OnRequest(request, std::move(responder));
+          }) {}
+
+void OperatorTask::OnRequest(const connection::HttpRequest& request,
+                             Responder responder) {
+  try {
+    if (request.method == "GET" && this->OnGet(request, responder)) return;
+    if (request.method == "POST" && request.path == "/operator/v1/plan") {
+      this->OnPlan(request, std::move(responder));
+      return;
+    }
+    if (request.method == "POST" && request.path == "/operator/v1/apply") {
+      this->OnApply(request, std::move(responder));
+      return;
+    }
+    if (request.method == "POST" && request.path == "/operator/v1/drain") {
+      this->OnDrain(responder);
+      return;
+    }
+    SendJson(responder, kNotFound, {{"reason", "unknown_path"}});
+  } catch (const common::Error& error) {
+    SendJson(responder, kBadRequest,
+             {{"reason", "bad_request"}, {"detail", error.what()}});
+  }
+}
+
+bool OperatorTask::OnGet(const connection::HttpRequest& request,
+                         const Responder& responder) {
+  if (request.path == "/operator/v1/status") {
+    SendJson(responder, 200, this->hooks.status());
+    return true;
+  }
+  if (request.path == "/operator/v1/counters") {
+    this->hooks.refresh_counters();
+    if (request.Query("format") == "json") {
+      SendJson(responder, 200, json::parse(this->counters->ToJson()));
+    } else {
+      SendText(responder, this->counters->ToText());
+    }
+    return true;
+  }
+  if (request.path == "/operator/v1/events") {
+    SendJson(responder, 200,
+             this->events->EventsAfter(ParseSequence(request.Query("after"))));
+    return true;
+  }
+  if (request.path == "/operator/v1/configuration") {
+    const version::ConfigurationPointer& current =
+        this->configuration->Current();
+    if (current == nullptr) {
+      SendJson(responder, kUnavailable, {{"reason", "no_configuration"}});
+    } else {
+      SendJson(responder, 200, version::ConfigurationToJson(*current));
+    }
+    return true;
+  }
+  return false;
+}
+
+void OperatorTask::OnPlan(const connection::HttpRequest& request,
+                          Responder responder) {
+  const OperatorRequest parsed = ParseOperatorRequest(request.body);
+  this->ReadCurrent(responder, [responder, declared = parsed.declared](
+                                   connection::ObjectVersion /*store_version*/,
+                                   const version::Configuration& current) {
+    const version::Plan plan = version::MakePlan(current, declared);
+    SendJson(responder, 200, version::PlanToJson(plan));
+  });
+}
+
+void OperatorTask::OnApply(const connection::HttpRequest& request,
+                           Responder responder) {
+  OperatorRequest parsed = ParseOperatorRequest(request.body);
+  if (parsed.digest.empty()) {
+    throw BadOperatorRequestError("expected the digest of a plan");
+  }
+  this->ReadCurrent(responder, [this, responder, parsed = std::move(parsed)](
+                                   connection::ObjectVersion store_version,
+                                   const version::Configuration& current) {
+    version::ApplyDecision decision =
+        version::DecideApply(current, parsed.declared, parsed.digest);
+    if (const auto* already = std::get_if<version::AlreadyApplied>(&decision)) {
+      SendJson(responder, 200,
+               {{"version", already->version}, {"result", "already_applied"}});
+      return;
+    }
+    if (const auto* stale = std::get_if<version::StalePlan>(&decision)) {
+      SendJson(responder, kConflict,
+               {{"reason", "stale"}, {"base_version", stale->current_version}});
+      return;
+    }
+    this->Write(store_version,
+                std::move(std::get<version::WriteConfiguration>(decision).next),
+                responder);
+  });
+}
+
+void OperatorTask::OnDrain(const Responder& responder) {
+  SendJson(responder, 200, {{"result", "draining"}});
+  this->hooks.drain();
+}
+
+void OperatorTask::ReadCurrent(const Responder& responder, WithCurrent then) {
+  this->store->Read(
+      kConfigurationPath, [responder, then = std::move(then)](
+                              const connection::ReadResult& result) {
+        const auto* object = std::get_if<connection::StoredObject>(&result);
+        if (object == nullptr) {
+          SendJson(responder, kUnavailable,
+                   {{"reason", "store_unavailable"}, {"outcome", "not_run"}});
+          return;
+        }
+        try {
+          then(object->version,
+               object->version == 0
+                   ? version::Configuration{}
+                   : version::ParseConfiguration(object->value));
+        } catch (const common::Error& error) {
+          SendJson(responder, kUnavailable,
+                   {{"reason", "store_content_invalid"},
+                    {"outcome", "not_run"},
+                    {"detail", error.what()}});
+        }
+      });
+}
+
+void OperatorTask::Write(connection::ObjectVersion store_version,
+                         version::Configuration next, Responder responder) {
+  const auto written =
+      std::make_shared<const version::Configuration>(std::move(next));
+  this->store->Write(
+      kConfigurationPath, store_version,
+      version::ConfigurationToJson(*written).dump(),
+      [this, written, responder](const connection::WriteResult& result) {
+        if (std::holds_alternative<connection::ObjectWritten>(result)) {
+          this->events->Record(WallNow(), common::Subsystem::kVersion,
+                               "plan_applied", {{"version", written->version}});
+          this->configuration->OnWritten(written);
+          SendJson(responder, 200,
+                   {{"version", written->version}, {"result", "applied"}});
+          return;
+        }
+        if (std::holds_alternative<connection::ObjectConflict>(result)) {
+          SendJson(responder, kConflict,
+                   {{"reason", "stale"}, {"base_version", written->version}});
+          return;
+        }
+        // The change may have taken effect; repeating the confirmation tells.
+        SendJson(responder, kUnavailable,
+                 {{"reason", "store_unavailable"}, {"outcome", "unknown"}});
+      });
+}
+
+}  // namespace camphorferry::process
--- /dev/null
+++ b/Source/Core/Process/operator_task.h
@@ -0,0 +1,63 @@
+#ifndef CAMPHORFERRY_PROCESS_OPERATOR_TASK_H_
+#define CAMPHORFERRY_PROCESS_OPERATOR_TASK_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "Process/configuration_task.h"
+#include "Process/counters.h"
+#include "Process/event_log.h"
+#include "Version/version.h"
+
+namespace camphorferry::process {
+
+/// What operators may ask of a daemon besides plans.
+struct OperatorHooks {
+  /// State of the daemon for GET /operator/v1/status.
+  std::function<nlohmann::json()> status;
+  /// Starts a graceful shutdown.
+  std::function<void()> drain;
+  /// Called before the counters are read, to set those that report a state.
+  std::function<void()> refresh_counters;
+};
+
+/// Serves the operators' listener: plans, confirmations and reports.
+class OperatorTask {
+ public:
+  OperatorTask(connection::EventLoop* loop,
+               const connection::SocketAddress& address,
+               connection::ObjectStore* store, ConfigurationTask* configuration,
+               Counters* counters, EventLog* events, OperatorHooks hooks);
+
+  std::uint16_t Port() const { return this->server.Port(); }
+
+ private:
+  using Responder = std::shared_ptr<connection::HttpResponder>;
+  using WithCurrent =
+      std::function<void(connection::ObjectVersion store_version,
+                         const version::Configuration& current)>;
+
+  void OnRequest(const connection::HttpRequest& request, Responder responder);
+  bool OnGet(const connection::HttpRequest& request,
+             const Responder& responder);
+  void OnPlan(const connection::HttpRequest& request, Responder responder);
+  void OnApply(const connection::HttpRequest& request, Responder responder);
+  void OnDrain(const Responder& responder);
+  /// Reads the configuration from the store, since the copy in force here may
+  /// be older.
+  void ReadCurrent(const Responder& responder, WithCurrent then);
+  void Write(connection::ObjectVersion store_version,
+             version::Configuration next, Responder responder);
+
+  connection::ObjectStore* store;
+  ConfigurationTask* configuration;
+  Counters* counters;
+  EventLog* events;
+  OperatorHooks hooks;
+  connection::HttpServer server;
+};
+
+}  // namespace camphorferry::process
+
+#endif  // CAMPHORFERRY_PROCESS_OPERATOR_TASK_H_
--- a/Source/Core/Process/peer_codec.cc
+++ b/Source/Core/Process/peer_codec.cc
@@ -67,24 +67,22 @@
   return request::Unknown{unknown.value_or(request::UnknownReason::kNoAnswer)};
 }
 
-peer::v1::HeartbeatMessage::State ToState(PeerPhase phase) {
-  switch (phase) {
-    case PeerPhase::kStarting:
-      return peer::v1::HeartbeatMessage::STATE_STARTING;
-    case PeerPhase::kLive:
-      return peer::v1::HeartbeatMessage::STATE_LIVE;
-    case PeerPhase::kDraining:
-      return peer::v1::HeartbeatMessage::STATE_DRAINING;
+peer::v1::PeerState ToState(PeerState state) {
+  switch (state) {
+    case PeerState::kStarting:
+      return peer::v1::PEER_STATE_STARTING;
+    case PeerState::kLive:
+      return peer::v1::PEER_STATE_LIVE;
+    case PeerState::kDraining:
+      return peer::v1::PEER_STATE_DRAINING;
   }
-  return peer::v1::HeartbeatMessage::STATE_UNSPECIFIED;
+  return peer::v1::PEER_STATE_UNSPECIFIED;
 }
 
-PeerPhase FromState(peer::v1::HeartbeatMessage::State state) {
-  if (state == peer::v1::HeartbeatMessage::STATE_LIVE) return PeerPhase::kLive;
-  if (state == peer::v1::HeartbeatMessage::STATE_DRAINING) {
-    return PeerPhase::kDraining;
-  }
-  return PeerPhase::kStarting;
+PeerState FromState(peer::v1::PeerState state) {
+  if (state == peer::v1::PEER_STATE_LIVE) return PeerState::kLive;
+  if (state == peer::v1::PEER_STATE_DRAINING) return PeerState::kDraining;
+  return PeerState::kStarting;
 }
 
 }  // namespace
@@ -170,24 +168,45 @@
           FromMessage(message.position())};
 }
 
-peer::v1::HeartbeatMessage ToMessage(const PeerHeartbeat& heartbeat) {
+peer::v1::HeartbeatMessage ToMessage(const HeartbeatExchange& exchange) {
+  const PeerHeartbeat& heartbeat = exchange.heartbeat;
   peer::v1::HeartbeatMessage message;
   message.set_host(heartbeat.host.Value());
   message.set_incarnation(heartbeat.incarnation);
   message.set_failure_domain(heartbeat.domain.Value());
-  message.set_state(ToState(heartbeat.phase));
-  message.set_configuration_version(heartbeat.configuration_version);
+  message.set_state(ToState(heartbeat.state));
+  message.set_configuration_version(exchange.configuration_version);
+  for (const PeerReport& report : heartbeat.reports) {
+    peer::v1::PeerReport* entry = message.add_reports();
+    entry->set_host(report.host.Value());
+    entry->set_incarnation(report.incarnation);
+    entry->set_failure_domain(report.domain.Value());
+    entry->set_state(ToState(report.state));
+    entry->set_silent(report.silent);
+    entry->set_age_ms(ToMilliseconds(report.age).count());
+  }
   return message;
 }
 
-PeerHeartbeat FromMessage(const peer::v1::HeartbeatMessage& message) {
-  PeerHeartbeat heartbeat;
+HeartbeatExchange FromMessage(const peer::v1::HeartbeatMessage& message) {
+  HeartbeatExchange exchange;
+  PeerHeartbeat& heartbeat = exchange.heartbeat;
   heartbeat.host = common::HostId(message.host());
   heartbeat.incarnation = message.incarnation();
   heartbeat.domain = common::FailureDomainId(message.failure_domain());
-  heartbeat.phase = FromState(message.state());
-  heartbeat.configuration_version = message.configuration_version();
-  return heartbeat;
+  heartbeat.state = FromState(message.state());
+  exchange.configuration_version = message.configuration_version();
+  for (const peer::v1::PeerReport& entry : message.reports()) {
+    PeerReport report;
+    report.host = common::HostId(entry.host());
+    report.incarnation = entry.incarnation();
+    report.domain = common::FailureDomainId(entry.failure_domain());
+    report.state = FromState(entry.state());
+    report.silent = entry.silent();
+    report.age = milliseconds(entry.age_ms());
+    heartbeat.reports.push_back(std::move(report));
+  }
+  return exchange;
 }
 
 }  // namespace camphorferry::process
--- a/Source/Core/Process/peer_codec.h
+++ b/Source/Core/Process/peer_codec.h
@@ -20,8 +20,8 @@
 peer::v1::ConfirmReply ToMessage(const connection::ConfirmReply& reply);
 connection::ConfirmReply FromMessage(const peer::v1::ConfirmReply& message);
 
-peer::v1::HeartbeatMessage ToMessage(const PeerHeartbeat& heartbeat);
-PeerHeartbeat FromMessage(const peer::v1::HeartbeatMessage& message);
+peer::v1::HeartbeatMessage ToMessage(const HeartbeatExchange& exchange);
+HeartbeatExchange FromMessage(const peer::v1::HeartbeatMessage& message);
 
 void ToMessage(common::LogPosition position, peer::v1::LogPosition* message);
 common::LogPosition FromMessage(const peer::v1::LogPosition& message);
--- a/Source/Core/Process/peer_link.h
+++ b/Source/Core/Process/peer_link.h
@@ -8,19 +8,13 @@
 
 #include "Common/common.h"
 #include "Connection/connection.h"
+#include "Process/membership.h"
 
 namespace camphorferry::process {
 
-/// Phase of a daemon's life, as it tells its peers.
-enum class PeerPhase { kStarting, kLive, kDraining };
-
-/// What daemons tell each other in a heartbeat and its answer.
-struct PeerHeartbeat {
-  common::HostId host;
-  /// Differs for each start of a daemon on the same host.
-  std::uint64_t incarnation = 0;
-  common::FailureDomainId domain;
-  PeerPhase phase = PeerPhase::kStarting;
+/// What daemons exchange regularly.
+struct HeartbeatExchange {
+  PeerHeartbeat heartbeat;
   std::uint64_t configuration_version = 0;
 };
 
@@ -57,8 +51,8 @@
                        std::function<void(connection::ConfirmReply)> done) = 0;
 
   virtual void Heartbeat(
-      const common::HostId& peer, const PeerHeartbeat& heartbeat,
-      std::function<void(std::optional<PeerHeartbeat>)> done) = 0;
+      const common::HostId& peer, const HeartbeatExchange& heartbeat,
+      std::function<void(std::optional<HeartbeatExchange>)> done) = 0;
 
   virtual void PullConfiguration(
       const common::HostId& peer, std::uint64_t have_version,
@@ -85,7 +79,7 @@
       const common::EndpointId& endpoint, common::LogPosition position,
       common::Duration wait,
       std::function<void(connection::ConfirmReply)> done) = 0;
-  virtual PeerHeartbeat OnHeartbeat(const PeerHeartbeat& heartbeat) = 0;
+  virtual HeartbeatExchange OnHeartbeat(const HeartbeatExchange& heartbeat) = 0;
   virtual PeerConfiguration OnPullConfiguration(std::uint64_t have_version) = 0;
   virtual std::uint64_t OnPushConfiguration(
       const PeerConfiguration& configuration) = 0;
--- /dev/null
+++ b/Source/Core/Process/rate_task.cc
@@ -0,0 +1,235 @@
+#include "Process/rate_task.h"
+
+#include <utility>
+
+namespace camphorferry::process {
+
+namespace {
+
+constexpr std::chrono::milliseconds kTickInterval(100);
+
+common::SteadyTime Now() { return std::chrono::steady_clock::now(); }
+
+common::WallTime WallNow() { return std::chrono::system_clock::now(); }
+
+std::uint32_t TotalSlots(const version::Configuration& configuration) {
+  std::uint32_t total = 0;
+  for (const auto& [id, domain] : configuration.domains) {
+    total += domain.rate_slots;
+  }
+  return total;
+}
+
+/// Numbers of the domain's slots: domains are numbered through in their order.
+RateSlotLease::SlotRange RangeOf(const version::Configuration& configuration,
+                                 const common::FailureDomainId& domain) {
+  RateSlotLease::SlotRange range;
+  for (const auto& [id, declared] : configuration.domains) {
+    if (id == domain) {
+      range.count = declared.rate_slots;
+      return range;
+    }
+    range.first += declared.rate_slots;
+  }
+  return range;
+}
+
+}  // namespace
+
+RateTask::RateTask(connection::EventLoop* loop, connection::ObjectStore* store,
+                   PeerLink* peers, EventLog* events, Counters* counters,
+                   common::HostId host, std::uint64_t incarnation,
+                   common::FailureDomainId domain)
+    : loop(loop),
+      store(store),
+      peers(peers),
+      events(events),
+      counters(counters),
+      host(std::move(host)),
+      incarnation(incarnation),
+      domain(std::move(domain)) {
+  this->tick = loop->Every(kTickInterval, [this] { this->OnTick(); });
+}
+
+void RateTask::SetConfiguration(version::ConfigurationPointer configuration) {
+  this->configuration = std::move(configuration);
+  this->total_slots = TotalSlots(*this->configuration);
+  const RateSlotLease::SlotRange wanted =
+      RangeOf(*this->configuration, this->domain);
+  const bool same_range =
+      wanted.first == this->range.first && wanted.count == this->range.count;
+  if (this->lease == nullptr || !same_range) {
+    // Slot numbers changed, so the leases start again under the new numbers.
+    this->range = wanted;
+    this->lease = std::make_unique<RateSlotLease>(this->host, this->incarnation,
+                                                  this->range);
+    this->lease->SetHosts(this->domain_hosts);
+    this->shares.clear();
+  }
+  std::erase_if(this->shares, [this](const auto& entry) {
+    return !this->configuration->workspaces.contains(entry.first);
+  });
+  for (const auto& [id, workspace] : this->configuration->workspaces) {
+    const RateLimits limits{workspace.rate, workspace.burst, this->total_slots};
+    std::unique_ptr<RateShare>& share = this->shares[id];
+    if (share != nullptr) {
+      share->SetLimits(limits, Now());
+      continue;
+    }
+    share = std::make_unique<RateShare>(limits, Now());
+    for (const auto& [slot, end] : this->lease->HeldSlots(Now())) {
+      share->AddSlot(slot, end, Now());
+    }
+  }
+}
+
+void RateTask::SetDomainHosts(const std::set<common::HostId>& hosts) {
+  this->domain_hosts = hosts;
+  if (this->lease != nullptr) this->lease->SetHosts(hosts);
+}
+
+void RateTask::SetLenders(std::vector<common::HostId> lenders) {
+  this->lenders = std::move(lenders);
+}
+
+Admission RateTask::Admit(const common::WorkspaceId& workspace) {
+  RateShare* share = this->ShareOf(workspace);
+  if (share == nullptr) return Refused{std::chrono::seconds(1)};
+  const Admission admission = share->Admit(Now());
+  this->BorrowIfNeeded(workspace, share);
+  return admission;
+}
+
+PeerRateLoan RateTask::Lend(const common::WorkspaceId& workspace,
+                            Millitokens wanted) {
+  RateShare* share = this->ShareOf(workspace);
+  if (share == nullptr) return {};
+  const RateLoan loan = share->Lend(wanted, Now());
+  if (loan.Empty()) return {};
+  this->counters->Add("rate_loans_given");
+  return {static_cast<std::uint64_t>(loan.rate),
+          static_cast<std::uint64_t>(loan.capacity),
+          static_cast<std::uint64_t>(loan.level), loan.length};
+}
+
+void RateTask::Drain(common::Duration limit, std::function<void()> done) {
+  if (this->lease == nullptr) {
+    done();
+    return;
+  }
+  this->drain_done = std::move(done);
+  this->drain_limit = this->loop->After(limit, [this] { this->FinishDrain(); });
+  this->Perform(this->lease->Drain(Now()));
+  if (this->lease->Drained()) this->FinishDrain();
+}
+
+std::size_t RateTask::HeldSlots() const {
+  return this->lease == nullptr ? 0 : this->lease->HeldSlots(Now()).size();
+}
+
+void RateTask::OnTick() {
+  if (this->lease == nullptr) return;
+  this->Perform(this->lease->Tick(Now()));
+  if (this->drain_done && this->lease->Drained()) this->FinishDrain();
+}
+
+void RateTask::Perform(const SlotActions& actions) {
+  for (const SlotAction& action : actions) {
+    std::visit([this](const auto& typed) { this->Perform(typed); }, action);
+  }
+}
+
+void RateTask::Perform(const ReadSlots& /*action*/) {
+  const common::SteadyTime sent = Now();
+  this->store->Read(
+      "rates/" + this->domain.Value(),
+      [this, sent,
+       asking = this->lease.get()](const connection::ReadResult& result) {
+        // The lease was replaced while the call was on its way.
+        if (asking != this->lease.get()) return;
+        const auto* object = std::get_if<connection::StoredObject>(&result);
+        this->Perform(object == nullptr
+                          ? this->lease->OnReadFailed(Now())
+                          : this->lease->OnRead(object->version, object->value,
+                                                sent, Now()));
+      });
+}
+
+void RateTask::Perform(const UpdateSlots& action) {
+  this->store->Write(
+      "rates/" + this->domain.Value(), action.if_version, action.content,
+      [this,
+       asking = this->lease.get()](const connection::WriteResult& result) {
+        if (asking != this->lease.get()) return;
+        this->Perform(std::visit(
+            common::Overloaded{
+                [this](const connection::ObjectWritten& written) {
+                  return this->lease->OnUpdated(written.version, Now());
+                },
+                [this](const connection::ObjectConflict& /*conflict*/) {
+                  return this->lease->OnUpdateConflicted(Now());
+                },
+                [this](const connection::StoreNoAnswer& /*none*/) {
+                  return this->lease->OnUpdateAnswerLost(Now());
+                }},
+            result));
+      });
+}
+
+void RateTask::Perform(const UseSlot& action) {
+  this->events->Record(WallNow(), common::Subsystem::kProcess,
+                       "rate_slot_taken", {{"slot", action.slot}});
+  for (const auto& [id, share] : this->shares) {
+    share->AddSlot(action.slot, action.lease_end, Now());
+  }
+}
+
+void RateTask::Perform(const ExtendSlot& action) {
+  for (const auto& [id, share] : this->shares) {
+    share->RenewSlot(action.slot, action.lease_end, Now());
+  }
+}
+
+void RateTask::Perform(const StopSlot& action) {
+  this->events->Record(WallNow(), common::Subsystem::kProcess,
+                       "rate_slot_stopped", {{"slot", action.slot}});
+  for (const auto& [id, share] : this->shares) {
+    share->RemoveSlot(action.slot, Now());
+  }
+}
+
+RateShare* RateTask::ShareOf(const common::WorkspaceId& workspace) {
+  const auto found = this->shares.find(workspace);
+  return found == this->shares.end() ? nullptr : found->second.get();
+}
+
+void RateTask::BorrowIfNeeded(const common::WorkspaceId& workspace,
+                              RateShare* share) {
+  if (this->lenders.empty()) return;
+  const common::SteadyTime asked_at = Now();
+  const std::optional<BorrowRequest> wanted = share->NextBorrow(asked_at);
+  if (!wanted) return;
+  this->next_lender = (this->next_lender + 1) % this->lenders.size();
+  this->counters->Add("rate_loans_asked");
+  this->peers->BorrowRate(
+      this->lenders[this->next_lender], workspace,
+      static_cast<std::uint64_t>(wanted->wanted),
+      [this, workspace, asked_at](const std::optional<PeerRateLoan>& loan) {
+        RateShare* borrower = this->ShareOf(workspace);
+        if (!loan || borrower == nullptr) return;
+        borrower->Borrow(
+            asked_at,
+            RateLoan{static_cast<Millitokens>(loan->rate),
+                     static_cast<Millitokens>(loan->capacity),
+                     static_cast<Millitokens>(loan->level), loan->length},
+            Now());
+      });
+}
+
+void RateTask::FinishDrain() {
+  this->drain_limit.reset();
+  const std::function<void()> done = std::exchange(this->drain_done, nullptr);
+  if (done) done();
+}
+
+}  // namespace camphorferry::process
--- /dev/null
+++ b/Source/Core/Process/rate_task.h
@@ -0,0 +1,85 @@
+#ifndef CAMPHORFERRY_PROCESS_RATE_TASK_H_
+#define CAMPHORFERRY_PROCESS_RATE_TASK_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "Process/counters.h"
+#include "Process/event_log.h"
+#include "Process/peer_link.h"
+#include "Process/rate_share.h"
+#include "Process/rate_slot_lease.h"
+#include "Version/version.h"
+
+namespace camphorferry::process {
+
+/// Enforces the workspaces' rates at this daemon: holds rate slots through the
+/// store, and borrows from peers when a workspace runs dry here.
+class RateTask {
+ public:
+  RateTask(connection::EventLoop* loop, connection::ObjectStore* store,
+           PeerLink* peers, EventLog* events, Counters* counters,
+           common::HostId host, std::uint64_t incarnation,
+           common::FailureDomainId domain);
+
+  void SetConfiguration(version::ConfigurationPointer configuration);
+
+  /// Live hosts of the own failure domain, this one included.
+  void SetDomainHosts(const std::set<common::HostId>& hosts);
+
+  /// Peers to borrow from, nearest first.
+  void SetLenders(std::vector<common::HostId> lenders);
+
+  /// Decides about one request of a workspace. A workspace without limits in
+  /// the configuration has no tokens.
+  Admission Admit(const common::WorkspaceId& workspace);
+
+  /// Answers a peer's request for a loan.
+  PeerRateLoan Lend(const common::WorkspaceId& workspace, Millitokens wanted);
+
+  /// Releases the slots; the callback is called when the store has them back
+  /// or after the time given.
+  void Drain(common::Duration limit, std::function<void()> done);
+
+  std::size_t HeldSlots() const;
+
+ private:
+  void OnTick();
+  void Perform(const SlotActions& actions);
+  void Perform(const ReadSlots& action);
+  void Perform(const UpdateSlots& action);
+  void Perform(const UseSlot& action);
+  void Perform(const ExtendSlot& action);
+  void Perform(const StopSlot& action);
+  RateShare* ShareOf(const common::WorkspaceId& workspace);
+  void BorrowIfNeeded(const common::WorkspaceId& workspace, RateShare* share);
+  void FinishDrain();
+
+  connection::EventLoop* loop;
+  connection::ObjectStore* store;
+  PeerLink* peers;
+  EventLog* events;
+  Counters* counters;
+  common::HostId host;
+  std::uint64_t incarnation;
+  common::FailureDomainId domain;
+  version::ConfigurationPointer configuration;
+  std::uint32_t total_slots = 0;
+  RateSlotLease::SlotRange range;
+  std::unique_ptr<RateSlotLease> lease;
+  std::set<common::HostId> domain_hosts;
+  std::vector<common::HostId> lenders;
+  std::size_t next_lender = 0;
+  std::map<common::WorkspaceId, std::unique_ptr<RateShare>> shares;
+  std::unique_ptr<connection::Timer> tick;
+  std::unique_ptr<connection::Timer> drain_limit;
+  std::function<void()> drain_done;
+};
+
+}  // namespace camphorferry::process
+
+#endif  // CAMPHORFERRY_PROCESS_RATE_TASK_H_
--- /dev/null
+++ b/Source/Core/Process/request_context.h
@@ -0,0 +1,38 @@
+#ifndef CAMPHORFERRY_PROCESS_REQUEST_CONTEXT_H_
+#define CAMPHORFERRY_PROCESS_REQUEST_CONTEXT_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+
+#include "Process/counters.h"
+#include "Process/event_log.h"
+#include "Process/primary_directory.h"
+#include "Process/rate_task.h"
+#include "Process/statement_router.h"
+#include "Request/request.h"
+#include "Version/version.h"
+
+namespace camphorferry::process {
+
+/// What every request of this daemon uses. It lives as long as the process;
+/// configuration and keys change with each version.
+struct RequestContext {
+  connection::EventLoop* loop = nullptr;
+  RateTask* rates = nullptr;
+  PrimaryDirectory* primaries = nullptr;
+  StatementRouter* router = nullptr;
+  Counters* counters = nullptr;
+  request::SessionSecrets session_secrets;
+  common::FailureDomainId home_domain;
+  version::ConfigurationPointer configuration;
+  std::shared_ptr<const version::KeyRing> keys;
+  std::map<common::RouteId, request::RetryBudget> retry_budgets;
+  std::mt19937_64 random{std::random_device{}()};
+  bool draining = false;
+};
+
+}  // namespace camphorferry::process
+
+#endif  // CAMPHORFERRY_PROCESS_REQUEST_CONTEXT_H_
--- /dev/null
+++ b/Source/Core/Process/statement_router.cc
@@ -0,0 +1,79 @@
+#include "Process/statement_router.h"
+
+#include <utility>
+
+namespace camphorferry::process {
+
+namespace {
+
+common::SteadyTime Now() { return std::chrono::steady_clock::now(); }
+
+}  // namespace
+
+StatementRouter::StatementRouter(connection::EventLoop* loop,
+                                 common::HostId self,
+                                 const Membership* membership, PeerLink* peers,
+                                 Counters* counters)
+    : loop(loop),
+      self(std::move(self)),
+      membership(membership),
+      peers(peers),
+      counters(counters) {}
+
+void StatementRouter::SetConfiguration(
+    version::ConfigurationPointer configuration) {
+  this->endpoint_domains.clear();
+  for (const auto& [id, service] : configuration->services) {
+    for (const version::Endpoint& endpoint : service.endpoints) {
+      this->endpoint_domains[endpoint.id] = endpoint.domain;
+    }
+  }
+}
+
+void StatementRouter::Execute(const connection::StatementCall& call,
+                              EndpointTask::Callback done) {
+  const common::HostId owner_host = this->OwnerOf(call.endpoint);
+  if (owner_host.Empty()) {
+    this->loop->Post([done = std::move(done)] {
+      done({request::NotRun{request::NotRunReason::kEndpointUnreachable,
+                            std::nullopt},
+            0});
+    });
+    return;
+  }
+  if (owner_host == this->self) {
+    this->counters->Add("statements_served_here");
+    this->owner->Execute(call, std::move(done));
+    return;
+  }
+  this->counters->Add("statements_forwarded");
+  this->peers->Execute(owner_host, call, Now(), std::move(done));
+}
+
+void StatementRouter::Confirm(const common::EndpointId& endpoint,
+                              common::LogPosition position,
+                              common::Duration wait,
+                              ConfirmBatch::Callback done) {
+  const common::HostId owner_host = this->OwnerOf(endpoint);
+  if (owner_host.Empty()) {
+    this->loop->Post(
+        [done = std::move(done)] { done(connection::ConfirmReply{}); });
+    return;
+  }
+  if (owner_host == this->self) {
+    this->owner->Confirm(endpoint, position, wait, std::move(done));
+    return;
+  }
+  this->counters->Add("confirms_forwarded");
+  this->peers->Confirm(owner_host, endpoint, position, wait, std::move(done));
+}
+
+common::HostId StatementRouter::OwnerOf(
+    const common::EndpointId& endpoint) const {
+  const auto domain = this->endpoint_domains.find(endpoint);
+  if (domain == this->endpoint_domains.end()) return common::HostId();
+  return this->membership->OwnerOf(endpoint, domain->second, Now())
+      .value_or(common::HostId());
+}
+
+}  // namespace camphorferry::process
--- /dev/null
+++ b/Source/Core/Process/statement_router.h
@@ -0,0 +1,49 @@
+#ifndef CAMPHORFERRY_PROCESS_STATEMENT_ROUTER_H_
+#define CAMPHORFERRY_PROCESS_STATEMENT_ROUTER_H_
+
+#include <functional>
+
+#include "Process/endpoint_owner.h"
+#include "Process/membership.h"
+#include "Process/peer_link.h"
+#include "Version/version.h"
+
+namespace camphorferry::process {
+
+/// Sends statements and confirms to the daemon that owns the endpoint's
+/// connections, which may be this one.
+class StatementRouter {
+ public:
+  StatementRouter(connection::EventLoop* loop, common::HostId self,
+                  const Membership* membership, PeerLink* peers,
+                  Counters* counters);
+
+  /// The part that serves the endpoints owned here; set once at the start.
+  void SetOwner(EndpointOwner* owner) { this->owner = owner; }
+
+  void SetConfiguration(version::ConfigurationPointer configuration);
+
+  /// Runs a statement; the callback is called once.
+  void Execute(const connection::StatementCall& call,
+               EndpointTask::Callback done);
+
+  /// Asks whether an endpoint holds an entry.
+  void Confirm(const common::EndpointId& endpoint, common::LogPosition position,
+               common::Duration wait, ConfirmBatch::Callback done);
+
+  /// Daemon that owns the endpoint's connections; empty if none is known.
+  common::HostId OwnerOf(const common::EndpointId& endpoint) const;
+
+ private:
+  connection::EventLoop* loop;
+  common::HostId self;
+  const Membership* membership;
+  PeerLink* peers;
+  Counters* counters;
+  EndpointOwner* owner = nullptr;
+  std::map<common::EndpointId, common::FailureDomainId> endpoint_domains;
+};
+
+}  // namespace camphorferry::process
+
+#endif  // CAMPHORFERRY_PROCESS_STATEMENT_ROUTER_H_
--- /dev/null
+++ b/Source/Load/statistics.h
@@ -0,0 +1,48 @@
+#ifndef CAMPHORFERRY_LOAD_STATISTICS_H_
+#define CAMPHORFERRY_LOAD_STATISTICS_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "Load/histogram.h"
+#include "Load/ledger.h"
+
+namespace camphorferry::load {
+
+/// Counts of one workspace.
+struct WorkspaceCounts {
+  std::uint64_t asked = 0;
+  std::uint64_t served = 0;
+  std::uint64_t unknown = 0;
+  /// By the reason in the answer.
+  std::map<std::string, std::uint64_t> refused;
+};
+
+/// What the load tool saw.
+struct Statistics {
+  std::map<std::string, WorkspaceCounts> workspaces;
+  Histogram reads;
+  Histogram writes;
+  std::uint64_t replica_reads = 0;
+  std::uint64_t primary_reads = 0;
+  std::uint64_t stale_own_reads = 0;
+  std::uint64_t crossed_answers = 0;
+  std::uint64_t over_age_reads = 0;
+  /// Requests whose connection ended without an answer.
+  std::uint64_t cut_requests = 0;
+  /// Admissions of a workspace by second since the start.
+  std::map<std::string, std::map<std::int64_t, std::uint64_t>> admitted;
+  /// Longest time between two acknowledged writes of any session on a route,
+  /// while some write was waiting.
+  std::map<std::string, common::Duration> write_gaps;
+};
+
+/// Prints one figure=... line for each figure.
+void PrintFigures(const Statistics& statistics, const LedgerFindings& findings,
+                  const std::string& profile, const std::string& fault);
+
+}  // namespace camphorferry::load
+
+#endif  // CAMPHORFERRY_LOAD_STATISTICS_H_
