--- /dev/null
+++ b/Source/Core/Version/apply.cc
@@ -0,0 +1,90 @@
+#include "Version/apply.h"
+
+#include <algorithm>
+#include <optional>
+
+namespace camphorferry::version {
+
+namespace {
+
+// Versions that are tried to tell why a plan is stale. The reason is only for
+// the message, so an older plan may go unexplained.
+constexpr ConfigurationVersion kExplainedVersions = 1024;
+
+/// Version that an applied plan produced. Each accepted plan adds one version
+/// and one digest, so the digest's distance from the newest one gives it.
+std::optional<ConfigurationVersion> VersionOfAppliedPlan(
+    const Configuration& current, const std::string& digest) {
+  const auto newest = current.applied_plans.rbegin();
+  const auto found = std::find(newest, current.applied_plans.rend(), digest);
+  if (found == current.applied_plans.rend()) return std::nullopt;
+  const auto distance = static_cast<ConfigurationVersion>(found - newest);
+  if (distance >= current.version) return std::nullopt;
+  return current.version - distance;
+}
+
+/// Version that a stale plan was made against, if it is a recent one.
+std::optional<ConfigurationVersion> BaseVersionOf(const Configuration& current,
+                                                  const Configuration& declared,
+                                                  const std::string& digest) {
+  const ConfigurationVersion tried =
+      std::min(current.version, kExplainedVersions);
+  const PlanDigester digester(declared);
+  for (ConfigurationVersion back = 1; back <= tried; ++back) {
+    const ConfigurationVersion version = current.version - back;
+    if (digester.DigestAgainst(version) == digest) return version;
+  }
+  return std::nullopt;
+}
+
+StalePlan ExplainStale(const Configuration& current,
+                       const Configuration& declared,
+                       const std::string& digest) {
+  const std::optional<ConfigurationVersion> base =
+      BaseVersionOf(current, declared, digest);
+  if (!base.has_value()) {
+    return StalePlan{DeclarationsDiffer{}, current.version};
+  }
+  return StalePlan{BaseVersionMoved{*base}, current.version};
+}
+
+Configuration NextConfiguration(const Configuration& current,
+                                const Configuration& declared,
+                                const std::string& digest) {
+  Configuration next = declared;
+  next.version = current.version + 1;
+  next.applied_plans = current.applied_plans;
+  next.applied_plans.push_back(digest);
+  if (next.applied_plans.size() > kKeptAppliedPlans) {
+    next.applied_plans.erase(
+        next.applied_plans.begin(),
+        next.applied_plans.end() -
+            static_cast<std::ptrdiff_t>(kKeptAppliedPlans));
+  }
+  return next;
+}
+
+}  // namespace
+
+ApplyDecision DecideApply(const Configuration& current,
+                          const Configuration& declared,
+                          const std::string& confirmed_digest) {
+  const std::optional<ConfigurationVersion> applied =
+      VersionOfAppliedPlan(current, confirmed_digest);
+  if (applied.has_value()) {
+    // An operator who edits the files and confirms the old digest again must
+    // not read that the edited files are in force.
+    const bool same = PlanDigest(*applied - 1, declared) == confirmed_digest;
+    if (same) return AlreadyApplied{*applied};
+    return StalePlan{DeclarationsDiffer{}, current.version};
+  }
+  const Plan plan = MakePlan(current, declared);
+  if (plan.digest != confirmed_digest) {
+    return ExplainStale(current, declared, confirmed_digest);
+  }
+  if (plan.changes.empty()) return AlreadyApplied{current.version};
+  return WriteConfiguration{
+      NextConfiguration(current, declared, confirmed_digest)};
+}
+
+}  // namespace camphorferry::version
--- a/Source/Core/Version/configuration_json.cc
+++ b/Source/Core/Version/configuration_json.cc
@@ -196,6 +196,15 @@
   return configuration;
 }
 
+template <typename Id, typename Value>
+json MapToJson(const std::map<Id, Value>& values) {
+  json object = json::object();
+  for (const auto& [id, value] : values) object[id.Value()] = ToJson(value);
+  return object;
+}
+
+}  // namespace
+
 json ToJson(const Workspace& workspace) {
   return json{{"rate", workspace.rate},
               {"burst", workspace.burst},
@@ -233,15 +242,6 @@
               {"rate_slots", domain.rate_slots}};
 }
 
-template <typename Id, typename Value>
-json MapToJson(const std::map<Id, Value>& values) {
-  json object = json::object();
-  for (const auto& [id, value] : values) object[id.Value()] = ToJson(value);
-  return object;
-}
-
-}  // namespace
-
 std::string_view ToString(DocumentFault fault) {
   switch (fault) {
     case DocumentFault::kNotJson:
--- a/Source/Core/Version/configuration_json.h
+++ b/Source/Core/Version/configuration_json.h
@@ -56,6 +56,13 @@
 /// Throws BadConfigurationError.
 Configuration DeclarationsFromJson(const nlohmann::json& document);
 
+/// The objects as they stand in the document.
+nlohmann::json ToJson(const Workspace& workspace);
+nlohmann::json ToJson(const Service& service);
+nlohmann::json ToJson(const Route& route);
+nlohmann::json ToJson(const Key& key);
+nlohmann::json ToJson(const FailureDomain& domain);
+
 }  // namespace camphorferry::version
 
 #endif  // CAMPHORFERRY_VERSION_CONFIGURATION_JSON_H_
