--- /dev/null
+++ b/Source/Core/Process/client_task.h
@@ -0,0 +1,46 @@
+#ifndef CAMPHORFERRY_PROCESS_CLIENT_TASK_H_
+#define CAMPHORFERRY_PROCESS_CLIENT_TASK_H_
+
+#include <functional>
+#include <memory>
+
+#include "Process/request_context.h"
+#include "Process/request_task.h"
+
+namespace camphorferry::process {
+
+/// Serves the clients' listener: statements, liveness and readiness.
+class ClientTask {
+ public:
+  /// The function says whether the daemon is ready for clients.
+  ClientTask(connection::EventLoop* loop,
+             const connection::SocketAddress& address, RequestContext* context,
+             std::function<bool()> ready);
+
+  std::uint16_t Port() const { return this->server.Port(); }
+
+  /// Closes the listening socket; requests on open connections go on.
+  void StopListening() { this->server.StopListening(); }
+
+  /// Requests that have no answer yet.
+  std::size_t ActiveRequests() const { return this->server.ActiveRequests(); }
+
+  std::size_t OpenConnections() const { return this->server.OpenConnections(); }
+
+ private:
+  using Responder = std::shared_ptr<connection::HttpResponder>;
+
+  void OnRequest(const connection::HttpRequest& request, Responder responder);
+  void OnStatement(const connection::HttpRequest& request, Responder responder);
+  std::string RequestIdOf(const connection::HttpRequest& request);
+  void Answer(const Responder& responder, const std::string& request_id,
+              const RequestAnswer& answer);
+
+  RequestContext* context;
+  std::function<bool()> ready;
+  connection::HttpServer server;
+};
+
+}  // namespace camphorferry::process
+
+#endif  // CAMPHORFERRY_PROCESS_CLIENT_TASK_H_
--- /dev/null
+++ b/Source/Core/Process/daemon.h
@@ -0,0 +1,83 @@
+#ifndef CAMPHORFERRY_PROCESS_DAEMON_H_
+#define CAMPHORFERRY_PROCESS_DAEMON_H_
+
+#include <memory>
+
+#include "Process/client_task.h"
+#include "Process/configuration_task.h"
+#include "Process/endpoint_owner.h"
+#include "Process/grpc_peer_link.h"
+#include "Process/grpc_peer_server.h"
+#include "Process/membership_task.h"
+#include "Process/operator_task.h"
+#include "Process/rate_task.h"
+#include "Process/request_context.h"
+#include "Process/settings.h"
+#include "Process/statement_router.h"
+
+namespace camphorferry::process {
+
+/// All tasks of one daemon and what passes between them.
+class Daemon : public PeerHandler {
+ public:
+  /// Opens the listeners; throws ListenError or PeerListenError.
+  explicit Daemon(const Settings& settings);
+  ~Daemon() override;
+
+  /// Runs until a shutdown is complete.
+  void Run();
+
+  std::uint16_t ClientPort() const { return this->clients->Port(); }
+  std::uint16_t OperatorPort() const { return this->operators->Port(); }
+  std::uint16_t PeerPort() const { return this->peer_server->Port(); }
+
+  void OnExecute(connection::StatementCall call,
+                 std::function<void(connection::StatementReply)> done) override;
+  void OnConfirm(const common::EndpointId& endpoint,
+                 common::LogPosition position, common::Duration wait,
+                 std::function<void(connection::ConfirmReply)> done) override;
+  HeartbeatExchange OnHeartbeat(const HeartbeatExchange& exchange) override;
+  PeerConfiguration OnPullConfiguration(std::uint64_t have_version) override;
+  std::uint64_t OnPushConfiguration(
+      const PeerConfiguration& configuration) override;
+  PeerRateLoan OnBorrowRate(const common::WorkspaceId& workspace,
+                            std::uint64_t wanted_millitokens) override;
+
+ private:
+  void OnConfiguration(const version::ConfigurationPointer& configuration);
+  /// Derives ownership, watchers and lenders from the present membership.
+  void OnMembershipRound();
+  void UpdateOwnership();
+  bool Ready() const;
+  nlohmann::json Status() const;
+  void RefreshCounters();
+  void StartDrain();
+  void FinishDrain();
+  void StopWhenIdle();
+
+  Settings settings;
+  std::uint64_t incarnation;
+  connection::EventLoop loop;
+  EventLog events;
+  Counters counters;
+  connection::HttpObjectStore store;
+  GrpcPeerLink peers;
+  Membership membership;
+  PrimaryDirectory primaries;
+  StatementRouter router;
+  EndpointOwner owner;
+  RateTask rates;
+  ConfigurationTask configuration;
+  MembershipTask membership_task;
+  RequestContext requests;
+  std::unique_ptr<GrpcPeerServer> peer_server;
+  std::unique_ptr<ClientTask> clients;
+  std::unique_ptr<OperatorTask> operators;
+  bool announced_live = false;
+  common::SteadyTime drain_deadline;
+  std::unique_ptr<connection::Timer> drain_timer;
+};
+
+}  // namespace camphorferry::process
+
+#endif  // CAMPHORFERRY_PROCESS_DAEMON_H_
