Process: Add membership by heartbeats

Rule: a peer that was not heard for 1 s is skipped. In a domain with up to eight peers every pair exchanges heartbeats each 400 ms; one side sends, since the answer carries the same fields, which halves the messages. Which side that is follows from both names alone, so it holds while host lists differ.

With 155 daemons in a domain, refreshing everyone at everyone each second takes over 150 entries a second and receiver even without repetition, which does not fit into 2,000 bytes/s next to the heartbeats. There each daemon sends to four others on a ring with growing distances, and only changes travel as reports, with their age: found silent, heard again, started, draining. Only a daemon that sends to a peer can find it silent; a finding lapses after 15 s unless repeated. Adjacent ring members were ruled out as targets because news would take up to 19 hops.

Reports about other domains stay within a domain, so a lost link between two domains does not make a third one skip anybody.

--- /dev/null
+++ b/Source/UnitTests/Core/Process/membership_test.cc
@@ -0,0 +1,401 @@
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <iostream>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "Process/process.h"
+#include "peer.pb.h"
+
+namespace camphorferry::process {
+namespace {
+
+using common::Duration;
+using common::EndpointId;
+using common::FailureDomainId;
+using common::HostId;
+using common::SteadyTime;
+using std::chrono::hours;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr SteadyTime kStart{hours(1)};
+
+FailureDomainId DomainNumber(std::size_t number) {
+  return FailureDomainId("region-domain-" + std::to_string(number));
+}
+
+/// Daemons that exchange heartbeats in virtual time.
+class HeartbeatFleet {
+ public:
+  HeartbeatFleet(std::size_t domains, std::size_t per_domain) {
+    for (std::size_t number = 0; number < domains * per_domain; ++number) {
+      const HostId host("daemon-" + std::to_string(number));
+      this->list.push_back({host, DomainNumber(number / per_domain)});
+      this->numbers[host] = number;
+    }
+    for (const ListedHost& entry : this->list) {
+      this->views.push_back(this->NewView(entry, 1));
+      this->up.push_back(true);
+      this->incarnations.push_back(1);
+    }
+  }
+
+  Membership NewView(const ListedHost& entry, Incarnation incarnation) const {
+    Membership view(entry.host, entry.domain, incarnation, this->now);
+    view.SetOwnState(PeerState::kLive);
+    view.SetHosts(this->list, this->now);
+    return view;
+  }
+
+  const HostId& Host(std::size_t number) const {
+    return this->list[number].host;
+  }
+
+  void Restart(std::size_t number) {
+    this->up[number] = true;
+    this->views[number] =
+        this->NewView(this->list[number], ++this->incarnations[number]);
+  }
+
+  void RunRounds(int rounds) {
+    for (int round = 0; round < rounds; ++round) {
+      this->now += kHeartbeatInterval;
+      for (std::size_t sender = 0; sender < this->views.size(); ++sender) {
+        if (!this->up[sender]) {
+          continue;
+        }
+        for (const HostId& target :
+             this->views[sender].HeartbeatTargets(this->now)) {
+          this->Exchange(sender, this->numbers.at(target));
+        }
+      }
+    }
+  }
+
+  /// Number of daemons that are up and take another one for live; of one
+  /// domain if it is given.
+  std::size_t Believers(
+      std::size_t number,
+      const std::optional<FailureDomainId>& domain = std::nullopt) const {
+    std::size_t believers = 0;
+    for (std::size_t view = 0; view < this->views.size(); ++view) {
+      const bool other = view != number && this->up[view] &&
+                         (!domain || this->list[view].domain == *domain);
+      if (other && this->views[view].IsLive(this->Host(number), this->now)) {
+        ++believers;
+      }
+    }
+    return believers;
+  }
+
+  std::vector<ListedHost> list;
+  std::vector<Membership> views;
+  std::vector<bool> up;
+  std::vector<Incarnation> incarnations;
+  std::map<HostId, std::size_t> numbers;
+  /// Two domains between which nothing arrives.
+  std::set<FailureDomainId> cut_pair;
+  SteadyTime now = kStart;
+
+ private:
+  PeerHeartbeat From(std::size_t sender, std::size_t receiver) const {
+    const ListedHost& entry = this->list[sender];
+    return {
+        entry.host, this->incarnations[sender], entry.domain, PeerState::kLive,
+        this->views[sender].Reports(this->list[receiver].domain, this->now)};
+  }
+
+  void Exchange(std::size_t sender, std::size_t receiver) {
+    const std::set<FailureDomainId> pair{this->list[sender].domain,
+                                         this->list[receiver].domain};
+    if (!this->up[receiver] || pair == this->cut_pair) {
+      return;
+    }
+    this->views[receiver].OnHeartbeat(this->From(sender, receiver), this->now);
+    this->views[sender].OnHeartbeat(this->From(receiver, sender), this->now);
+  }
+};
+
+class MembershipTest : public testing::Test {
+ protected:
+  MembershipTest() : view(HostId("a"), DomainNumber(0), 1, kStart) {
+    this->view.SetOwnState(PeerState::kLive);
+    this->view.SetHosts({{HostId("a"), DomainNumber(0)},
+                         {HostId("b"), DomainNumber(0)},
+                         {HostId("c"), DomainNumber(0)},
+                         {HostId("d"), DomainNumber(1)}},
+                        kStart);
+    this->view.HeartbeatTargets(kStart);
+  }
+
+  void Hear(const std::string& host, SteadyTime now,
+            PeerState state = PeerState::kLive, Incarnation incarnation = 1,
+            std::vector<PeerReport> reports = {}) {
+    this->view.OnHeartbeat(
+        {HostId(host), incarnation, DomainNumber(host == "d" ? 1 : 0), state,
+         std::move(reports)},
+        now);
+  }
+
+  /// Rounds of heartbeats that nobody answers.
+  SteadyTime RunRounds(SteadyTime now, int rounds) {
+    for (int round = 0; round < rounds; ++round) {
+      now += kHeartbeatInterval;
+      this->view.HeartbeatTargets(now);
+    }
+    return now;
+  }
+
+  Membership view;
+};
+
+// Guards against requests that go to a daemon which froze.
+TEST_F(MembershipTest, PeerUnheardForASecond_View_SkipsItUntilItIsHeard) {
+  this->Hear("b", kStart);
+  SteadyTime now = this->RunRounds(kStart, 2);
+  const SteadyTime limit = kStart + kHeartbeatTimeout;
+  EXPECT_TRUE(this->view.IsLive(HostId("b"), limit));
+  EXPECT_FALSE(this->view.IsLive(HostId("b"), limit + Duration(1)));
+  now = this->RunRounds(now, 2);
+  EXPECT_FALSE(this->view.IsLive(HostId("b"), now));
+  this->Hear("b", now);
+  EXPECT_TRUE(this->view.IsLive(HostId("b"), now));
+}
+
+// Guards against a peer that lives on in reports passed around.
+TEST_F(MembershipTest, ReportFromAPeer_Age_Counts) {
+  const SteadyTime now = this->RunRounds(kStart, 4);
+  ASSERT_FALSE(this->view.IsLive(HostId("c"), now));
+  const PeerReport heard{HostId("c"),      1,     DomainNumber(0),
+                         PeerState::kLive, false, Duration::zero()};
+  PeerReport old = heard;
+  old.age = seconds(2);
+  this->Hear("b", now, PeerState::kLive, 1, {old});
+  EXPECT_FALSE(this->view.IsLive(HostId("c"), now));
+  PeerReport later = heard;
+  const SteadyTime next = now + milliseconds(300);
+  later.age = milliseconds(200);
+  this->Hear("b", next, PeerState::kLive, 1, {later});
+  this->view.HeartbeatTargets(next + milliseconds(400));
+  EXPECT_TRUE(this->view.IsLive(HostId("c"), next + milliseconds(800)));
+  EXPECT_FALSE(this->view.IsLive(HostId("c"), next + milliseconds(801)));
+}
+
+// Guards against work for a daemon that leaves or has not started.
+TEST_F(MembershipTest, DrainingOrStartingPeers_OwnNothing) {
+  for (const PeerState state : {PeerState::kStarting, PeerState::kDraining}) {
+    this->Hear("b", kStart, state);
+    this->Hear("c", kStart, state);
+    for (int number = 0; number < 20; ++number) {
+      const EndpointId endpoint("db-" + std::to_string(number));
+      EXPECT_EQ(this->view.OwnerOf(endpoint, DomainNumber(0), kStart),
+                HostId("a"));
+    }
+  }
+  this->view.SetOwnState(PeerState::kDraining);
+  EXPECT_EQ(this->view.OwnerOf(EndpointId("db"), DomainNumber(0), kStart),
+            HostId("d"));
+}
+
+// Guards against a late heartbeat of an earlier run of a peer.
+TEST_F(MembershipTest, HeartbeatOfAnEarlierRun_IsIgnored) {
+  this->Hear("b", kStart, PeerState::kDraining, 7);
+  this->Hear("b", kStart, PeerState::kLive, 6);
+  EXPECT_FALSE(this->view.IsLive(HostId("b"), kStart));
+  this->Hear("b", kStart, PeerState::kLive, 8);
+  EXPECT_TRUE(this->view.IsLive(HostId("b"), kStart));
+}
+
+// Guards against a paused daemon that takes itself for the only one.
+TEST_F(MembershipTest, OwnPause_Peers_AreNotSkippedAtOnce) {
+  this->Hear("b", kStart);
+  const SteadyTime resumed = kStart + seconds(30);
+  EXPECT_TRUE(this->view.IsLive(HostId("b"), resumed));
+  this->view.HeartbeatTargets(resumed);
+  EXPECT_TRUE(this->view.IsLive(HostId("b"), resumed));
+  EXPECT_TRUE(this->view.Reports(DomainNumber(0), resumed).empty());
+  const SteadyTime later = this->RunRounds(resumed, 3);
+  EXPECT_FALSE(this->view.IsLive(HostId("b"), later));
+}
+
+// Guards against two owners, or none, that daemons with the same view choose.
+RC_GTEST_PROP(MembershipOwnerTest, AnyView_Owner_IsFirstInRendezvousOrder, ()) {
+  const auto live =
+      *rc::gen::container<std::vector<bool>>(12, rc::gen::arbitrary<bool>());
+  Membership view(HostId("self"), DomainNumber(9), 1, kStart);
+  std::vector<std::vector<HostId>> expected(3);
+  std::vector<HostId> all;
+  for (std::size_t number = 0; number < live.size(); ++number) {
+    const HostId host("daemon-" + std::to_string(number));
+    const std::size_t domain = number % 3;
+    view.OnHeartbeat({host,
+                      1,
+                      DomainNumber(domain),
+                      live[number] ? PeerState::kLive : PeerState::kDraining,
+                      {}},
+                     kStart);
+    if (live[number]) {
+      expected[domain].push_back(host);
+      all.push_back(host);
+    }
+  }
+  const EndpointId endpoint("db-" + std::to_string(*rc::gen::inRange(0, 1000)));
+  for (std::size_t domain = 0; domain < 3; ++domain) {
+    const std::vector<HostId> order = common::RendezvousOrder(
+        endpoint.Value(), expected[domain].empty() ? all : expected[domain]);
+    const auto owner = view.OwnerOf(endpoint, DomainNumber(domain), kStart);
+    RC_ASSERT(owner.has_value() == !order.empty());
+    RC_ASSERT(order.empty() || *owner == order.front());
+    const auto watchers = view.WatchersOf(DomainNumber(domain), kStart);
+    RC_ASSERT(watchers.size() ==
+              std::min<std::size_t>(2, expected[domain].size()));
+  }
+}
+
+class HeartbeatFleetTest : public testing::Test {};
+
+// Guards against daemons that skip each other without a fault.
+TEST_F(HeartbeatFleetTest, NoFault_Everyone_IsLiveToEveryone) {
+  for (const std::size_t per_domain : {1, 2, 3, 8, 9, 10, 40}) {
+    HeartbeatFleet fleet(3, per_domain);
+    fleet.RunRounds(20);
+    for (std::size_t number = 0; number < fleet.views.size(); ++number) {
+      EXPECT_EQ(fleet.Believers(number), fleet.views.size() - 1)
+          << per_domain << " a domain, daemon " << number;
+    }
+  }
+}
+
+// Guards against a large domain in which news of a killed or a restarted
+// daemon does not reach everyone, and against its relay being that daemon.
+TEST_F(HeartbeatFleetTest, LargeDomain_KilledAndRestarted_EveryoneLearnsIt) {
+  HeartbeatFleet fleet(2, 155);
+  fleet.RunRounds(5);
+  const HostId relay =
+      *fleet.views[0].RelayOf(DomainNumber(0), DomainNumber(1), fleet.now);
+  const std::size_t killed = fleet.numbers.at(relay);
+  fleet.up[killed] = false;
+  int rounds = 0;
+  while (fleet.Believers(killed) > 0 && rounds < 50) {
+    fleet.RunRounds(1);
+    ++rounds;
+  }
+  std::cout << "killed: skipped everywhere after " << rounds << " rounds\n";
+  EXPECT_LE(rounds, 10);
+  // The others keep to it while the host list still names the daemon.
+  for (int round = 0; round < 45; ++round) {
+    fleet.RunRounds(1);
+    ASSERT_EQ(fleet.Believers(killed), 0) << "round " << round;
+  }
+  fleet.Restart(killed);
+  fleet.RunRounds(10);
+  EXPECT_EQ(fleet.Believers(killed), fleet.views.size() - 1);
+}
+
+// Guards against a link between two domains whose loss makes a third one skip
+// daemons that it reaches, and against its effect lasting after its return.
+TEST_F(HeartbeatFleetTest, TwoDomainsCutOff_Third_IsNotAffected) {
+  HeartbeatFleet fleet(3, 10);
+  fleet.RunRounds(5);
+  fleet.cut_pair = {DomainNumber(0), DomainNumber(1)};
+  for (int round = 0; round < 100; ++round) {
+    fleet.RunRounds(1);
+    for (std::size_t number = 0; number < 20; ++number) {
+      ASSERT_EQ(fleet.Believers(number, DomainNumber(2)), 10);
+      ASSERT_EQ(fleet.Believers(number, fleet.list[number].domain), 9);
+    }
+  }
+  fleet.cut_pair.clear();
+  fleet.RunRounds(45);
+  for (std::size_t number = 0; number < 30; ++number) {
+    EXPECT_EQ(fleet.Believers(number), 29);
+  }
+}
+
+/// Messages that a daemon sends in a round, requests and answers together.
+struct Traffic {
+  double mean = 0;
+  std::size_t largest = 0;
+};
+
+/// Traffic of the daemons of the first domain.
+Traffic TrafficOf(std::size_t domains, std::size_t per_domain) {
+  std::vector<ListedHost> list;
+  for (std::size_t number = 0; number < domains * per_domain; ++number) {
+    list.push_back({HostId("daemon-" + std::to_string(number)),
+                    DomainNumber(number / per_domain)});
+  }
+  std::map<HostId, std::size_t> messages;
+  for (std::size_t number = 0; number < per_domain; ++number) {
+    const HostId& self = list[number].host;
+    Membership view(self, DomainNumber(0), 1, kStart);
+    view.SetOwnState(PeerState::kLive);
+    view.SetHosts(list, kStart);
+    for (const HostId& target : view.HeartbeatTargets(kStart)) {
+      const bool inside = std::any_of(
+          list.begin(), list.begin() + static_cast<std::ptrdiff_t>(per_domain),
+          [&](const ListedHost& entry) { return entry.host == target; });
+      if (inside) {
+        ++messages[self];
+        ++messages[target];
+      }
+    }
+    // Whichever domain sends, the relay of this one sends one message.
+    for (std::size_t other = 1; other < domains; ++other) {
+      if (view.RelayOf(DomainNumber(0), DomainNumber(other), kStart) == self) {
+        ++messages[self];
+      }
+    }
+  }
+  Traffic traffic;
+  for (const auto& [host, count] : messages) {
+    traffic.mean +=
+        static_cast<double>(count) / static_cast<double>(per_domain);
+    traffic.largest = std::max(traffic.largest, count);
+  }
+  return traffic;
+}
+
+/// Bytes of a heartbeat without reports, before gRPC's framing.
+std::size_t HeartbeatBytes() {
+  peer::v1::HeartbeatMessage message;
+  message.set_host("daemon-3400");
+  message.set_incarnation(0xFFFFFFFF);
+  message.set_failure_domain("region-domain-21");
+  message.set_state(peer::v1::HeartbeatMessage::STATE_LIVE);
+  message.set_configuration_version(17'000 * 365);
+  message.set_hybrid_time(0x0006'5000'0000'0000);
+  return message.ByteSizeLong();
+}
+
+// Guards against heartbeats that grow with the fleet beyond what a daemon may
+// use for control.
+TEST_F(HeartbeatFleetTest, SmallAndLargeFleet_Traffic_IsBounded) {
+  constexpr double kBytesPerSecondBound = 2000;
+  const double rounds =
+      Duration(seconds(1)).count() /
+      static_cast<double>(Duration(kHeartbeatInterval).count());
+  for (const auto& [domains, per_domain] :
+       std::vector<std::pair<std::size_t, std::size_t>>{
+           {1, 8}, {3, 3}, {22, 155}}) {
+    const Traffic traffic = TrafficOf(domains, per_domain);
+    const double mean = traffic.mean * rounds;
+    const double largest = static_cast<double>(traffic.largest) * rounds;
+    const double bytes = largest * static_cast<double>(HeartbeatBytes());
+    std::cout << domains << " domains of " << per_domain << ": " << mean
+              << " messages/s sent by a daemon on average, " << largest
+              << " at most, " << mean * static_cast<double>(HeartbeatBytes())
+              << " and " << bytes << " bytes/s\n";
+    EXPECT_LE(bytes, kBytesPerSecondBound);
+  }
+}
+
+}  // namespace
+}  // namespace camphorferry::process
