--- a/Source/Core/Process/process.h
+++ b/Source/Core/Process/process.h
@@ -23,7 +23,6 @@
 #include "Process/peer_codec.h"
 #include "Process/peer_link.h"
 #include "Process/primary_directory.h"
-#include "Process/membership.h"
 #include "Process/rate_share.h"
 #include "Process/rate_slot_lease.h"
 #include "Process/rate_task.h"
