--- a/Source/Core/Process/daemon.cc
+++ b/Source/Core/Process/daemon.cc
@@ -15,6 +15,8 @@
 constexpr std::chrono::seconds kMaxDrain(30);
 constexpr std::chrono::seconds kSlotReleaseLimit(2);
 constexpr std::chrono::milliseconds kIdleCheckInterval(20);
+/// How long a shutdown waits for clients to use or close idle connections.
+constexpr std::chrono::seconds kIdleConnectionGrace(3);
 
 common::SteadyTime Now() { return std::chrono::steady_clock::now(); }
 
@@ -239,6 +241,7 @@
   // The load balancer needs this time to notice that the daemon is not ready.
   this->drain_timer = this->loop.After(this->settings.shutdown_notice, [this] {
     this->clients->StopListening();
+    this->quiet_deadline = Now() + kIdleConnectionGrace;
     this->rates.Drain(kSlotReleaseLimit, [this] { this->FinishDrain(); });
   });
 }
--- a/Source/Core/Process/daemon.h
+++ b/Source/Core/Process/daemon.h
@@ -75,6 +75,7 @@
   std::unique_ptr<OperatorTask> operators;
   bool announced_live = false;
   common::SteadyTime drain_deadline;
+  common::SteadyTime quiet_deadline;
   std::unique_ptr<connection::Timer> drain_timer;
 };
 
--- a/Source/Core/Process/request_task.cc
+++ b/Source/Core/Process/request_task.cc
@@ -34,7 +34,6 @@
 
 std::optional<request::NotRunReason> RequestTask::Check() {
   using request::NotRunReason;
-  if (this->context->draining) return NotRunReason::kDraining;
   if (this->configuration == nullptr) return NotRunReason::kNoConfiguration;
   const auto route = this->configuration->routes.find(this->statement.route);
   if (route == this->configuration->routes.end()) {
--- a/Source/UnitTests/Core/Process/membership_test.cc
+++ b/Source/UnitTests/Core/Process/membership_test.cc
@@ -367,9 +367,9 @@
 std::size_t HeartbeatBytes() {
   peer::v1::HeartbeatMessage message;
   message.set_host("daemon-3400");
-  message.set_incarnation(0xFFFFFFFF);
+  message.set_incarnation(0xFFFF'FFFF'FFFF'FFFF);
   message.set_failure_domain("region-domain-21");
-  message.set_state(peer::v1::HeartbeatMessage::STATE_LIVE);
+  message.set_state(peer::v1::PEER_STATE_LIVE);
   message.set_configuration_version(17'000 * 365);
   message.set_hybrid_time(0x0006'5000'0000'0000);
   return message.ByteSizeLong();
