--- a/Source/Core/Connection/connection.h
+++ b/Source/Core/Connection/connection.h
@@ -11,5 +11,6 @@
 #include "Connection/http_object_store.h"
 #include "Connection/http_server.h"
 #include "Connection/object_store.h"
+#include "Connection/link_monitor.h"
 
 #endif  // CAMPHORFERRY_CONNECTION_CONNECTION_H_
--- a/Source/Core/Request/request.h
+++ b/Source/Core/Request/request.h
@@ -11,5 +11,6 @@
 #include "Request/retry_budget.h"
 #include "Request/retry_policy.h"
 #include "Request/session_token.h"
+#include "Request/read_router.h"
 
 #endif  // CAMPHORFERRY_REQUEST_REQUEST_H_
