--- a/Source/Core/Connection/connection.h
+++ b/Source/Core/Connection/connection.h
@@ -10,7 +10,7 @@
 #include "Connection/http_message.h"
 #include "Connection/http_object_store.h"
 #include "Connection/http_server.h"
-#include "Connection/object_store.h"
 #include "Connection/link_monitor.h"
+#include "Connection/object_store.h"
 
 #endif  // CAMPHORFERRY_CONNECTION_CONNECTION_H_
--- a/Source/Core/Request/request.h
+++ b/Source/Core/Request/request.h
@@ -8,9 +8,9 @@
 #include "Request/idempotency_key.h"
 #include "Request/operation.h"
 #include "Request/outcome.h"
+#include "Request/read_router.h"
 #include "Request/retry_budget.h"
 #include "Request/retry_policy.h"
 #include "Request/session_token.h"
-#include "Request/read_router.h"
 
 #endif  // CAMPHORFERRY_REQUEST_REQUEST_H_
--- /dev/null
+++ b/scripts/fleet.sh
@@ -0,0 +1,142 @@
+#!/usr/bin/env bash
+# Functions that start and stop a fleet of processes on loopback addresses.
+# Source this file after setting `build` (build folder) and `work` (an empty
+# folder for settings and logs).
+
+fleet_pids=()
+
+# Ends all processes that were started here.
+fleet_stop() {
+  local pid
+  for pid in "${fleet_pids[@]}"; do kill -CONT "$pid" 2>/dev/null || true; done
+  for pid in "${fleet_pids[@]}"; do kill -KILL "$pid" 2>/dev/null || true; done
+  for pid in "${fleet_pids[@]}"; do wait "$pid" 2>/dev/null || true; done
+  fleet_pids=()
+}
+
+# Waits until a process has written its "ready" line: NAME.
+fleet_wait_ready() {
+  local name=$1 try
+  for try in $(seq 1 200); do
+    if grep -q '^ready ' "$work/$name.out" 2>/dev/null; then return 0; fi
+    sleep 0.05
+  done
+  printf 'fleet: %s did not become ready\n' "$name" >&2
+  tail -5 "$work/$name.err" >&2
+  return 1
+}
+
+# Starts a process in the background: NAME COMMAND...
+fleet_start() {
+  local name=$1
+  shift
+  "$@" >"$work/$name.out" 2>"$work/$name.err" &
+  fleet_pids+=("$!")
+  printf '%s' "$!" >"$work/$name.pid"
+  fleet_wait_ready "$name"
+}
+
+# Prints a value of a process's ready line: NAME KEY.
+fleet_value() {
+  sed -n "s/^ready .*\b$2=\([0-9]*\).*/\1/p" "$work/$1.out" | head -1
+}
+
+# Starts the platform's stand-in.
+fleet_start_platform() {
+  fleet_start platform "$build/Source/StandIns/standin-platform" \
+    --listen 127.0.0.1:0 --control 127.0.0.1:0 "$@"
+  platform=127.0.0.1:$(fleet_value platform port)
+}
+
+# Starts a database: ID OPTIONS...
+fleet_start_database() {
+  local id=$1
+  shift
+  fleet_start "$id" "$build/Source/StandIns/standin-database" \
+    --listen 127.0.0.1:0 --control 127.0.0.1:0 --id "$id" "$@"
+}
+
+# Starts the three databases of a service: SERVICE DOMAIN1 DOMAIN2 DOMAIN3
+# OPTIONS... The first becomes the primary.
+fleet_start_service() {
+  local service=$1 d1=$2 d2=$3 d3=$4
+  shift 4
+  fleet_start_database "$service-1" --primary "$@"
+  local primary=127.0.0.1:$(fleet_value "$service-1" port)
+  fleet_start_database "$service-2" --follow "$primary" "$@"
+  fleet_start_database "$service-3" --follow "$primary" "$@"
+  printf '%s %s %s %s\n' "$service" "$d1" "$d2" "$d3" >>"$work/services"
+}
+
+# Writes the declaration of the services that were started.
+fleet_declare_services() {
+  local slots=$1 connections=$2 service d1 d2 d3 i
+  while read -r service d1 d2 d3; do
+    printf '[service.%s]\nslots = %s\nconnections = %s\n' \
+      "$service" "$slots" "$connections"
+    i=1
+    for domain in "$d1" "$d2" "$d3"; do
+      printf '[[service.%s.endpoint]]\nid = "%s-%s"\n' "$service" "$service" "$i"
+      printf 'address = "127.0.0.1:%s"\ndomain = "%s"\n\n' \
+        "$(fleet_value "$service-$i" port)" "$domain"
+      i=$((i + 1))
+    done
+  done <"$work/services"
+}
+
+# Starts a daemon: ID DOMAIN.
+fleet_start_daemon() {
+  local id=$1 domain=$2
+  cat >"$work/$id.toml" <<SETTINGS
+[host]
+id = "$id"
+domain = "$domain"
+
+[listen]
+clients = "127.0.0.1:0"
+operators = "127.0.0.1:0"
+peers = "127.0.0.1:0"
+
+[store]
+address = "$platform"
+
+[peers]
+hosts = []
+tls = "off"
+
+[session]
+secrets = ["a secret for tests on one machine only"]
+
+[log]
+level = "info"
+
+[shutdown]
+notice_ms = 500
+SETTINGS
+  fleet_start "$id" "$build/Source/Daemon/camphorferryd" "$work/$id.toml"
+  printf '%s %s\n' "$id" "$domain" >>"$work/daemons"
+}
+
+# Tells the platform's host list about all daemons that were started.
+fleet_publish_hosts() {
+  local id domain list=
+  while read -r id domain; do
+    list+="${list:+,}{\"id\":\"$id\",\"domain\":\"$domain\",\"state\":\"live\","
+    list+="\"address\":\"127.0.0.1:$(fleet_value "$id" peers_port)\"}"
+  done <"$work/daemons"
+  curl -sf -X POST -d "{\"hosts\":[$list]}" \
+    "http://127.0.0.1:$(fleet_value platform control_port)/control/hosts" \
+    >/dev/null
+}
+
+# Waits until a daemon is ready for clients: ID.
+fleet_wait_serving() {
+  local port try
+  port=$(fleet_value "$1" clients_port)
+  for try in $(seq 1 200); do
+    if curl -sf "http://127.0.0.1:$port/readyz" >/dev/null; then return 0; fi
+    sleep 0.05
+  done
+  printf 'fleet: %s is not ready for clients\n' "$1" >&2
+  return 1
+}
