--- a/Source/Core/Request/outcome.cc
+++ b/Source/Core/Request/outcome.cc
@@ -1,6 +1,8 @@
 #include "Request/outcome.h"
 
 #include <array>
+#include <chrono>
+#include <cstdint>
 
 namespace camphorferry::request {
 
@@ -86,6 +88,30 @@
   }
 };
 
+std::int64_t CeilMilliseconds(common::Duration duration) {
+  return std::chrono::ceil<std::chrono::milliseconds>(duration).count();
+}
+
+struct JsonVisitor {
+  nlohmann::json operator()(const Done& done) const {
+    return {{"outcome", "done"},
+            {"results", done.results},
+            {"served_by", done.served_by_primary ? "primary" : "replica"},
+            {"age_ms", CeilMilliseconds(done.age)}};
+  }
+  nlohmann::json operator()(const NotRun& not_run) const {
+    nlohmann::json body = {{"outcome", "not_run"},
+                           {"reason", ReasonName(not_run.reason)}};
+    if (not_run.retry_after.has_value()) {
+      body["retry_after_ms"] = CeilMilliseconds(*not_run.retry_after);
+    }
+    return body;
+  }
+  nlohmann::json operator()(const Unknown& unknown) const {
+    return {{"outcome", "unknown"}, {"reason", ReasonName(unknown.reason)}};
+  }
+};
+
 }  // namespace
 
 std::string_view ReasonName(NotRunReason reason) {
@@ -117,4 +143,11 @@
   return std::visit(StatusVisitor{}, outcome);
 }
 
+nlohmann::json OutcomeToJson(const Outcome& outcome,
+                             std::string_view request_id) {
+  nlohmann::json body = std::visit(JsonVisitor{}, outcome);
+  body["request_id"] = request_id;
+  return body;
+}
+
 }  // namespace camphorferry::request
--- a/Source/Core/Request/outcome.h
+++ b/Source/Core/Request/outcome.h
@@ -78,6 +78,11 @@
 /// HTTP status that goes with the outcome.
 int HttpStatus(const Outcome& outcome);
 
+/// Body of the response to POST /v1/statement. Times are rounded up, so that
+/// data never seems fresher and a retry never comes earlier than meant.
+nlohmann::json OutcomeToJson(const Outcome& outcome,
+                             std::string_view request_id);
+
 }  // namespace camphorferry::request
 
 #endif  // CAMPHORFERRY_REQUEST_OUTCOME_H_
--- a/Source/Core/Request/request.h
+++ b/Source/Core/Request/request.h
@@ -7,6 +7,7 @@
 #include "Request/idempotency_key.h"
 #include "Request/operation.h"
 #include "Request/outcome.h"
+#include "Request/request_record.h"
 #include "Request/retry_budget.h"
 #include "Request/retry_policy.h"
 #include "Request/session_token.h"
