--- a/Source/Core/Request/request.h
+++ b/Source/Core/Request/request.h
@@ -9,6 +9,7 @@
 #include "Request/operation.h"
 #include "Request/outcome.h"
 #include "Request/read_router.h"
+#include "Request/request_record.h"
 #include "Request/retry_budget.h"
 #include "Request/retry_policy.h"
 #include "Request/session_token.h"
