Connection: Close client connections before their loop is freed

The connection's destructor posts the close to the loop, the loop had ended, and the posted action was destroyed after event_base_free, so libevent freed the connection on a freed base. The loop now runs until the close and libevent's own deferred frees are done.

A request that timed out leaked the connection's state, found by the leak sanitizer: evhttp_connection_free frees a pending request without calling back, and the callback alone deleted the context. The close now deletes a context that no callback has taken.

--- a/Source/Core/Connection/http_client.cc
+++ b/Source/Core/Connection/http_client.cc
@@ -79,6 +79,8 @@
     if (this->connection == nullptr) return;
     evhttp_connection* closing = std::exchange(this->connection, nullptr);
     evhttp_connection_free(closing);
+    // Libevent frees a pending request without calling back.
+    delete std::exchange(this->context, nullptr);
   }
 
   void CloseLater() {
@@ -90,6 +92,8 @@
   SocketAddress address;
   evhttp_connection* connection = nullptr;
   Callback callback;
+  /// Keeps this object alive while libevent may call back.
+  std::shared_ptr<State>* context = nullptr;
   std::unique_ptr<Timer> timeout;
   bool usable = true;
   bool connected = false;
@@ -121,11 +125,13 @@
   // The context outlives this object because libevent may still call back
   // while the connection is being closed.
   auto* context = new std::shared_ptr<State>(this->state);
+  this->state->context = context;
   evhttp_request* outgoing = evhttp_request_new(
       [](evhttp_request* answered, void* raw) {
         const std::unique_ptr<std::shared_ptr<State>> owner(
             static_cast<std::shared_ptr<State>*>(raw));
         State& state = **owner;
+        state.context = nullptr;
         if (answered == nullptr) {
           state.CloseLater();
           state.Finish(HttpFailure::kNoAnswer);
@@ -183,10 +189,18 @@
                             common::Duration timeout) {
   EventLoop loop;
   HttpResult outcome = HttpFailure::kNotSent;
-  HttpClientConnection connection(&loop, address);
-  connection.Send(request, timeout, [&](HttpResult result) {
-    outcome = std::move(result);
-    loop.Stop();
+  {
+    HttpClientConnection connection(&loop, address);
+    connection.Send(request, timeout, [&](HttpResult result) {
+      outcome = std::move(result);
+      loop.Stop();
+    });
+    loop.Run();
+  }
+  // The connection is closed by a posted action, and libevent frees it in
+  // callbacks after that. Both need the loop, which must not end before them.
+  loop.Post([&loop] {
+    loop.RunLater(common::Duration::zero(), [&loop] { loop.Stop(); });
   });
   loop.Run();
   return outcome;
