Control: Add the operators' command line

camphorferryctl checks declarations locally, shows plans, confirms them by digest, issues and withdraws keys, and shows status and counters.

Requests go to the first of several daemons that answers. A refusal speaks only for the daemon that answered: if an earlier one got the confirmation and was silent, the outcome is reported as unknown, and confirming again tells. Drain takes exactly one daemon, since failing over would stop a second one. keys withdraw works from the configuration in force and is planned and confirmed like any change; a repeated confirmation sends the configuration without the key again, so that the daemon recognizes the digest.

--- /dev/null
+++ b/Source/Control/command_line.h
@@ -0,0 +1,118 @@
+#ifndef CAMPHORFERRY_CONTROL_COMMAND_LINE_H_
+#define CAMPHORFERRY_CONTROL_COMMAND_LINE_H_
+
+#include <filesystem>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "Connection/connection.h"
+#include "Version/version.h"
+
+namespace camphorferry::control {
+
+/// Files and directories with declarations.
+using Sources = std::vector<std::filesystem::path>;
+
+/// Checks declarations without contacting a daemon.
+struct ValidateCommand {
+  Sources sources;
+};
+
+/// Shows what would change.
+struct PlanCommand {
+  Sources sources;
+};
+
+/// Confirms a plan by its digest.
+struct ApplyCommand {
+  Sources sources;
+  std::string digest;
+};
+
+/// Shows the state of the first daemon that answers.
+struct StatusCommand {};
+
+/// Shows the counters of the first daemon that answers.
+struct CountersCommand {};
+
+/// Makes a new key; contacts no daemon.
+struct KeysIssueCommand {
+  common::WorkspaceId workspace;
+  common::KeyId name;
+};
+
+/// Plans the removal of a key from the configuration in force, or applies it.
+struct KeysWithdrawCommand {
+  common::KeyId name;
+  std::optional<std::string> digest;
+};
+
+/// Makes one daemon finish its requests and stop.
+struct DrainCommand {};
+
+/// Shows the usage.
+struct HelpCommand {
+  std::string text;
+};
+
+/// Shows the program's version.
+struct VersionCommand {
+  std::string text;
+};
+
+using Command =
+    std::variant<ValidateCommand, PlanCommand, ApplyCommand, StatusCommand,
+                 CountersCommand, KeysIssueCommand, KeysWithdrawCommand,
+                 DrainCommand, HelpCommand, VersionCommand>;
+
+inline constexpr std::chrono::milliseconds kDefaultTimeout{5000};
+inline constexpr std::chrono::milliseconds kMinTimeout{100};
+inline constexpr std::chrono::milliseconds kMaxTimeout{600'000};
+
+/// A parsed command line.
+struct CommandLine {
+  Command command;
+  /// Operators' listeners, in the order in which they are tried.
+  std::vector<connection::SocketAddress> operators;
+  /// Time for the answer of each listener.
+  common::Duration timeout = kDefaultTimeout;
+  bool json = false;
+};
+
+/// What is wrong with a command line.
+enum class UsageFault {
+  kBadOption,
+  kMissingCommand,
+  kUnknownCommand,
+  kMissingArgument,
+  kUnexpectedArgument,
+  kMissingOption,
+  kUnexpectedOption,
+  kBadValue,
+};
+
+/// Name of a usage fault.
+std::string_view ToString(UsageFault fault);
+
+/// The command line is not valid.
+class UsageError : public common::Error {
+ public:
+  UsageError(UsageFault fault, const std::string& subject);
+
+  UsageFault Fault() const { return this->fault; }
+  /// Option or argument that is at fault.
+  const std::string& Subject() const { return this->subject; }
+
+ private:
+  UsageFault fault;
+  std::string subject;
+};
+
+/// Parses the arguments without the program's name; throws UsageError.
+CommandLine ParseCommandLine(const std::vector<std::string>& arguments);
+
+}  // namespace camphorferry::control
+
+#endif  // CAMPHORFERRY_CONTROL_COMMAND_LINE_H_
--- /dev/null
+++ b/Source/Control/command_runner.h
@@ -0,0 +1,73 @@
+#ifndef CAMPHORFERRY_CONTROL_COMMAND_RUNNER_H_
+#define CAMPHORFERRY_CONTROL_COMMAND_RUNNER_H_
+
+#include <array>
+#include <functional>
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "Control/apply_report.h"
+#include "Control/command_line.h"
+#include "Control/operator_client.h"
+
+namespace camphorferry::control {
+
+/// Exit codes of the program; scripts rely on them.
+enum class ExitCode {
+  kOk = 0,
+  kInvalidInput = 2,
+  kPlanMoved = 3,
+  kNoAnswer = 4,
+  kRefused = 5,
+};
+
+/// What a command prints and returns.
+struct CommandResult {
+  ExitCode exit_code = ExitCode::kOk;
+  /// For people.
+  std::string text;
+  /// For scripts, with --json.
+  nlohmann::json document;
+};
+
+/// Source of a key's random bytes.
+using RandomSource =
+    std::function<std::array<unsigned char, version::kKeyBytes>()>;
+
+/// Runs one command.
+class CommandRunner {
+ public:
+  CommandRunner(const CommandLine& line, Transport transport,
+                RandomSource random);
+
+  CommandResult Run() const;
+
+ private:
+  CommandResult RunCommand(const ValidateCommand& command) const;
+  CommandResult RunCommand(const PlanCommand& command) const;
+  CommandResult RunCommand(const ApplyCommand& command) const;
+  CommandResult RunCommand(const StatusCommand& command) const;
+  CommandResult RunCommand(const CountersCommand& command) const;
+  CommandResult RunCommand(const KeysIssueCommand& command) const;
+  CommandResult RunCommand(const KeysWithdrawCommand& command) const;
+  CommandResult RunCommand(const DrainCommand& command) const;
+  CommandResult RunCommand(const HelpCommand& command) const;
+  CommandResult RunCommand(const VersionCommand& command) const;
+
+  CommandResult ShowPlan(const version::Configuration& declared) const;
+  ApplyReport Confirm(const version::Configuration& declared,
+                      const std::string& digest) const;
+  CommandResult WithdrawKey(version::Configuration current,
+                            const KeysWithdrawCommand& command) const;
+
+  CommandLine line;
+  OperatorClient client;
+  RandomSource random;
+};
+
+/// The result of a command line that is not valid.
+CommandResult UsageResult(const UsageError& error);
+
+}  // namespace camphorferry::control
+
+#endif  // CAMPHORFERRY_CONTROL_COMMAND_RUNNER_H_
--- /dev/null
+++ b/Source/Control/operator_client.cc
@@ -0,0 +1,28 @@
+#include "Control/operator_client.h"
+
+#include <utility>
+
+namespace camphorferry::control {
+
+OperatorClient::OperatorClient(std::vector<connection::SocketAddress> operators,
+                               common::Duration timeout, Transport transport)
+    : operators(std::move(operators)),
+      timeout(timeout),
+      transport(std::move(transport)) {}
+
+OperatorResult OperatorClient::Send(
+    const connection::HttpRequest& request) const {
+  bool may_have_run = false;
+  for (const connection::SocketAddress& address : this->operators) {
+    connection::HttpResult result =
+        this->transport(address, request, this->timeout);
+    if (auto* response = std::get_if<connection::HttpResponse>(&result)) {
+      return OperatorReply{std::move(*response), address, may_have_run};
+    }
+    may_have_run |= std::get<connection::HttpFailure>(result) ==
+                    connection::HttpFailure::kNoAnswer;
+  }
+  return OperatorSilence{may_have_run};
+}
+
+}  // namespace camphorferry::control
--- /dev/null
+++ b/Source/UnitTests/Control/command_runner_test.cc
@@ -0,0 +1,200 @@
+#include "Control/command_runner.h"
+
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+#include <string>
+#include <vector>
+
+namespace camphorferry::control {
+namespace {
+
+using connection::HttpRequest;
+using connection::HttpResponse;
+using connection::HttpResult;
+using nlohmann::json;
+using version::Configuration;
+
+/// Answers like a daemon whose store holds one configuration.
+class FakeDaemon {
+ public:
+  HttpResult Answer(const HttpRequest& request) {
+    if (request.path == "/operator/v1/configuration") {
+      return Response(200, ConfigurationToJson(this->current));
+    }
+    const json body = json::parse(request.body);
+    const Configuration declared =
+        version::DeclarationsFromJson(body.at("declarations"));
+    if (request.path == "/operator/v1/plan") {
+      return Response(200, PlanToJson(MakePlan(this->current, declared)));
+    }
+    return this->Apply(declared, body.at("digest").get<std::string>());
+  }
+
+  Configuration current;
+  bool lose_answer = false;
+
+ private:
+  static HttpResponse Response(int status, const json& body) {
+    HttpResponse response;
+    response.status = status;
+    response.body = body.dump();
+    return response;
+  }
+
+  HttpResult Apply(const Configuration& declared, const std::string& digest) {
+    const version::ApplyDecision decision =
+        DecideApply(this->current, declared, digest);
+    if (const auto* write =
+            std::get_if<version::WriteConfiguration>(&decision)) {
+      this->current = write->next;
+      if (this->lose_answer) return connection::HttpFailure::kNoAnswer;
+      return Response(
+          200, {{"version", write->next.version}, {"result", "applied"}});
+    }
+    if (const auto* applied = std::get_if<version::AlreadyApplied>(&decision)) {
+      return Response(
+          200, {{"version", applied->version}, {"result", "already_applied"}});
+    }
+    return Response(
+        409, {{"reason", "stale"}, {"base_version", this->current.version}});
+  }
+};
+
+class CommandRunnerTest : public testing::Test {
+ protected:
+  void SetUp() override {
+    this->daemon.current.version = 4;
+    const common::WorkspaceId trust("trust");
+    this->daemon.current.workspaces[trust] = version::Workspace{100, 20, 1};
+    this->daemon.current.keys[common::KeyId("office")] =
+        version::Key{trust, common::Sha256Hex("secret")};
+    std::filesystem::remove_all(this->directory);
+    std::filesystem::create_directory(this->directory);
+  }
+
+  void TearDown() override { std::filesystem::remove_all(this->directory); }
+
+  CommandResult Run(Command command) {
+    CommandLine line;
+    line.command = std::move(command);
+    line.operators = {{"127.0.0.1", 1}};
+    const auto transport = [this](const connection::SocketAddress& /*address*/,
+                                  const HttpRequest& request,
+                                  common::Duration /*timeout*/) {
+      return this->daemon.Answer(request);
+    };
+    const auto random = [] {
+      return std::array<unsigned char, version::kKeyBytes>{};
+    };
+    return CommandRunner(line, transport, random).Run();
+  }
+
+  Sources Declare(const std::string& text) const {
+    std::ofstream(this->directory / "declarations.toml") << text;
+    return {this->directory};
+  }
+
+  // Tests run at the same time in processes of their own.
+  const std::filesystem::path directory =
+      std::filesystem::path(testing::TempDir()) /
+      ("camphorferry_control." + std::to_string(getpid()));
+  const common::KeyId office{"office"};
+  FakeDaemon daemon;
+};
+
+// Guards against a digest that the plan shows and apply does not accept.
+TEST_F(CommandRunnerTest, Plan_ThenApply_PutsDeclarationsInForce) {
+  const Sources sources =
+      this->Declare("[workspace.trust]\nrate = 50\nburst = 20\n");
+  const CommandResult plan = this->Run(PlanCommand{sources});
+  EXPECT_NE(plan.text.find("rate: 100 -> 50"), std::string::npos);
+  EXPECT_NE(plan.text.find("! key_withdrawn: key office"), std::string::npos);
+  const auto digest = plan.document.at("digest").get<std::string>();
+  const CommandResult apply = this->Run(ApplyCommand{sources, digest});
+  EXPECT_EQ(apply.exit_code, ExitCode::kOk);
+  EXPECT_EQ(this->daemon.current.version, 5U);
+  EXPECT_TRUE(this->daemon.current.keys.empty());
+}
+
+// Guards against a confirmation after another operator's change.
+TEST_F(CommandRunnerTest, ConfigurationMoved_Apply_ExitsWithPlanMoved) {
+  const Sources sources =
+      this->Declare("[workspace.trust]\nrate = 50\nburst = 20\n");
+  const CommandResult plan = this->Run(PlanCommand{sources});
+  this->daemon.current.version = 5;
+  const CommandResult apply = this->Run(
+      ApplyCommand{sources, plan.document.at("digest").get<std::string>()});
+  EXPECT_EQ(apply.exit_code, ExitCode::kPlanMoved);
+  EXPECT_EQ(apply.document.at("base_version"), 5);
+}
+
+// Guards against faulty files that reach a daemon.
+TEST_F(CommandRunnerTest, FaultyFile_Plan_ReportsFaultsLocally) {
+  const CommandResult plan =
+      this->Run(PlanCommand{this->Declare("[workspace.trust]\nrate = 0\n")});
+  EXPECT_EQ(plan.exit_code, ExitCode::kInvalidInput);
+  EXPECT_EQ(plan.document.at("faults").size(), 2U);
+}
+
+// Guards against a key that does not work, or whose text is declared.
+TEST_F(CommandRunnerTest, KeysIssue_DeclarationApplied_KeyWorks) {
+  const CommandResult issued = this->Run(
+      KeysIssueCommand{common::WorkspaceId("trust"), common::KeyId("new.k")});
+  const auto key = issued.document.at("key").get<std::string>();
+  const auto declaration = issued.document.at("declaration").get<std::string>();
+  EXPECT_EQ(declaration.find(key), std::string::npos);
+  const Configuration declared = version::ParseDeclarations(
+      {{"f", "[workspace.trust]\nrate = 1\nburst = 1\n" + declaration}});
+  EXPECT_EQ(version::KeyRing(declared).WorkspaceOf(key),
+            common::WorkspaceId("trust"));
+  EXPECT_TRUE(declared.keys.contains(common::KeyId("new.k")));
+}
+
+// Guards against a withdrawal that changes something else, or that takes
+// effect before it is confirmed.
+TEST_F(CommandRunnerTest, KeysWithdraw_Confirmed_RemovesOnlyTheKey) {
+  Configuration expected = this->daemon.current;
+  const CommandResult plan =
+      this->Run(KeysWithdrawCommand{this->office, std::nullopt});
+  EXPECT_EQ(this->daemon.current, expected);
+  const auto digest = plan.document.at("digest").get<std::string>();
+  const CommandResult applied =
+      this->Run(KeysWithdrawCommand{this->office, digest});
+  EXPECT_EQ(applied.exit_code, ExitCode::kOk);
+  expected.version = 5;
+  expected.keys.clear();
+  expected.applied_plans = {digest};
+  EXPECT_EQ(this->daemon.current, expected);
+}
+
+// Guards against a lost answer after which the withdrawal cannot be confirmed.
+TEST_F(CommandRunnerTest, KeysWithdrawAnswerLost_Repeated_IsAlreadyApplied) {
+  const CommandResult plan =
+      this->Run(KeysWithdrawCommand{this->office, std::nullopt});
+  const KeysWithdrawCommand confirm{
+      this->office, plan.document.at("digest").get<std::string>()};
+  this->daemon.lose_answer = true;
+  EXPECT_EQ(this->Run(confirm).exit_code, ExitCode::kNoAnswer);
+  const CommandResult repeated = this->Run(confirm);
+  EXPECT_EQ(repeated.exit_code, ExitCode::kOk);
+  EXPECT_EQ(repeated.document.at("result"), "already_applied");
+}
+
+// Guards against a mistyped name that looks like a withdrawn key.
+TEST_F(CommandRunnerTest, KeysWithdrawUnknownName_Run_IsNoSuccess) {
+  const common::KeyId mistyped("offise");
+  EXPECT_EQ(this->Run(KeysWithdrawCommand{mistyped, std::nullopt}).exit_code,
+            ExitCode::kInvalidInput);
+  const CommandResult plan =
+      this->Run(KeysWithdrawCommand{this->office, std::nullopt});
+  const auto digest = plan.document.at("digest").get<std::string>();
+  EXPECT_EQ(this->Run(KeysWithdrawCommand{mistyped, digest}).exit_code,
+            ExitCode::kPlanMoved);
+  EXPECT_TRUE(this->daemon.current.keys.contains(this->office));
+}
+
+}  // namespace
+}  // namespace camphorferry::control
--- a/Source/UnitTests/Core/Version/declarations_test.cc
+++ b/Source/UnitTests/Core/Version/declarations_test.cc
@@ -1,6 +1,7 @@
 #include "Version/declarations.h"
 
 #include <gtest/gtest.h>
+#include <unistd.h>
 
 #include <filesystem>
 #include <fstream>
@@ -179,7 +180,8 @@
 // Guards against declaration files that are missed or unread.
 TEST_F(DeclarationsTest, Directory_Read_TakesItsTomlFilesOnly) {
   const std::filesystem::path directory =
-      std::filesystem::path(testing::TempDir()) / "camphorferry_declarations";
+      std::filesystem::path(testing::TempDir()) /
+      ("camphorferry_declarations." + std::to_string(getpid()));
   std::filesystem::remove_all(directory);
   std::filesystem::create_directory(directory);
   EXPECT_THROW(ReadDeclarations({directory}), DeclarationsError);
