--- a/Source/Core/Process/client_task.h
+++ b/Source/Core/Process/client_task.h
@@ -32,7 +32,6 @@
 
   void OnRequest(const connection::HttpRequest& request, Responder responder);
   void OnStatement(const connection::HttpRequest& request, Responder responder);
-  std::string RequestIdOf(const connection::HttpRequest& request);
   void Answer(const Responder& responder, const std::string& request_id,
               const RequestAnswer& answer);
 
--- a/Source/Core/Process/endpoint_task.cc
+++ b/Source/Core/Process/endpoint_task.cc
@@ -7,7 +7,7 @@
 
 namespace {
 
-/// How often expired requests are looked for.
+/// How often expired requests and silent connections are looked for.
 constexpr std::chrono::milliseconds kTickInterval(20);
 /// Connections beyond the slots, so that a statement is ready when a slot
 /// becomes free.
@@ -32,6 +32,12 @@
          not_run->reason == request::NotRunReason::kEndpointUnreachable;
 }
 
+connection::StatementReply Unreachable() {
+  return {request::NotRun{request::NotRunReason::kEndpointUnreachable,
+                          std::nullopt},
+          0};
+}
+
 }  // namespace
 
 EndpointTask::EndpointTask(connection::EventLoop* loop,
@@ -47,10 +53,16 @@
       observer(std::move(observer)),
       queue(service.slots),
       confirms(loop, this->address) {
-  this->tick = loop->Every(kTickInterval, [this] { this->ShedExpired(); });
+  this->tick = loop->Every(kTickInterval, [this] { this->OnTick(); });
 }
 
+EndpointTask::~EndpointTask() { *this->alive = false; }
+
 void EndpointTask::Execute(connection::StatementCall call, Callback done) {
+  if (this->monitor.IsDown()) {
+    done(Unreachable());
+    return;
+  }
   const common::WorkspaceId workspace = call.workspace;
   const std::uint32_t weight = call.weight;
   const common::SteadyTime deadline = call.deadline;
@@ -102,12 +114,12 @@
 }
 
 EndpointTask::Lane* EndpointTask::FreeLane() {
-  this->RemoveUnusable();
   for (const auto& lane : this->lanes) {
-    if (!lane->link->Busy()) return lane.get();
+    if (!lane->done && this->monitor.MayUse(lane->id)) return lane.get();
   }
   if (this->lanes.size() >= this->max_lanes) return nullptr;
   auto lane = std::make_unique<Lane>();
+  lane->id = this->next_link++;
   lane->link =
       std::make_unique<connection::HttpEndpointLink>(this->loop, this->address);
   this->counters->Add("endpoint_connections_opened");
@@ -115,38 +127,117 @@
   return this->lanes.back().get();
 }
 
+EndpointTask::Lane* EndpointTask::FindLane(connection::LinkId id) {
+  const auto found =
+      std::find_if(this->lanes.begin(), this->lanes.end(),
+                   [id](const auto& lane) { return lane->id == id; });
+  return found == this->lanes.end() ? nullptr : found->get();
+}
+
 void EndpointTask::Run(Lane* lane, Pending pending) {
   ++this->running;
-  const common::SteadyTime started = Now();
-  const common::Duration timeout = pending.call.deadline - started;
-  lane->link->Execute(pending.call, timeout,
-                      [this, started, done = std::move(pending.done)](
+  lane->started = Now();
+  lane->done = std::move(pending.done);
+  const std::string request_id = pending.call.request_id;
+  this->Handle(connection::LinkSent{lane->id, request_id});
+  lane->link->Execute(pending.call, pending.call.deadline - lane->started,
+                      [this, id = lane->id, request_id, alive = this->alive](
                           const connection::StatementReply& reply) {
-                        this->OnReply(started, done, reply);
+                        if (*alive) this->OnReply(id, request_id, reply);
                       });
 }
 
-void EndpointTask::OnReply(common::SteadyTime started, const Callback& done,
+void EndpointTask::OnReply(connection::LinkId id, const std::string& request_id,
                            const connection::StatementReply& reply) {
+  Lane* lane = this->FindLane(id);
+  if (lane == nullptr) return;
+  const bool lost = IsLost(reply);
+  if (lost) {
+    this->Handle(connection::LinkAbandoned{id});
+  } else {
+    this->Handle(connection::LinkAnswered{id, request_id});
+  }
+  const bool usable = lane->link->Usable();
+  this->End(lane, reply);
+  if (!usable) this->RemoveLane(id);
+  this->Pump();
+}
+
+void EndpointTask::End(Lane* lane, const connection::StatementReply& reply) {
   --this->running;
-  this->queue.Completed(Now() - started);
+  this->queue.Completed(Now() - lane->started);
+  const Callback done = std::exchange(lane->done, nullptr);
   this->observer(IsLost(reply) ? nullptr : &reply);
   done(reply);
-  this->Pump();
 }
 
-void EndpointTask::ShedExpired() {
+void EndpointTask::OnTick() {
   while (auto shed = this->queue.PopExpired(Now())) {
     this->counters->Add("endpoint_deadline_passed");
     shed->item.done({shed->outcome, 0});
   }
+  this->Handle(connection::LinkTick{});
   this->Pump();
 }
 
-void EndpointTask::RemoveUnusable() {
-  std::erase_if(this->lanes, [](const std::unique_ptr<Lane>& lane) {
-    return !lane->link->Busy() && !lane->link->Usable();
+void EndpointTask::Handle(const connection::LinkEvent& event) {
+  for (const connection::LinkAction& action :
+       this->monitor.Handle(event, Now())) {
+    std::visit([this](const auto& typed) { this->Perform(typed); }, action);
+  }
+}
+
+void EndpointTask::Perform(const connection::OpenProbe& action) {
+  this->counters->Add("endpoint_probes");
+  const auto link =
+      std::make_shared<connection::HttpEndpointLink>(this->loop, this->address);
+  link->Status(
+      connection::kProbeTimeout,
+      [this, action, link, alive = this->alive](
+          const connection::ControlResult<connection::EndpointStatus>& result) {
+        if (!*alive) return;
+        if (std::holds_alternative<connection::EndpointStatus>(result)) {
+          this->Handle(connection::ProbeAnswered{action.probe});
+        } else {
+          this->Handle(connection::ProbeFailed{action.probe});
+        }
+      });
+}
+
+void EndpointTask::Perform(const connection::CloseLink& action) {
+  Lane* lane = this->FindLane(action.link);
+  if (lane == nullptr) return;
+  this->events->Record(std::chrono::system_clock::now(),
+                       common::Subsystem::kConnection, "silent_connection",
+                       {{"endpoint", this->endpoint.id}});
+  if (lane->done) {
+    // The request was sent, so it may have run.
+    this->End(lane,
+              {request::Unknown{request::UnknownReason::kConnectionLost}, 0});
+  }
+  this->RemoveLane(action.link);
+}
+
+void EndpointTask::Perform(const connection::MarkEndpointDown& /*action*/) {
+  this->events->Record(std::chrono::system_clock::now(),
+                       common::Subsystem::kConnection, "endpoint_down",
+                       {{"endpoint", this->endpoint.id}});
+  this->observer(nullptr);
+  this->RefuseAll();
+}
+
+void EndpointTask::RefuseAll() {
+  while (std::optional<Pending> pending = this->PopReady()) {
+    this->queue.Completed(common::Duration::zero());
+    pending->done(Unreachable());
+  }
+}
+
+void EndpointTask::RemoveLane(connection::LinkId id) {
+  std::erase_if(this->lanes, [id](const std::unique_ptr<Lane>& lane) {
+    return lane->id == id;
   });
+  this->Handle(connection::LinkClosed{id});
 }
 
 }  // namespace camphorferry::process
--- a/Source/Core/Process/endpoint_task.h
+++ b/Source/Core/Process/endpoint_task.h
@@ -26,6 +26,9 @@
   EndpointTask(connection::EventLoop* loop, const version::Endpoint& endpoint,
                const version::Service& service, EventLog* events,
                Counters* counters, Observer observer);
+  ~EndpointTask();
+  EndpointTask(const EndpointTask&) = delete;
+  EndpointTask& operator=(const EndpointTask&) = delete;
 
   /// Queues a statement by its workspace's weight and runs it on one of the
   /// endpoint's connections.
@@ -47,7 +50,11 @@
   };
   /// One connection; it runs one statement at a time.
   struct Lane {
+    connection::LinkId id = 0;
     std::unique_ptr<connection::HttpEndpointLink> link;
+    /// Set while a statement runs.
+    Callback done;
+    common::SteadyTime started;
   };
 
   using Queue = request::FairQueue<Pending>;
@@ -55,11 +62,19 @@
   void Pump();
   std::optional<Pending> PopReady();
   Lane* FreeLane();
+  Lane* FindLane(connection::LinkId id);
   void Run(Lane* lane, Pending pending);
-  void OnReply(common::SteadyTime started, const Callback& done,
+  void OnReply(connection::LinkId id, const std::string& request_id,
                const connection::StatementReply& reply);
-  void ShedExpired();
-  void RemoveUnusable();
+  /// Ends the lane's statement with a reply.
+  void End(Lane* lane, const connection::StatementReply& reply);
+  void OnTick();
+  void Handle(const connection::LinkEvent& event);
+  void Perform(const connection::OpenProbe& action);
+  void Perform(const connection::CloseLink& action);
+  void Perform(const connection::MarkEndpointDown& action);
+  void RefuseAll();
+  void RemoveLane(connection::LinkId id);
 
   connection::EventLoop* loop;
   version::Endpoint endpoint;
@@ -71,8 +86,12 @@
   Queue queue;
   ConfirmBatch confirms;
   std::vector<std::unique_ptr<Lane>> lanes;
+  connection::LinkMonitor monitor;
+  connection::LinkId next_link = 1;
   std::size_t running = 0;
   std::unique_ptr<connection::Timer> tick;
+  /// Cleared when the task ends, so that late answers are dropped.
+  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
 }  // namespace camphorferry::process
--- a/Source/Core/Process/process.h
+++ b/Source/Core/Process/process.h
@@ -10,6 +10,7 @@
 #include "Process/confirm_batch.h"
 #include "Process/counters.h"
 #include "Process/daemon.h"
+#include "Process/endpoint_directory.h"
 #include "Process/endpoint_owner.h"
 #include "Process/endpoint_task.h"
 #include "Process/event_log.h"
--- a/Source/Core/Process/request_context.h
+++ b/Source/Core/Process/request_context.h
@@ -7,7 +7,7 @@
 #include <random>
 
 #include "Process/counters.h"
-#include "Process/event_log.h"
+#include "Process/endpoint_directory.h"
 #include "Process/primary_directory.h"
 #include "Process/rate_task.h"
 #include "Process/statement_router.h"
@@ -22,6 +22,7 @@
   connection::EventLoop* loop = nullptr;
   RateTask* rates = nullptr;
   PrimaryDirectory* primaries = nullptr;
+  EndpointDirectory endpoints;
   StatementRouter* router = nullptr;
   Counters* counters = nullptr;
   request::SessionSecrets session_secrets;
--- a/Source/Core/Process/request_task.cc
+++ b/Source/Core/Process/request_task.cc
@@ -7,17 +7,15 @@
 
 namespace {
 
-/// How long a replica may wait for the session's position.
-constexpr std::chrono::milliseconds kPositionWait(50);
-
 common::SteadyTime Now() { return std::chrono::steady_clock::now(); }
 
 }  // namespace
 
-RequestTask::RequestTask(RequestContext* context, ClientStatement statement,
-                         Callback done)
+RequestTask::RequestTask(RequestContext* context, request::RequestRecord record,
+                         std::string key, Callback done)
     : context(context),
-      statement(std::move(statement)),
+      record(std::move(record)),
+      key(std::move(key)),
       done(std::move(done)),
       configuration(context->configuration) {}
 
@@ -35,7 +33,7 @@
 std::optional<request::NotRunReason> RequestTask::Check() {
   using request::NotRunReason;
   if (this->configuration == nullptr) return NotRunReason::kNoConfiguration;
-  const auto route = this->configuration->routes.find(this->statement.route);
+  const auto route = this->configuration->routes.find(this->record.route);
   if (route == this->configuration->routes.end()) {
     return NotRunReason::kUnknownRoute;
   }
@@ -53,12 +51,12 @@
 std::optional<request::NotRunReason> RequestTask::Authenticate(
     const version::Route& route) {
   using request::NotRunReason;
-  if (this->statement.key.empty()) {
+  if (this->key.empty()) {
     if (!route.open) return NotRunReason::kMissingKey;
     this->workspace = common::WorkspaceId(kOpenRouteWorkspace);
     return std::nullopt;
   }
-  const auto owner = this->context->keys->WorkspaceOf(this->statement.key);
+  const auto owner = this->context->keys->WorkspaceOf(this->key);
   if (!owner) return NotRunReason::kUnknownKey;
   this->workspace = *owner;
   this->weight = this->configuration->workspaces.at(*owner).weight;
@@ -69,10 +67,10 @@
 
 std::optional<request::NotRunReason> RequestTask::ReadSession() {
   try {
-    this->session = this->statement.session.empty()
+    this->session = this->record.session.empty()
                         ? request::SessionToken(this->workspace)
                         : request::SessionToken::Decode(
-                              this->statement.session,
+                              this->record.session,
                               this->context->session_secrets, this->workspace);
     // A service that would not fit must be refused before the request runs.
     this->session->Advance(this->service_id, common::LogPosition{});
@@ -96,36 +94,26 @@
 }
 
 void RequestTask::PrepareCall() {
-  this->call.request_id = this->statement.request_id;
+  this->call.request_id = this->record.request_id;
   this->call.workspace = this->workspace;
   this->call.weight = this->weight;
   this->call.service = this->service_id;
-  this->call.is_write = !request::IsReadOnly(this->statement.operations);
+  this->call.is_write =
+      this->record.request_class != request::RequestClass::kRead;
   this->call.operations =
-      request::OperationsToJson(this->statement.operations).dump();
-  this->call.deadline = this->statement.deadline;
-  this->call.idempotency_key = this->statement.idempotency_key;
-  if (!this->call.idempotency_key.empty()) {
-    this->call.idempotency_digest = request::OperationsDigest(
-        this->statement.route, this->statement.operations);
+      request::OperationsToJson(this->record.operations).dump();
+  this->call.deadline = this->record.deadline;
+  if (this->record.idempotency_key) {
+    this->call.idempotency_key = this->record.idempotency_key->Text();
+    this->call.idempotency_digest = this->record.operations_digest;
   }
-  this->call.max_age = this->statement.max_age;
+  this->call.max_age = this->record.max_age;
   this->call.min_position = this->session->PositionOf(this->service_id);
-  this->call.wait = kPositionWait;
-  this->policy.emplace(this->Class(), this->statement.deadline);
-}
-
-request::RequestClass RequestTask::Class() const {
-  if (!this->call.is_write) return request::RequestClass::kRead;
-  if (!this->call.idempotency_key.empty()) {
-    return request::RequestClass::kKeyedWrite;
-  }
-  return this->statement.repeatable ? request::RequestClass::kRepeatableWrite
-                                    : request::RequestClass::kUnrepeatableWrite;
+  this->policy.emplace(this->record.request_class, this->record.deadline);
 }
 
 request::RetryBudget& RequestTask::Budget() {
-  return this->context->retry_budgets.try_emplace(this->statement.route, Now())
+  return this->context->retry_budgets.try_emplace(this->record.route, Now())
       .first->second;
 }
 
@@ -155,28 +143,62 @@
 }
 
 void RequestTask::ChooseReadEndpoint() {
-  if (this->read_order.empty()) this->OrderReadEndpoints();
-  this->call.endpoint =
-      this->read_order[this->next_read++ % this->read_order.size()];
+  const bool all_tried = this->next_candidate >= this->candidates.size();
+  if (all_tried) this->OrderCandidates();
+  const request::ReadCandidate& candidate =
+      this->candidates[this->next_candidate++];
+  this->call.endpoint = candidate.endpoint;
+  this->call.wait = candidate.wait;
 }
 
-void RequestTask::OrderReadEndpoints() {
+void RequestTask::OrderCandidates() {
   const connection::PrimaryHint primary =
       this->context->primaries->Find(this->service_id);
-  const auto rank = [this, &primary](const version::Endpoint& endpoint) {
-    const bool is_primary = endpoint.id == primary.endpoint;
-    const bool away = endpoint.domain != this->context->home_domain;
-    return std::pair(is_primary, away);
-  };
-  std::vector<version::Endpoint> ordered = this->service->endpoints;
-  std::shuffle(ordered.begin(), ordered.end(), this->context->random);
-  std::stable_sort(ordered.begin(), ordered.end(),
-                   [&rank](const auto& left, const auto& right) {
-                     return rank(left) < rank(right);
-                   });
-  for (const version::Endpoint& endpoint : ordered) {
-    this->read_order.push_back(endpoint.id);
+  std::vector<request::ReadEndpoint> endpoints;
+  for (const version::Endpoint& endpoint : this->service->endpoints) {
+    endpoints.push_back(this->Describe(endpoint, primary));
+  }
+  const request::ReadRequirement requirement{this->call.min_position,
+                                             this->call.max_age};
+  const request::ReadRouter reads(this->Home());
+  const std::uint64_t spread = this->context->random();
+  this->candidates = reads.Candidates(endpoints, requirement, spread, Now());
+  this->next_candidate = 0;
+  if (!this->candidates.empty()) return;
+  // Nothing is believed reachable; asking costs less than refusing.
+  for (request::ReadEndpoint& endpoint : endpoints) endpoint.reachable = true;
+  this->candidates = reads.Candidates(endpoints, requirement, spread, Now());
+}
+
+request::ReadHome RequestTask::Home() const {
+  request::ReadHome home;
+  home.domain = this->context->home_domain;
+  const auto domain = this->configuration->domains.find(home.domain);
+  if (domain != this->configuration->domains.end()) {
+    home.region = domain->second.region;
+  }
+  return home;
+}
+
+request::ReadEndpoint RequestTask::Describe(
+    const version::Endpoint& endpoint,
+    const connection::PrimaryHint& primary) const {
+  request::ReadEndpoint described;
+  described.id = endpoint.id;
+  described.domain = endpoint.domain;
+  const auto domain = this->configuration->domains.find(endpoint.domain);
+  if (domain != this->configuration->domains.end()) {
+    described.region = domain->second.region;
   }
+  described.role = endpoint.id == primary.endpoint
+                       ? request::EndpointRole::kPrimary
+                       : request::EndpointRole::kReplica;
+  const EndpointDirectory::Entry& known =
+      this->context->endpoints.Find(endpoint.id);
+  described.position = known.position;
+  described.position_learned = known.learned;
+  described.reachable = known.avoid_until <= Now();
+  return described;
 }
 
 void RequestTask::OnReply(const connection::StatementReply& reply) {
@@ -195,6 +217,7 @@
 }
 
 void RequestTask::LearnFrom(const connection::StatementReply& reply) {
+  this->context->endpoints.Learn(this->call.endpoint, reply, Now());
   if (!reply.primary.endpoint.Empty()) {
     this->context->primaries->Learn(this->service_id, reply.primary);
     return;
--- a/Source/Core/Process/request_task.h
+++ b/Source/Core/Process/request_task.h
@@ -15,19 +15,6 @@
 /// Workspace that requests without a key on open routes count for.
 inline constexpr char kOpenRouteWorkspace[] = "public";
 
-/// A client's statement after its syntax was checked.
-struct ClientStatement {
-  std::string request_id;
-  std::string key;
-  std::string session;
-  std::string idempotency_key;
-  common::RouteId route;
-  request::Operations operations;
-  bool repeatable = false;
-  common::SteadyTime deadline;
-  std::optional<common::Duration> max_age;
-};
-
 /// What the client gets.
 struct RequestAnswer {
   request::Outcome outcome;
@@ -41,8 +28,9 @@
  public:
   using Callback = std::function<void(RequestAnswer)>;
 
-  RequestTask(RequestContext* context, ClientStatement statement,
-              Callback done);
+  /// The key is empty if the client presented none.
+  RequestTask(RequestContext* context, request::RequestRecord record,
+              std::string key, Callback done);
 
   /// Starts the request; the task keeps itself alive until its end.
   void Start();
@@ -54,18 +42,21 @@
   std::optional<request::NotRunReason> ReadSession();
   std::optional<request::NotRunReason> TakeToken();
   void PrepareCall();
-  request::RequestClass Class() const;
   request::RetryBudget& Budget();
   void Attempt();
   void ChooseWriteEndpoint();
   void ChooseReadEndpoint();
-  void OrderReadEndpoints();
+  void OrderCandidates();
+  request::ReadHome Home() const;
+  request::ReadEndpoint Describe(const version::Endpoint& endpoint,
+                                 const connection::PrimaryHint& primary) const;
   void OnReply(const connection::StatementReply& reply);
   void LearnFrom(const connection::StatementReply& reply);
   void Finish(request::Outcome outcome);
 
   RequestContext* context;
-  ClientStatement statement;
+  request::RequestRecord record;
+  std::string key;
   Callback done;
   /// Kept for the whole request, so that a new version changes none that runs.
   version::ConfigurationPointer configuration;
@@ -77,8 +68,9 @@
   std::optional<common::Duration> retry_after;
   connection::StatementCall call;
   std::optional<request::RetryPolicy> policy;
-  std::vector<common::EndpointId> read_order;
-  std::size_t next_read = 0;
+  /// Endpoints for a read in the order in which they are tried.
+  std::vector<request::ReadCandidate> candidates;
+  std::size_t next_candidate = 0;
   /// Counts on through the service's endpoints while no primary is known.
   std::size_t next_guess = 0;
 };
