Request: Refuse integers beyond 64 bits signed

Numbers below -2^63 were refused before, since JSON parses them as floating point. The new test fails without the change.

--- a/Source/Core/Request/operation.cc
+++ b/Source/Core/Request/operation.cc
@@ -1,6 +1,7 @@
 #include "Request/operation.h"
 
 #include <initializer_list>
+#include <limits>
 #include <string_view>
 
 namespace camphorferry::request {
@@ -32,6 +33,11 @@
     if (!value.is_number_integer()) {
       this->Fail(OperationFault::kWrongType, name);
     }
+    // Conversion would wrap: 2^64 - 1 would be added as -1.
+    constexpr auto kMax = std::numeric_limits<std::int64_t>::max();
+    if (value.is_number_unsigned() && value.get<std::uint64_t>() > kMax) {
+      this->Fail(OperationFault::kOutOfRange, name);
+    }
     return value.get<std::int64_t>();
   }
 
--- a/Source/UnitTests/Core/Request/operation_test.cc
+++ b/Source/UnitTests/Core/Request/operation_test.cc
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <cstdint>
+#include <limits>
 #include <string>
 
 #include "Request/request.h"
@@ -59,5 +61,18 @@
             OperationFault::kOutOfRange);
 }
 
+// Guards against an amount that wraps around and changes its sign.
+TEST_F(OperationTest, AmountBeyond64BitsSigned_Parse_IsOutOfRange) {
+  const auto add = [](const std::string& amount) {
+    return R"([{"op":"add","table":"t","key":"k","amount":)" + amount + "}]";
+  };
+  const auto largest =
+      ParseOperations(nlohmann::json::parse(add("9223372036854775807")));
+  EXPECT_EQ(std::get<AddOperation>(largest[0]).amount,
+            std::numeric_limits<std::int64_t>::max());
+  EXPECT_EQ(FaultOf(add("9223372036854775808")), OperationFault::kOutOfRange);
+  EXPECT_EQ(FaultOf(add("18446744073709551615")), OperationFault::kOutOfRange);
+}
+
 }  // namespace
 }  // namespace camphorferry::request
