Version: Warn when a new failure domain shrinks the rate slots of others

Each slot is the fraction 1/total of every rate, so a further domain changes the share of all daemons that serve now. The plan warned about changed slot numbers only.

--- a/Source/Core/Version/plan.cc
+++ b/Source/Core/Version/plan.cc
@@ -182,8 +182,9 @@
 /// Adds the warnings of each change.
 class WarningCollector {
  public:
-  explicit WarningCollector(std::vector<PlanWarning>* warnings)
-      : warnings(warnings) {}
+  WarningCollector(const Configuration& current,
+                   std::vector<PlanWarning>* warnings)
+      : current(current), warnings(warnings) {}
 
   void operator()(const Removed<common::WorkspaceId, Workspace>& change) const {
     this->Add(WarningKind::kWorkspaceRemoved, change.id);
@@ -242,6 +243,12 @@
     if (change.new_value.rate_slots == change.old_value.rate_slots) return;
     this->Add(WarningKind::kRateSlotsChanged, change.id);
   }
+  void operator()(
+      const Added<common::FailureDomainId, FailureDomain>& change) const {
+    // The first domains share the rates of nobody.
+    if (this->current.domains.empty()) return;
+    this->Add(WarningKind::kRateSlotsChanged, change.id);
+  }
   template <typename Id, typename Value>
   void operator()(const Added<Id, Value>& /*change*/) const {}
 
@@ -251,6 +258,7 @@
     this->warnings->push_back(PlanWarning{kind, ObjectName(id)});
   }
 
+  const Configuration& current;
   std::vector<PlanWarning>* warnings;
 };
 
@@ -307,7 +315,7 @@
   CompareObjects(current.routes, declared.routes, &plan.changes);
   CompareObjects(current.keys, declared.keys, &plan.changes);
   CompareObjects(current.domains, declared.domains, &plan.changes);
-  const WarningCollector collector(&plan.warnings);
+  const WarningCollector collector(current, &plan.warnings);
   for (const Change& change : plan.changes) std::visit(collector, change);
   plan.digest = PlanDigest(current.version, declared);
   return plan;
--- a/Source/UnitTests/Core/Version/plan_test.cc
+++ b/Source/UnitTests/Core/Version/plan_test.cc
@@ -138,6 +138,17 @@
             (Expected{{WarningKind::kRouteNarrowed, "route circles"}}));
 }
 
+// Guards against a new domain whose slots silently shrink those of the others.
+TEST_F(PlanTest, DomainAdded_MakePlan_WarnsUnlessItIsTheFirst) {
+  const FailureDomain domain{common::RegionId("ub"), 8};
+  this->declared.domains[common::FailureDomainId("east")] = domain;
+  EXPECT_EQ(this->Warnings(), Expected{});
+  this->current = this->declared;
+  this->declared.domains[common::FailureDomainId("west")] = domain;
+  EXPECT_EQ(this->Warnings(),
+            (Expected{{WarningKind::kRateSlotsChanged, "domain west"}}));
+}
+
 // Guards against warnings for harmless changes, which teach people to skip
 // them.
 TEST_F(PlanTest, HarmlessChange_MakePlan_DoesNotWarn) {
