Control: Report where a key's withdrawal is in force

A withdrawn key works at a daemon until it has the new version, so keys withdraw asks every listed daemon for its version after the confirmation and names those that are behind or silent. Refusals show the detail that the daemon gives.

--- a/Source/Control/apply_report.cc
+++ b/Source/Control/apply_report.cc
@@ -76,8 +76,8 @@
   std::string reason =
       TextField(body, "reason")
           .value_or("HTTP status " + std::to_string(response.status));
-  const auto faults = body.find("faults");
-  if (faults != body.end()) reason += "; faults: " + faults->dump();
+  const std::optional<std::string> detail = TextField(body, "detail");
+  if (detail.has_value()) reason += " (" + *detail + ")";
   return reason;
 }
 
--- a/Source/Control/apply_report.h
+++ b/Source/Control/apply_report.h
@@ -46,7 +46,7 @@
 /// Decides what the answer to a confirmation means.
 ApplyReport InterpretApply(const OperatorResult& result);
 
-/// The body's field if it is a text; otherwise the HTTP status.
+/// The reason in the body with its detail; otherwise the HTTP status.
 std::string ReasonOf(const connection::HttpResponse& response);
 
 }  // namespace camphorferry::control
--- a/Source/Control/command_runner.cc
+++ b/Source/Control/command_runner.cc
@@ -135,6 +135,20 @@
   return CommandResult{ExitCode::kOk, std::move(text), std::move(document)};
 }
 
+/// Whether a daemon has reached a version, by its answer about its state.
+std::string_view ReachOf(const connection::HttpResult& answer,
+                         version::ConfigurationVersion version) {
+  const auto* response = std::get_if<connection::HttpResponse>(&answer);
+  if (response == nullptr) return "no_answer";
+  const json status = json::parse(response->body, nullptr,
+                                  /*allow_exceptions=*/false);
+  if (!status.is_object()) return "no_answer";
+  const auto held = status.find("configuration_version");
+  if (held == status.end() || !held->is_number_unsigned()) return "no_answer";
+  const bool reached = held->get<version::ConfigurationVersion>() >= version;
+  return reached ? "in_force" : "not_yet";
+}
+
 std::string KeyDeclaration(const KeysIssueCommand& command,
                            const std::string& digest) {
   return "[key.\"" + command.name.Value() + "\"]\nworkspace = \"" +
@@ -269,9 +283,10 @@
   if (!command.digest.has_value()) return this->ShowPlan(current);
   // Without the key, the configuration in force is what was confirmed if this
   // repeats a confirmation; the daemon finds the digest among the applied ones.
-  CommandResult result =
-      std::visit(ReportToResult(), this->Confirm(current, *command.digest));
-  if (result.exit_code == ExitCode::kOk) {
+  const ApplyReport report = this->Confirm(current, *command.digest);
+  CommandResult result = std::visit(ReportToResult(), report);
+  if (const auto* accepted = std::get_if<PlanAccepted>(&report)) {
+    this->ReportReach(accepted->version, &result);
     result.text += "Remove [key." + command.name.Value() +
                    "] from the declaration files, or the next plan adds it "
                    "again.\n";
@@ -282,6 +297,21 @@
   return result;
 }
 
+void CommandRunner::ReportReach(version::ConfigurationVersion version,
+                                CommandResult* result) const {
+  constexpr std::array kReaches = {"in_force", "not_yet", "no_answer"};
+  for (const char* reach : kReaches) {
+    result->document[reach] = json::array();
+  }
+  for (const auto& [address, answer] :
+       this->client.SendToAll(GetRequest("/operator/v1/status"))) {
+    const std::string reach(ReachOf(answer, version));
+    const std::string name = connection::ToString(address);
+    result->text.append(reach).append(": ").append(name).append("\n");
+    result->document[reach].push_back(name);
+  }
+}
+
 CommandResult UsageResult(const UsageError& error) {
   CommandResult result =
       Failure(ExitCode::kInvalidInput, "usage", error.what());
--- a/Source/Control/command_runner.h
+++ b/Source/Control/command_runner.h
@@ -59,6 +59,8 @@
                       const std::string& digest) const;
   CommandResult WithdrawKey(version::Configuration current,
                             const KeysWithdrawCommand& command) const;
+  void ReportReach(version::ConfigurationVersion version,
+                   CommandResult* result) const;
 
   CommandLine line;
   OperatorClient client;
--- a/Source/Control/operator_client.cc
+++ b/Source/Control/operator_client.cc
@@ -25,4 +25,15 @@
   return OperatorSilence{may_have_run};
 }
 
+std::vector<std::pair<connection::SocketAddress, connection::HttpResult>>
+OperatorClient::SendToAll(const connection::HttpRequest& request) const {
+  std::vector<std::pair<connection::SocketAddress, connection::HttpResult>>
+      results;
+  for (const connection::SocketAddress& address : this->operators) {
+    results.emplace_back(address,
+                         this->transport(address, request, this->timeout));
+  }
+  return results;
+}
+
 }  // namespace camphorferry::control
--- a/Source/Control/operator_client.h
+++ b/Source/Control/operator_client.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -42,6 +43,10 @@
   /// out more than once.
   OperatorResult Send(const connection::HttpRequest& request) const;
 
+  /// Asks every listener; a failure stands for the ones that do not answer.
+  std::vector<std::pair<connection::SocketAddress, connection::HttpResult>>
+  SendToAll(const connection::HttpRequest& request) const;
+
  private:
   std::vector<connection::SocketAddress> operators;
   common::Duration timeout;
--- a/Source/UnitTests/Control/apply_report_test.cc
+++ b/Source/UnitTests/Control/apply_report_test.cc
@@ -68,7 +68,8 @@
       Answer(503, R"({"reason":"store_unavailable","outcome":"not_run"})");
   const HttpResult store_unknown =
       Answer(503, R"({"reason":"store_unavailable","outcome":"unknown"})");
-  const HttpResult invalid = Answer(400, R"({"reason":"bad_request"})");
+  const HttpResult invalid =
+      Answer(400, R"({"reason":"bad_request","detail":"rate: found 0"})");
   const HttpResult not_sent = HttpFailure::kNotSent;
   const HttpResult no_answer = HttpFailure::kNoAnswer;
 };
@@ -78,7 +79,7 @@
   EXPECT_EQ(Report({this->applied}), "applied 7");
   EXPECT_EQ(Report({this->already}), "already 7");
   EXPECT_EQ(Report({this->stale}), "moved 6");
-  EXPECT_EQ(Report({this->invalid}), "invalid bad_request");
+  EXPECT_EQ(Report({this->invalid}), "invalid bad_request (rate: found 0)");
   EXPECT_EQ(Report({Answer(404, "")}), "refused HTTP status 404");
   EXPECT_EQ(Report({this->store_not_run}), "refused store_unavailable");
   EXPECT_EQ(Report({this->store_unknown}), "unknown store_unavailable");
@@ -102,7 +103,8 @@
 TEST_F(ApplyReportTest, FirstDaemonSilent_Interpret_RefusalIsUnknown) {
   EXPECT_EQ(Report({this->no_answer, this->store_not_run}),
             "unknown store_unavailable");
-  EXPECT_EQ(Report({this->no_answer, this->invalid}), "unknown bad_request");
+  EXPECT_EQ(Report({this->no_answer, this->invalid}),
+            "unknown bad_request (rate: found 0)");
   EXPECT_EQ(Report({this->not_sent, this->store_not_run}),
             "refused store_unavailable");
 }
--- a/Source/UnitTests/Control/command_runner_test.cc
+++ b/Source/UnitTests/Control/command_runner_test.cc
@@ -21,6 +21,10 @@
 class FakeDaemon {
  public:
   HttpResult Answer(const HttpRequest& request) {
+    if (request.path == "/operator/v1/status") {
+      return Response(200,
+                      json{{"configuration_version", this->current.version}});
+    }
     if (request.path == "/operator/v1/configuration") {
       return Response(200, ConfigurationToJson(this->current));
     }
@@ -80,11 +84,11 @@
   CommandResult Run(Command command) {
     CommandLine line;
     line.command = std::move(command);
-    line.operators = {{"127.0.0.1", 1}};
-    const auto transport = [this](const connection::SocketAddress& /*address*/,
+    line.operators = this->operators;
+    const auto transport = [this](const connection::SocketAddress& address,
                                   const HttpRequest& request,
                                   common::Duration /*timeout*/) {
-      return this->daemon.Answer(request);
+      return this->daemons.at(address.port).Answer(request);
     };
     const auto random = [] {
       return std::array<unsigned char, version::kKeyBytes>{};
@@ -102,7 +106,9 @@
       std::filesystem::path(testing::TempDir()) /
       ("camphorferry_control." + std::to_string(getpid()));
   const common::KeyId office{"office"};
-  FakeDaemon daemon;
+  std::vector<connection::SocketAddress> operators{{"127.0.0.1", 0}};
+  std::vector<FakeDaemon> daemons{2};
+  FakeDaemon& daemon = this->daemons.front();
 };
 
 // Guards against a digest that the plan shows and apply does not accept.
@@ -183,6 +189,22 @@
   EXPECT_EQ(repeated.document.at("result"), "already_applied");
 }
 
+// Guards against a withdrawal that is taken for complete while a daemon still
+// accepts the key.
+TEST_F(CommandRunnerTest, KeysWithdrawOneDaemonBehind_Run_NamesIt) {
+  this->daemons[1].current = this->daemon.current;
+  this->operators = {{"127.0.0.1", 0}, {"127.0.0.1", 1}};
+  const CommandResult plan =
+      this->Run(KeysWithdrawCommand{this->office, std::nullopt});
+  const CommandResult applied = this->Run(KeysWithdrawCommand{
+      this->office, plan.document.at("digest").get<std::string>()});
+  const json in_force = {"127.0.0.1:0"};
+  const json not_yet = {"127.0.0.1:1"};
+  EXPECT_EQ(applied.document.at("in_force"), in_force);
+  EXPECT_EQ(applied.document.at("not_yet"), not_yet);
+  EXPECT_NE(applied.text.find("not_yet: 127.0.0.1:1"), std::string::npos);
+}
+
 // Guards against a mistyped name that looks like a withdrawn key.
 TEST_F(CommandRunnerTest, KeysWithdrawUnknownName_Run_IsNoSuccess) {
   const common::KeyId mistyped("offise");
