Process: End a statement before its connection is closed

Cause: the link monitor may close the connection inside the event that reports the reply, and the task then used the freed lane; the daemon crashed when the primary was killed in the thin path. The statement now ends first. Also keeps the date of today inside the hybrid clock's 52 bits: with 48 bits the time line showed 1973.

--- a/Source/Core/Common/hybrid_clock.cc
+++ b/Source/Core/Common/hybrid_clock.cc
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr int kCounterBits = 16;
+constexpr int kCounterBits = 12;
 
 HybridTime FromWall(WallTime wall) {
   const auto micros = std::chrono::duration_cast<std::chrono::microseconds>(
--- a/Source/Core/Common/hybrid_clock.h
+++ b/Source/Core/Common/hybrid_clock.h
@@ -7,8 +7,9 @@
 
 namespace camphorferry::common {
 
-/// Reading of a hybrid logical clock: wall clock microseconds in the upper 48
-/// bits and a counter in the lower 16 bits, so that readings sort as integers.
+/// Reading of a hybrid logical clock: wall clock microseconds in the upper 52
+/// bits, which lasts until the year 2112, and a counter in the lower 12 bits,
+/// so that readings sort as integers.
 using HybridTime = std::uint64_t;
 
 /// Hybrid logical clock. Every message carries a reading, and the receiver's
--- a/Source/Core/Process/endpoint_task.cc
+++ b/Source/Core/Process/endpoint_task.cc
@@ -152,13 +152,14 @@
   Lane* lane = this->FindLane(id);
   if (lane == nullptr) return;
   const bool lost = IsLost(reply);
+  const bool usable = lane->link->Usable();
+  // The statement ends first, because the monitor may ask to close the lane.
+  this->End(lane, reply);
   if (lost) {
     this->Handle(connection::LinkAbandoned{id});
   } else {
     this->Handle(connection::LinkAnswered{id, request_id});
   }
-  const bool usable = lane->link->Usable();
-  this->End(lane, reply);
   if (!usable) this->RemoveLane(id);
   this->Pump();
 }
@@ -208,7 +209,7 @@
   Lane* lane = this->FindLane(action.link);
   if (lane == nullptr) return;
   this->events->Record(std::chrono::system_clock::now(),
-                       common::Subsystem::kConnection, "silent_connection",
+                       common::Subsystem::kConnection, "endpoint_connection_closed",
                        {{"endpoint", this->endpoint.id}});
   if (lane->done) {
     // The request was sent, so it may have run.
@@ -234,6 +235,7 @@
 }
 
 void EndpointTask::RemoveLane(connection::LinkId id) {
+  if (this->FindLane(id) == nullptr) return;
   std::erase_if(this->lanes, [id](const std::unique_ptr<Lane>& lane) {
     return lane->id == id;
   });
--- a/Source/UnitTests/Core/Common/hybrid_clock_test.cc
+++ b/Source/UnitTests/Core/Common/hybrid_clock_test.cc
@@ -21,5 +21,12 @@
   RC_ASSERT(received > sent);
 }
 
+// Guards against readings that overflow and show another date.
+TEST(HybridClockTest, DateOfToday_WallPart_IsKept) {
+  const WallTime wall = WallTime(std::chrono::seconds(1'796'369'000));
+  HybridClock clock;
+  EXPECT_EQ(WallPart(clock.Now(wall)), wall);
+}
+
 }  // namespace
 }  // namespace camphorferry::common
