--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -140,3 +140,54 @@
   printf 'fleet: %s is not ready for clients\n' "$1" >&2
   return 1
 }
+
+# Writes declarations of workspaces, keys and routes: COUNT RATE BURST SERVICES...
+# The keys themselves go to $work/keys, one "workspace key" a line.
+fleet_declare_workspaces() {
+  local count=$1 rate=$2 burst=$3 i key digest names=
+  shift 3
+  : >"$work/keys"
+  for i in $(seq 1 "$count"); do
+    key="key-of-workspace-$i-$RANDOM$RANDOM"
+    digest=$(printf '%s' "$key" | sha256sum | cut -d' ' -f1)
+    printf 'ws-%s %s\n' "$i" "$key" >>"$work/keys"
+    printf '[workspace.ws-%s]\nrate = %s\nburst = %s\nweight = 1\n' \
+      "$i" "$rate" "$burst"
+    printf '[key.key-%s]\nworkspace = "ws-%s"\ndigest = "%s"\n\n' \
+      "$i" "$i" "$digest"
+    names+="${names:+, }\"ws-$i\""
+  done
+  local service
+  for service in "$@"; do
+    printf '[route.%s]\nservice = "%s"\nopen = false\nworkspaces = [%s]\n\n' \
+      "$service" "$service" "$names"
+  done
+}
+
+# Address of a daemon's listener: ID clients_port|operators_port|peers_port.
+fleet_address() {
+  printf '127.0.0.1:%s' "$(fleet_value "$1" "$2")"
+}
+
+# Plans and applies the declaration files: FILES...
+fleet_apply() {
+  local operator digest
+  operator=$(fleet_address "$(head -1 "$work/daemons" | cut -d' ' -f1)" \
+    operators_port)
+  digest=$("$build/Source/Control/camphorferryctl" --operator "$operator" \
+    --json plan "$@" | jq -r .digest)
+  "$build/Source/Control/camphorferryctl" --operator "$operator" \
+    apply --digest "$digest" "$@"
+}
+
+# Sets faults at a stand-in: NAME JSON.
+fleet_fault() {
+  curl -sf -X POST -d "$2" \
+    "http://127.0.0.1:$(fleet_value "$1" control_port)/control/faults" \
+    >/dev/null
+}
+
+# Sends a signal to a process: SIGNAL NAME.
+fleet_signal() {
+  kill "-$1" "$(cat "$work/$2.pid")"
+}
