Process: Lend by mean demand and skip lenders whose loan runs

Causes: a lender took the larger of the last two seconds for its demand, which overstates a small random demand; a lender that had borrowed once did not lend for 5 s; and a borrower asked peers in turn whose loans still ran.

A lender now keeps what its mean demand over some seconds needs, unless the present second is clearly above it, and lends its own slots' rate also while it borrows. LenderChoice leaves out peers whose loan has not ended. A repeated attempt of a waiting request no longer counts as demand, so that the caller can let a refused request wait. A lender reserve of a tenth instead of a quarter was tried: better for requests mostly at one daemon, worse for even ones.

--- a/Source/Core/Process/rate_share.cc
+++ b/Source/Core/Process/rate_share.cc
@@ -22,6 +22,10 @@
 
 /// Requests are counted in periods of this length to estimate the demand.
 constexpr Duration kDemandPeriod = seconds(1);
+/// Number of periods that the mean demand goes back.
+constexpr std::int64_t kMeanPeriods = 4;
+/// After so many periods without requests the mean is zero.
+constexpr std::int64_t kMostPeriods = 100;
 /// A period that has just begun counts as this long, so that a few requests in
 /// a row are not taken for a high demand.
 constexpr Duration kShortestDemandSample = milliseconds(250);
@@ -30,9 +34,8 @@
 constexpr Duration kBorrowHorizon = seconds(1);
 /// Gap between requests while they bring loans, after the first ones that do
 /// not, and when none of many did. Doubling the gap with each empty answer left
-/// a daemon that had all of a workspace's requests at 0.83 of the rate, because
-/// it came back to its seven lenders long after their loans had ended; so it
-/// gets 0.96.
+/// a daemon that had all of a workspace's requests far below the rate, because
+/// it came back to its seven lenders long after their loans had ended.
 constexpr Duration kShortRequestGap = milliseconds(250);
 constexpr Duration kMediumRequestGap = milliseconds(500);
 constexpr Duration kLongRequestGap = seconds(2);
@@ -50,6 +53,12 @@
   return static_cast<Millitokens>(product / kNanosecondsPerSecond);
 }
 
+/// Rate of a number of requests in a time.
+Millitokens PerSecond(std::int64_t requests, Duration duration) {
+  return requests * kRequestCost * Duration(seconds(1)).count() /
+         duration.count();
+}
+
 /// What remains of an amount after a part of it is taken, the part being
 /// need / whole.
 Millitokens ProportionalRest(Millitokens amount, Millitokens need,
@@ -79,9 +88,11 @@
                      const Policy& policy)
     : limits(limits), policy(policy), settled(now), demand_start(now) {}
 
-Admission RateShare::Admit(SteadyTime now) {
+Admission RateShare::Admit(SteadyTime now, Attempt attempt) {
   this->Settle(now);
-  ++this->demand_now;
+  if (attempt == Attempt::kFirst) {
+    ++this->demand_now;
+  }
   if (this->level >= kRequestCost) {
     this->level -= kRequestCost;
     return Admitted{};
@@ -142,8 +153,7 @@
 
 RateLoan RateShare::Lend(Millitokens wanted, SteadyTime now) {
   this->Settle(now);
-  // A daemon that borrows is short itself.
-  if (wanted <= 0 || !this->taken.empty()) {
+  if (wanted <= 0) {
     return RateLoan{};
   }
   const SteadyTime back = this->settled + GiverWait(kLoanLength);
@@ -160,7 +170,7 @@
   // the rate, and one token at least, so that the first request after an idle
   // time is admitted. A share too small to ever hold a token is of use only to
   // a borrower that puts several such shares together.
-  const Millitokens need = WithReserve(this->DemandRate());
+  const Millitokens need = this->LenderNeed();
   const Millitokens reserve =
       lendable_capacity >= kRequestCost ? kRequestCost : 0;
   const Millitokens spare_rate = std::max<Millitokens>(0, lendable_rate - need);
@@ -272,11 +282,11 @@
   this->settled = now;
 
   const std::int64_t periods = (now - this->demand_start) / kDemandPeriod;
-  if (periods > 0) {
-    this->demand_before = periods == 1 ? this->demand_now : 0;
-    this->demand_now = 0;
-    this->demand_start += periods * kDemandPeriod;
+  for (std::int64_t period = 0; period < std::min(periods, kMostPeriods);
+       ++period) {
+    this->NextDemandPeriod();
   }
+  this->demand_start += periods * kDemandPeriod;
   std::erase_if(this->open_requests, [now](SteadyTime request) {
     return request + kLoanLength <= now;
   });
@@ -388,10 +398,28 @@
   return sum;
 }
 
-/// Recent demand in millitokens per second, refused requests included.
-Millitokens RateShare::DemandRate() const {
-  return std::max(this->demand_now, this->demand_before) * kRequestCost *
-         Duration(seconds(1)).count() / kDemandPeriod.count();
+void RateShare::NextDemandPeriod() {
+  const Millitokens rate = PerSecond(this->demand_now, kDemandPeriod);
+  this->demand_mean =
+      this->HasRisen(rate)
+          ? rate
+          : this->demand_mean + (rate - this->demand_mean) / kMeanPeriods;
+  this->demand_before = this->demand_now;
+  this->demand_now = 0;
+}
+
+/// True if a period's demand is above the mean by more than chance makes
+/// likely.
+bool RateShare::HasRisen(Millitokens rate) const {
+  return rate > 2 * this->demand_mean + 2 * kRequestCost;
+}
+
+/// Rate that the own demand needs while a loan runs. The mean over some seconds
+/// is used because the larger of the last two seconds overstates a small random
+/// demand, so that too little is lent.
+Millitokens RateShare::LenderNeed() const {
+  const Millitokens rate = PerSecond(this->demand_now, kDemandPeriod);
+  return WithReserve(this->HasRisen(rate) ? rate : this->demand_mean);
 }
 
 /// Demand if the present period goes on as it began. Only a borrower uses it:
@@ -400,9 +428,8 @@
 Millitokens RateShare::ProjectedDemandRate() const {
   const Duration elapsed =
       std::max(this->settled - this->demand_start, kShortestDemandSample);
-  const Millitokens projected = this->demand_now * kRequestCost *
-                                Duration(seconds(1)).count() / elapsed.count();
-  return std::max(projected, this->DemandRate());
+  return std::max(PerSecond(this->demand_now, elapsed),
+                  PerSecond(this->demand_before, kDemandPeriod));
 }
 
 Duration RateShare::RequestGap() const {
--- a/Source/Core/Process/rate_share.h
+++ b/Source/Core/Process/rate_share.h
@@ -88,6 +88,10 @@
 
 using Admission = std::variant<Admitted, Refused>;
 
+/// Whether a request asks for the first time. One that was refused, waited and
+/// asks again is not new demand.
+enum class Attempt { kFirst, kRepeated };
+
 /// A request for a loan that is to be sent now.
 struct BorrowRequest {
   Millitokens wanted = 0;
@@ -113,7 +117,7 @@
             const Policy& policy);
 
   /// Decides about one request and deducts its token.
-  Admission Admit(common::SteadyTime now);
+  Admission Admit(common::SteadyTime now, Attempt attempt = Attempt::kFirst);
 
   /// Adds a slot whose lease ends at the given time; it brings no tokens.
   void AddSlot(RateSlotNumber slot, common::SteadyTime lease_end,
@@ -183,7 +187,9 @@
   Amounts SlotAmounts(RateSlotNumber slot) const;
   Amounts AmountsOfSlotsUntil(common::SteadyTime end) const;
   Amounts Given() const;
-  Millitokens DemandRate() const;
+  void NextDemandPeriod();
+  bool HasRisen(Millitokens rate) const;
+  Millitokens LenderNeed() const;
   Millitokens ProjectedDemandRate() const;
   common::Duration RequestGap() const;
   Millitokens RateAt(common::SteadyTime time) const;
@@ -202,10 +208,12 @@
   /// Gained part of the next millitoken.
   std::int64_t fraction = 0;
 
-  /// Requests of the present and of the preceding demand period.
+  /// Requests of the present and of the preceding demand period, and the mean
+  /// rate over some periods.
   common::SteadyTime demand_start;
   std::int64_t demand_now = 0;
   std::int64_t demand_before = 0;
+  Millitokens demand_mean = 0;
 
   std::vector<common::SteadyTime> open_requests;
   std::optional<common::SteadyTime> last_request;
--- a/Source/UnitTests/Core/Process/rate_fleet.h
+++ b/Source/UnitTests/Core/Process/rate_fleet.h
@@ -85,17 +85,25 @@
 
   /// Requests that arrive at a daemon at once.
   void Request(std::size_t index, int requests) {
+    for (int request = 0; request < requests; ++request) {
+      this->Ask(index, Attempt::kFirst);
+    }
+  }
+
+  /// One request; true if it was admitted.
+  bool Ask(std::size_t index, Attempt attempt) {
     Daemon& daemon = *this->daemons[index];
     if (!daemon.alive || daemon.paused || daemon.draining) {
-      return;
+      return false;
     }
-    for (int request = 0; request < requests; ++request) {
-      const Admission admission = daemon.share->Admit(this->Clock(daemon));
-      if (std::holds_alternative<Admitted>(admission)) {
-        this->admissions.push_back(this->real);
-      }
+    const Admission admission =
+        daemon.share->Admit(this->Clock(daemon), attempt);
+    const bool admitted = std::holds_alternative<Admitted>(admission);
+    if (admitted) {
+      this->admissions.push_back(this->real);
     }
     this->AskForLoan(daemon);
+    return admitted;
   }
 
   void Pause(std::size_t index) { this->daemons[index]->paused = true; }
@@ -222,7 +230,7 @@
     std::unique_ptr<RateSlotLease> lease;
     /// Events that wait for the end of a pause.
     std::vector<std::function<void()>> inbox;
-    std::size_t next_lender = 0;
+    LenderChoice lenders;
   };
 
   struct Store {
@@ -257,6 +265,7 @@
     const RateSlotLease::SlotRange range{
         daemon.domain * this->options.slots_per_domain,
         this->options.slots_per_domain};
+    daemon.lenders = LenderChoice();
     daemon.lease = std::make_unique<RateSlotLease>(
         daemon.host, daemon.incarnation, range, this->options.lease);
   }
@@ -395,6 +404,15 @@
     return true;
   }
 
+  Daemon* FindDaemon(const common::HostId& host) const {
+    for (const auto& daemon : this->daemons) {
+      if (daemon->host == host) {
+        return daemon.get();
+      }
+    }
+    return nullptr;
+  }
+
   /// Asks the other daemons in turn, whether they live or not.
   void AskForLoan(Daemon& daemon) {
     const common::SteadyTime before = this->Clock(daemon);
@@ -403,11 +421,18 @@
     if (!request || daemon.peers_cut) {
       return;
     }
-    Daemon* lender = nullptr;
-    do {
-      ++daemon.next_lender;
-      lender = this->daemons[daemon.next_lender % this->Size()].get();
-    } while (lender == &daemon && this->Size() > 1);
+    std::vector<common::HostId> peers;
+    for (const auto& peer : this->daemons) {
+      if (peer.get() != &daemon) {
+        peers.push_back(peer->host);
+      }
+    }
+    const std::optional<common::HostId> choice =
+        daemon.lenders.Next(peers, before);
+    if (!choice) {
+      return;
+    }
+    Daemon* lender = this->FindDaemon(*choice);
     const LoanFault fault = std::exchange(this->loan_fault, LoanFault::kNone);
     if (lender->peers_cut || fault == LoanFault::kRequestLost) {
       return;
@@ -417,8 +442,11 @@
     const auto lend = [this, &daemon, before, fault, delay,
                        wanted = request->wanted](Daemon& peer) {
       const RateLoan loan = peer.share->Lend(wanted, this->Clock(peer));
-      const auto answer = [this, before, loan](Daemon& borrower) {
-        borrower.share->Borrow(before, loan, this->Clock(borrower));
+      const auto answer = [this, before, loan,
+                           host = peer.host](Daemon& borrower) {
+        const common::SteadyTime now = this->Clock(borrower);
+        borrower.lenders.OnAnswer(host, loan, now);
+        borrower.share->Borrow(before, loan, now);
       };
       if (fault != LoanFault::kAnswerLost) {
         this->Send(daemon, delay, answer);
--- a/Source/UnitTests/Core/Process/rate_fleet_test.cc
+++ b/Source/UnitTests/Core/Process/rate_fleet_test.cc
@@ -4,9 +4,13 @@
 #include <rapidcheck.h>
 #include <rapidcheck/gtest.h>
 
+#include <array>
+#include <deque>
 #include <iomanip>
 #include <iostream>
+#include <map>
 #include <ostream>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -234,15 +238,66 @@
                            const std::vector<std::size_t>& loaded,
                            Duration step = milliseconds(500)) {
     const std::size_t before = fleet.AdmittedCount();
+    // Five times the rate in total.
+    const int requests =
+        static_cast<int>(step / milliseconds(5) * 2 / loaded.size());
     fleet.Advance(time, step, [&] {
       for (const std::size_t daemon : loaded) {
-        fleet.Request(daemon, static_cast<int>(step / milliseconds(5)));
+        fleet.Request(daemon, requests);
       }
     });
     const double due = 80 * std::chrono::duration<double>(time).count();
     return static_cast<double>(fleet.AdmittedCount() - before) / due;
   }
 
+  /// Part of the random requests within a workspace's limits, as one bucket for
+  /// all would admit them, that is refused. A refused request waits for up to
+  /// half a second and asks again. Some part of all requests comes to one
+  /// daemon, the rest evenly.
+  static double WrongfullyRefused(std::uint32_t burst, double load,
+                                  double skew) {
+    constexpr Duration kStep = milliseconds(5);
+    constexpr int kWaitSteps = 100;
+    RateFleet::Options options = EightHosts(1);
+    options.burst = burst;
+    RateFleet fleet(options);
+    fleet.Advance(minutes(5), seconds(1));
+    std::mt19937_64 random(20261204);
+    std::uniform_real_distribution<double> uniform(0, 1);
+    std::vector<std::deque<int>> waiting(fleet.Size());
+    const double per_step = options.rate * 0.005;
+    double level = burst;
+    int step = 0;
+    int due = 0;
+    int refused = 0;
+    fleet.Advance(minutes(3), kStep, [&] {
+      ++step;
+      level = std::min<double>(burst, level + per_step);
+      for (std::size_t daemon = 0; daemon < fleet.Size(); ++daemon) {
+        std::deque<int>& queue = waiting[daemon];
+        while (!queue.empty() && fleet.Ask(daemon, Attempt::kRepeated)) {
+          queue.pop_front();
+        }
+        while (!queue.empty() && queue.front() <= step) {
+          queue.pop_front();
+          ++refused;
+        }
+      }
+      for (std::size_t daemon = 0; daemon < fleet.Size(); ++daemon) {
+        if (uniform(random) >= load * per_step / 8 || level < 1) {
+          continue;
+        }
+        level -= 1;
+        ++due;
+        const std::size_t target = uniform(random) < skew ? 0 : daemon;
+        if (!fleet.Ask(target, Attempt::kFirst)) {
+          waiting[target].push_back(step + kWaitSteps);
+        }
+      }
+    });
+    return static_cast<double>(refused) / due;
+  }
+
   /// Eight hosts with a slot each, and a workspace with 80 requests/s.
   static RateFleet::Options EightHosts(std::uint32_t domains) {
     RateFleet::Options options;
@@ -322,7 +377,32 @@
   const double part = UsablePart(fleet, minutes(10), {3}, milliseconds(50));
   std::cout << std::fixed << std::setprecision(4)
             << "usable part at one of eight daemons " << part << "\n";
-  EXPECT_GE(part, 0.9);
+  EXPECT_GE(part, 0.98);
+}
+
+// Guards against loans that do not even out random requests, so that some are
+// refused although the workspace is within its rate. A bound of 1 only prints:
+// there, random requests exceed the few tokens at a daemon faster than loans
+// come.
+TEST_F(RateFleetScenarioTest, WithinTheRate_RefusedPart_IsSmall) {
+  // Bounds for load 0.5 evenly, 0.5 mostly at one daemon, 0.9 evenly, and 0.9
+  // mostly at one daemon.
+  const std::map<std::uint32_t, std::array<double, 4>> bounds = {
+      {40, {0.01, 0.01, 1, 1}},
+      {80, {0.001, 0.01, 0.01, 1}},
+      {160, {0.001, 0.001, 0.001, 0.05}}};
+  for (const auto& [burst, bound] : bounds) {
+    const std::array<double, 4> refused = {
+        WrongfullyRefused(burst, 0.5, 0), WrongfullyRefused(burst, 0.5, 0.6),
+        WrongfullyRefused(burst, 0.9, 0), WrongfullyRefused(burst, 0.9, 0.6)};
+    std::cout << "refused with burst " << burst << ":" << std::fixed
+              << std::setprecision(4);
+    for (std::size_t each = 0; each < refused.size(); ++each) {
+      std::cout << " " << refused[each];
+      EXPECT_LE(refused[each], bound[each]) << "burst " << burst;
+    }
+    std::cout << "\n";
+  }
 }
 
 }  // namespace
--- a/Source/UnitTests/Core/Process/rate_share_test.cc
+++ b/Source/UnitTests/Core/Process/rate_share_test.cc
@@ -172,6 +172,22 @@
   EXPECT_LE(asked, 13);
 }
 
+// Guards against loans for requests that only wait and ask again.
+TEST_F(RateShareTest, RepeatedAttempts_NextBorrow_DoNotCountAsDemand) {
+  RateShare share = FullShare(1);
+  SteadyTime now = kStart + seconds(10);
+  EXPECT_TRUE(IsAdmitted(share.Admit(now)));
+  for (int attempt = 0; attempt < 7; ++attempt) {
+    share.Admit(now, Attempt::kRepeated);
+  }
+  now += milliseconds(100);
+  EXPECT_FALSE(share.NextBorrow(now));
+
+  RateShare with_demand = FullShare(1);
+  EXPECT_EQ(AdmittedOf(with_demand, 8, kStart + seconds(10)), 8);
+  EXPECT_TRUE(with_demand.NextBorrow(now));
+}
+
 // Guards against tokens that appear or stay when the limits change.
 TEST_F(RateShareTest, LimitsLoweredAndRaised_Level_IsCutAndNotRestored) {
   RateShare share = FullShare(4);
