--- a/Source/Core/Process/process.h
+++ b/Source/Core/Process/process.h
@@ -18,6 +18,7 @@
 #include "Process/failover_task.h"
 #include "Process/grpc_peer_link.h"
 #include "Process/grpc_peer_server.h"
+#include "Process/lender_choice.h"
 #include "Process/membership.h"
 #include "Process/membership_task.h"
 #include "Process/operator_task.h"
