Process: Add the acknowledgement rule

Decides for one executed write or primary read whether it may be acknowledged: a replica other than the executing endpoint must hold the position and report a fence no higher than the execution's term.

Ruled out: confirming a position of an older term, because a later primary may replace such an entry although two databases hold it.

--- a/Source/Core/Process/process.h
+++ b/Source/Core/Process/process.h
@@ -3,6 +3,7 @@
 
 /// Public header of the Process library: what lives for the whole process.
 
+#include "Process/acknowledgement_rule.h"
 #include "Process/counters.h"
 #include "Process/failover_coordinator.h"
 
