--- a/Source/Core/Request/request.h
+++ b/Source/Core/Request/request.h
@@ -6,5 +6,6 @@
 #include "Request/endpoint_role.h"
 #include "Request/operation.h"
 #include "Request/outcome.h"
+#include "Request/read_router.h"
 
 #endif  // CAMPHORFERRY_REQUEST_REQUEST_H_
