--- a/Source/Core/Connection/connection.h
+++ b/Source/Core/Connection/connection.h
@@ -7,5 +7,6 @@
 #include "Connection/http_client.h"
 #include "Connection/http_message.h"
 #include "Connection/http_server.h"
+#include "Connection/link_monitor.h"
 
 #endif  // CAMPHORFERRY_CONNECTION_CONNECTION_H_
