Process: Limit quick changes of primary and announce new ones earlier

Daemons that each reach other databases replaced each other's primary about 95 times a minute in a simulation with three disjoint link cuts, which left little time for writes.

A daemon that did not promote the new primary learned of it only at its next poll, up to 200 ms later. While no primary is known, reachable databases are polled every 50 ms for at most 5 s.

--- a/Source/Core/Process/failover_coordinator.cc
+++ b/Source/Core/Process/failover_coordinator.cc
@@ -16,6 +16,12 @@
 /// A refused connection fails at once; without a pause three refusals during
 /// one restart of a listener would already make an endpoint suspect.
 constexpr common::Duration kRefusedRetryDelay = milliseconds(50);
+/// While no primary is known, reachable databases are polled this often, so
+/// that daemons that didn't promote the next one learn of it early.
+constexpr common::Duration kUrgentInterval = milliseconds(50);
+/// The frequent polls end after this time: the group then lacks more than a
+/// promotion, and they would exceed the bound on control traffic.
+constexpr common::Duration kUrgentPeriod = std::chrono::seconds(5);
 /// Suspect endpoints are polled less often, since each poll takes one of the
 /// endpoint's scarce connections.
 constexpr common::Duration kSuspectInterval = milliseconds(500);
@@ -37,10 +43,21 @@
 /// long to finish.
 constexpr common::Duration kOtherRoundWait = milliseconds(400);
 /// A replica that was fenced by an abandoned round is repaired by a promotion,
-/// which interrupts writes for a moment, so it is not done in haste.
+/// which interrupts writes for a moment, so it is delayed in case another
+/// coordinator is about to promote anyway.
 constexpr common::Duration kRepairDelay = std::chrono::seconds(1);
 constexpr common::Duration kFirstBackoff = milliseconds(100);
 constexpr std::uint32_t kMaxBackoffDoublings = 3;
+/// Daemons that reach different databases may replace each other's primary
+/// again and again. A primary that was announced less than this long after the
+/// one before it counts as a quick change.
+constexpr common::Duration kQuickChange = std::chrono::seconds(10);
+/// Quick changes that are taken for separate failures and cost no delay.
+constexpr std::uint32_t kFreeQuickChanges = 1;
+/// Delay after the first quick change above that; it doubles with each further
+/// one, three times at most.
+constexpr common::Duration kQuickChangeDelay = milliseconds(500);
+constexpr std::uint32_t kMaxDelayDoublings = 3;
 /// Spread of the part of the backoff that depends on the proposer. It separates
 /// two daemons that both believe that they have the same rank.
 constexpr std::uint64_t kBackoffSpreadMs = 200;
@@ -63,6 +80,7 @@
   this->DetectPause(now);
   std::visit([this, now](const auto& typed) { this->On(typed, now); }, event);
   this->ExpireRequests(now);
+  this->CountQuickChange(now);
   this->AdvanceRound(now);
   this->StartRoundIfDue(now);
   this->SendFollows(now);
@@ -267,6 +285,15 @@
   }
 }
 
+void FailoverCoordinator::CountQuickChange(common::SteadyTime now) {
+  if (!this->primary || this->primary->term == this->counted_term) return;
+  const bool quick =
+      this->counted_term != 0 && now - this->counted_at < kQuickChange;
+  this->quick_changes = quick ? this->quick_changes + 1 : 0;
+  this->counted_term = this->primary->term;
+  this->counted_at = now;
+}
+
 void FailoverCoordinator::AdvanceRound(common::SteadyTime now) {
   if (!this->round) return;
   const std::optional<KnownPrimary> known = this->Primary();
@@ -300,17 +327,26 @@
 }
 
 void FailoverCoordinator::StartRoundIfDue(common::SteadyTime now) {
-  const Trouble found = this->FindTrouble();
-  if (found != this->trouble) this->trouble_since = now;
-  this->trouble = found;
-  if (found == Trouble::kNone) this->attempts = 0;
-  if (found == Trouble::kNone || found == Trouble::kUndecided) return;
+  const GroupState found = this->EvaluateGroup();
+  if (found != this->group_state) this->state_since = now;
+  this->group_state = found;
+  if (found == GroupState::kHealthy) this->attempts = 0;
+  if (found == GroupState::kNoPrimary) this->ScheduleUrgentPolls(now);
+  if (found == GroupState::kHealthy || found == GroupState::kUndecided) return;
   if (this->round || this->CountAnswering() < this->Majority()) return;
   if (now < this->not_before) return;
-  if (now < *this->trouble_since + this->StartDelay(found)) return;
+  if (now < this->state_since + this->StartDelay(found)) return;
   this->StartRound(now);
 }
 
+void FailoverCoordinator::ScheduleUrgentPolls(common::SteadyTime now) {
+  if (now - this->state_since > kUrgentPeriod) return;
+  for (Member& member : this->members) {
+    if (member.reachability != Reachability::kReachable) continue;
+    member.next_poll = std::min(member.next_poll, now + kUrgentInterval);
+  }
+}
+
 /// The round's term is above everything seen and above every term that this
 /// coordinator used before, so no term is used twice.
 void FailoverCoordinator::StartRound(common::SteadyTime now) {
@@ -371,13 +407,13 @@
   this->not_before = std::max(this->not_before, now + delay);
 }
 
-FailoverCoordinator::Trouble FailoverCoordinator::FindTrouble() const {
+FailoverCoordinator::GroupState FailoverCoordinator::EvaluateGroup() const {
   const bool undecided = std::any_of(
       this->members.begin(), this->members.end(), [](const Member& member) {
         return member.reachability == Reachability::kUnknown;
       });
-  if (undecided) return Trouble::kUndecided;
-  if (!this->PrimaryIsReachable()) return Trouble::kNoPrimary;
+  if (undecided) return GroupState::kUndecided;
+  if (!this->PrimaryIsReachable()) return GroupState::kNoPrimary;
   std::size_t usable = 0;
   bool fenced_above = false;
   for (const Member& member : this->members) {
@@ -386,9 +422,9 @@
     fenced_above = fenced_above || fenced;
     if (!fenced) ++usable;
   }
-  if (!fenced_above) return Trouble::kNone;
-  return usable < this->Majority() ? Trouble::kNoPrimary
-                                   : Trouble::kReplicaFenced;
+  if (!fenced_above) return GroupState::kHealthy;
+  return usable < this->Majority() ? GroupState::kNoPrimary
+                                   : GroupState::kReplicaFenced;
 }
 
 bool FailoverCoordinator::PrimaryIsReachable() const {
@@ -416,11 +452,13 @@
   return kRankDelay * static_cast<std::int64_t>(this->rank);
 }
 
-common::Duration FailoverCoordinator::StartDelay(Trouble found) const {
-  const common::Duration base = found == Trouble::kReplicaFenced
-                                    ? kRepairDelay
-                                    : common::Duration::zero();
-  return base + this->RankDelay();
+common::Duration FailoverCoordinator::StartDelay(GroupState found) const {
+  common::Duration delay = this->RankDelay();
+  if (found == GroupState::kReplicaFenced) delay += kRepairDelay;
+  if (this->quick_changes <= kFreeQuickChanges) return delay;
+  const std::uint32_t doublings = this->quick_changes - kFreeQuickChanges - 1;
+  return delay +
+         kQuickChangeDelay * (1U << std::min(doublings, kMaxDelayDoublings));
 }
 
 void FailoverCoordinator::SendFollows(common::SteadyTime now) {
--- a/Source/Core/Process/failover_coordinator.h
+++ b/Source/Core/Process/failover_coordinator.h
@@ -28,7 +28,9 @@
 };
 
 /// A database reported its state, in answer to a poll or, without a request
-/// id, in an ordinary answer.
+/// id, in an ordinary answer. An ordinary answer doesn't contain the fence; its
+/// term takes the fence's place, since a lower value than the known one is
+/// ignored.
 struct StatusSeen {
   common::EndpointId endpoint;
   std::optional<FailoverRequestId> request;
@@ -173,7 +175,8 @@
 class FailoverCoordinator {
  public:
   /// The proposer id must never have been used before, by any process or by an
-  /// earlier coordinator of this one: the databases tell rivals by it.
+  /// earlier coordinator of this one: the databases distinguish coordinators
+  /// by it.
   FailoverCoordinator(std::vector<common::EndpointId> endpoints,
                       std::string proposer, std::size_t rank,
                       FailoverPolicy policy = {});
@@ -198,9 +201,9 @@
   /// What is known about whether an endpoint answers.
   enum class Reachability { kUnknown, kReachable, kSuspect };
 
-  /// Why a promotion is needed.
-  enum class Trouble {
-    kNone,
+  /// Whether a promotion is needed, and why.
+  enum class GroupState {
+    kHealthy,
     /// Some endpoint has neither answered nor missed enough polls.
     kUndecided,
     /// No primary can get writes confirmed.
@@ -266,8 +269,10 @@
   void ObserveTerm(common::Term term, common::SteadyTime now);
   void ExpireRequests(common::SteadyTime now);
 
+  void CountQuickChange(common::SteadyTime now);
   void AdvanceRound(common::SteadyTime now);
   void StartRoundIfDue(common::SteadyTime now);
+  void ScheduleUrgentPolls(common::SteadyTime now);
   void StartRound(common::SteadyTime now);
   bool FencingComplete(common::SteadyTime now) const;
   void Promote(common::SteadyTime now);
@@ -275,12 +280,12 @@
   void LosePromote(common::SteadyTime now);
   void AbandonRound(common::SteadyTime now);
 
-  Trouble FindTrouble() const;
+  GroupState EvaluateGroup() const;
   bool PrimaryIsReachable() const;
   std::size_t CountAnswering() const;
   bool IsFencedAbove(const Member& member, common::Term term) const;
   common::Duration RankDelay() const;
-  common::Duration StartDelay(Trouble found) const;
+  common::Duration StartDelay(GroupState found) const;
   void SendFollows(common::SteadyTime now);
   bool NeedsFollow(const Member& member) const;
   void SendPolls(common::SteadyTime now);
@@ -300,12 +305,17 @@
   std::optional<KnownPrimary> primary;
   /// Highest term or fence that any answer contained or a round used.
   common::Term highest_term = 0;
+  /// Term of the last known primary, when it was first seen, and how many
+  /// primaries in a row came shortly after the one before.
+  common::Term counted_term = 0;
+  common::SteadyTime counted_at;
+  std::uint32_t quick_changes = 0;
   /// Term of the last promote request that this coordinator sent.
   common::Term promoted_term = 0;
 
   std::optional<Round> round;
-  std::optional<common::SteadyTime> trouble_since;
-  Trouble trouble = Trouble::kNone;
+  common::SteadyTime state_since;
+  GroupState group_state = GroupState::kUndecided;
   /// No round starts before this time.
   common::SteadyTime not_before;
   /// Rounds given up since the last time that a primary was in place.
--- a/Source/UnitTests/Core/Process/failover_stateful_test.cc
+++ b/Source/UnitTests/Core/Process/failover_stateful_test.cc
@@ -204,8 +204,8 @@
   }
 };
 
-// Guards against an oracle that is blind to writes that only the dead primary
-// had.
+// Guards against an oracle that misses the loss of writes that only the dead
+// primary had.
 TEST_F(FailoverScenarioTest, PrimaryAloneAcknowledges_Kill_LosesWrites) {
   FailoverWorld::Options options;
   EXPECT_EQ(CountLosses(options, false), 0);
@@ -213,7 +213,7 @@
   EXPECT_EQ(CountLosses(options, false), 20);
 }
 
-// Guards against an oracle that is blind to the promotion of a database that
+// Guards against an oracle that misses the promotion of a database that
 // lacks acknowledged writes.
 TEST_F(FailoverScenarioTest, AnyFencedPromoted_Kill_LosesWrites) {
   FailoverWorld::Options options;
@@ -222,5 +222,27 @@
   EXPECT_GT(CountLosses(options, true), 0);
 }
 
+// Guards against a second failure that finds no coordinator ready.
+TEST_F(FailoverScenarioTest, PrimaryKilledTwice_Settle_PromotesTwice) {
+  FailoverWorld world({});
+  for (common::Term term = 2; term <= 3; ++term) {
+    world.Run(std::chrono::seconds(1));
+    world.StopDatabase(*world.CurrentPrimary(), true);
+    world.Run(std::chrono::seconds(2));
+    EXPECT_EQ(world.HighestPromoted(), term);
+    world.Heal(std::nullopt);
+    EXPECT_TRUE(world.Settle(kSettleLimit));
+  }
+}
+
+// Guards against daemons that each reach other databases and replace each
+// other's primary several times a second, which leaves no time for writes.
+TEST_F(FailoverScenarioTest, DisjointLinkCuts_LongRun_ChangesAreRare) {
+  FailoverWorld world({});
+  for (int i = 0; i < FailoverWorld::kDaemons; ++i) world.CutLink(i, i, true);
+  world.Run(std::chrono::seconds(60));
+  EXPECT_LE(world.HighestPromoted(), 30U);
+}
+
 }  // namespace
 }  // namespace camphorferry::process
--- a/Source/UnitTests/Core/Process/failover_world.h
+++ b/Source/UnitTests/Core/Process/failover_world.h
@@ -389,85 +389,80 @@
     }
   }
 
-  void Do(int daemon, const SendStatus& action) {
-    const int index = IndexOf(action.endpoint);
+  /// Sends a coordinator's request. Serve runs at the database and returns the
+  /// event that its answer becomes.
+  void Ask(int daemon, const common::EndpointId& endpoint,
+           const std::function<FailoverEvent(standins::DatabaseCore&)>& serve,
+           const std::function<FailoverEvent(MissKind)>& failed) {
+    const int index = IndexOf(endpoint);
     this->Request(
         daemon, index,
         [=, this]() -> std::function<void()> {
-          const auto seen = this->StatusOf(index);
-          const EndpointStatus status{
-              seen.term, seen.fence,
-              seen.role == standins::DatabaseRole::kPrimary
-                  ? request::EndpointRole::kPrimary
-                  : request::EndpointRole::kReplica,
-              seen.position};
-          return [=, this] {
-            this->Notify(daemon,
-                         StatusSeen{action.endpoint, action.request, status});
-          };
-        },
-        [=, this](MissKind kind) {
-          this->Notify(daemon,
-                       StatusMissed{action.endpoint, action.request, kind});
+          const FailoverEvent reply = serve(this->databases[index]);
+          return [=, this] { this->Notify(daemon, reply); };
         },
+        [=, this](MissKind kind) { this->Notify(daemon, failed(kind)); },
         kStatusTimeout);
   }
 
+  void Do(int daemon, const SendStatus& action) {
+    this->Ask(
+        daemon, action.endpoint,
+        [=, this](standins::DatabaseCore& database) {
+          const auto seen = database.Status(this->now);
+          const bool is_primary = seen.role == standins::DatabaseRole::kPrimary;
+          return StatusSeen{
+              action.endpoint, action.request,
+              EndpointStatus{seen.term, seen.fence,
+                             is_primary ? request::EndpointRole::kPrimary
+                                        : request::EndpointRole::kReplica,
+                             seen.position}};
+        },
+        [=](MissKind kind) {
+          return StatusMissed{action.endpoint, action.request, kind};
+        });
+  }
+
   void Do(int daemon, const SendFence& action) {
-    const int index = IndexOf(action.endpoint);
     const std::string proposer = this->daemons[daemon].coordinator->Proposer();
-    this->Request(
-        daemon, index,
-        [=, this]() -> std::function<void()> {
-          const auto result =
-              this->databases[index].Fence(action.term, proposer);
-          return [=, this] {
-            this->Notify(daemon, FenceReply{action.endpoint, action.request,
-                                            result.granted, result.fence,
-                                            result.proposer, result.position});
-          };
+    this->Ask(
+        daemon, action.endpoint,
+        [=](standins::DatabaseCore& database) {
+          const auto result = database.Fence(action.term, proposer);
+          return FenceReply{action.endpoint, action.request,  result.granted,
+                            result.fence,    result.proposer, result.position};
         },
-        [=, this](MissKind) {
-          this->Notify(daemon, FenceFailed{action.endpoint, action.request});
-        },
-        kStatusTimeout);
+        [=](MissKind) {
+          return FenceFailed{action.endpoint, action.request};
+        });
   }
 
   void Do(int daemon, const SendPromote& action) {
-    const int index = IndexOf(action.endpoint);
     const std::string proposer = this->daemons[daemon].coordinator->Proposer();
-    this->Request(
-        daemon, index,
-        [=, this]() -> std::function<void()> {
-          const bool accepted =
-              this->databases[index].Promote(action.term, proposer);
-          return [=, this] {
-            this->Notify(daemon, PromoteReply{action.endpoint, action.request,
-                                              action.term, accepted});
-          };
+    this->Ask(
+        daemon, action.endpoint,
+        [=](standins::DatabaseCore& database) {
+          const bool accepted = database.Promote(action.term, proposer);
+          return PromoteReply{action.endpoint, action.request, action.term,
+                              accepted};
         },
-        [=, this](MissKind) {
-          this->Notify(daemon, PromoteFailed{action.endpoint, action.request});
-        },
-        kStatusTimeout);
+        [=](MissKind) {
+          return PromoteFailed{action.endpoint, action.request};
+        });
   }
 
   void Do(int daemon, const SendFollow& action) {
-    const int index = IndexOf(action.endpoint);
-    this->Request(
-        daemon, index,
-        [=, this]() -> std::function<void()> {
-          const bool accepted = this->databases[index].Follow(
-              action.term, action.primary.Value());
-          return [=, this] {
-            this->Notify(daemon, FollowReply{action.endpoint, action.request,
-                                             action.term, accepted});
-          };
-        },
-        [=, this](MissKind) {
-          this->Notify(daemon, FollowFailed{action.endpoint, action.request});
+    this->Ask(
+        daemon, action.endpoint,
+        [=](standins::DatabaseCore& database) {
+          const bool accepted =
+              database.Follow(action.term, action.primary.Value());
+          return FollowReply{action.endpoint, action.request, action.term,
+                             accepted};
         },
-        kStatusTimeout);
+        [=](MissKind) {
+          return FollowFailed{action.endpoint, action.request};
+        });
   }
 
   void Do(int, const AnnouncePrimary&) {}
