--- a/Source/Core/Connection/link_monitor.cc
+++ b/Source/Core/Connection/link_monitor.cc
@@ -33,7 +33,7 @@
   Link& link = found->second;
   this->down = false;
   if (!link.outstanding || link.outstanding->request_id != event.request_id) {
-    // The link is out of step: its next answer could belong to any request.
+    // Answers no longer match requests on this link.
     this->Close(event.link, &link);
     return;
   }
@@ -72,7 +72,7 @@
 
 /// Closes the links that were silent when the probe was opened. Idle links
 /// without an answer since the oldest silent request was sent have probably
-/// gone silent with them and would cost the next request its answer.
+/// gone silent with them and would leave the next request without an answer.
 void LinkMonitor::CloseSilentLinks(common::SteadyTime probe_opened) {
   std::optional<common::SteadyTime> oldest;
   for (auto& [id, link] : this->links) {
--- a/Source/Core/Connection/link_monitor.h
+++ b/Source/Core/Connection/link_monitor.h
@@ -76,7 +76,7 @@
 
 using LinkAction = std::variant<OpenProbe, CloseLink, MarkEndpointDown>;
 
-/// A request was sent on a link that still owes an answer or was closed.
+/// A request was sent on a link with an outstanding answer, or that was closed.
 class LinkNotUsableError : public common::Error {
  public:
   explicit LinkNotUsableError(LinkId link);
@@ -108,8 +108,8 @@
   std::vector<LinkAction> Handle(const LinkEvent& event,
                                  common::SteadyTime now);
 
-  /// True if a request may be sent on the link: it owes no answer and wasn't
-  /// closed by this monitor.
+  /// True if a request may be sent on the link: it has no outstanding answer
+  /// and wasn't closed by this monitor.
   bool MayUse(LinkId link) const;
 
   /// True from a failed probe until the endpoint answers anything.
--- a/Source/Core/Process/acknowledgement_rule.cc
+++ b/Source/Core/Process/acknowledgement_rule.cc
@@ -78,10 +78,10 @@
 AcknowledgementDecision AcknowledgementRule::Decide(common::SteadyTime now) {
   if (this->given_up) return this->Unknown();
   if (this->confirmed) return Acknowledge{};
-  const bool hopeless =
+  const bool all_fenced_above =
       std::all_of(this->replicas.begin(), this->replicas.end(),
                   [](const Replica& replica) { return replica.fenced_above; });
-  if (hopeless || now >= this->deadline) return this->Unknown();
+  if (all_fenced_above || now >= this->deadline) return this->Unknown();
   const bool waiting =
       std::any_of(this->replicas.begin(), this->replicas.end(),
                   [](const Replica& replica) { return replica.asked; });
--- a/Source/UnitTests/Core/Connection/link_monitor_test.cc
+++ b/Source/UnitTests/Core/Connection/link_monitor_test.cc
@@ -70,11 +70,11 @@
 }
 
 // Guards against a response that reaches the wrong request: whatever happens,
-// a link that owes an answer carries no other request.
+// a link with an outstanding answer carries no other request.
 RC_GTEST_FIXTURE_PROP(LinkMonitorTest, AnyEvents_MayUse_NeverWithOpenAnswer,
                       ()) {
-  std::map<LinkId, std::string> owed;
-  std::set<LinkId> out_of_step;
+  std::map<LinkId, std::string> outstanding;
+  std::set<LinkId> mismatched;
   const int steps = *rc::gen::inRange(0, 100);
   for (int step = 0; step < steps; ++step) {
     const LinkId link = *rc::gen::inRange<LinkId>(1, 4);
@@ -87,19 +87,19 @@
                               LinkNotUsableError);
           break;
         }
-        RC_ASSERT(owed.count(link) == 0 && out_of_step.count(link) == 0);
+        RC_ASSERT(outstanding.count(link) == 0 && mismatched.count(link) == 0);
         this->After(passed, LinkSent{link, id});
-        owed[link] = id;
+        outstanding[link] = id;
         break;
       case 1:
-        if (owed.count(link) == 0) break;
-        this->After(passed, LinkAnswered{link, owed[link]});
-        owed.erase(link);
+        if (outstanding.count(link) == 0) break;
+        this->After(passed, LinkAnswered{link, outstanding[link]});
+        outstanding.erase(link);
         break;
       case 2:
-        if (owed.count(link) == 0) break;
+        if (outstanding.count(link) == 0) break;
         this->After(passed, LinkAnswered{link, "other"});
-        out_of_step.insert(link);
+        mismatched.insert(link);
         break;
       case 3:
         this->After(passed, LinkAbandoned{link});
