Process: Take rate slots only after the host list was read

Cause: of the daemons of a domain that start together, the first took all rate slots, since it knew of no other yet; giving them back takes minutes. A daemon now waits 2.5 s, and is ready for clients when its first attempt to take slots has ended.

--- a/Source/Core/Process/daemon.cc
+++ b/Source/Core/Process/daemon.cc
@@ -193,7 +193,8 @@
 
 bool Daemon::Ready() const {
   return this->configuration.Ready() &&
-         this->configuration.Current() != nullptr && !this->requests.draining;
+         this->configuration.Current() != nullptr && this->rates.Started() &&
+         !this->requests.draining;
 }
 
 nlohmann::json Daemon::Status() const {
--- a/Source/Core/Process/endpoint_task.cc
+++ b/Source/Core/Process/endpoint_task.cc
@@ -208,9 +208,9 @@
 void EndpointTask::Perform(const connection::CloseLink& action) {
   Lane* lane = this->FindLane(action.link);
   if (lane == nullptr) return;
-  this->events->Record(std::chrono::system_clock::now(),
-                       common::Subsystem::kConnection, "endpoint_connection_closed",
-                       {{"endpoint", this->endpoint.id}});
+  this->events->Record(
+      std::chrono::system_clock::now(), common::Subsystem::kConnection,
+      "endpoint_connection_closed", {{"endpoint", this->endpoint.id}});
   if (lane->done) {
     // The request was sent, so it may have run.
     this->End(lane,
--- a/Source/Core/Process/rate_task.cc
+++ b/Source/Core/Process/rate_task.cc
@@ -1,5 +1,6 @@
 #include "Process/rate_task.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace camphorferry::process {
@@ -7,6 +8,9 @@
 namespace {
 
 constexpr std::chrono::milliseconds kTickInterval(100);
+/// Time to read the host list twice: a daemon that takes itself for the only
+/// one of its domain would take all slots, and giving them back takes minutes.
+constexpr std::chrono::milliseconds kTakeDelay(2500);
 
 common::SteadyTime Now() { return std::chrono::steady_clock::now(); }
 
@@ -47,7 +51,8 @@
       counters(counters),
       host(std::move(host)),
       incarnation(incarnation),
-      domain(std::move(domain)) {
+      domain(std::move(domain)),
+      take_from(Now() + kTakeDelay) {
   this->tick = loop->Every(kTickInterval, [this] { this->OnTick(); });
 }
 
@@ -128,7 +133,7 @@
 }
 
 void RateTask::OnTick() {
-  if (this->lease == nullptr) return;
+  if (this->lease == nullptr || Now() < this->take_from) return;
   this->Perform(this->lease->Tick(Now()));
   if (this->drain_done && this->lease->Drained()) this->FinishDrain();
 }
@@ -148,10 +153,16 @@
         // The lease was replaced while the call was on its way.
         if (asking != this->lease.get()) return;
         const auto* object = std::get_if<connection::StoredObject>(&result);
-        this->Perform(object == nullptr
-                          ? this->lease->OnReadFailed(Now())
-                          : this->lease->OnRead(object->version, object->value,
-                                                sent, Now()));
+        const SlotActions actions =
+            object == nullptr ? this->lease->OnReadFailed(Now())
+                              : this->lease->OnRead(object->version,
+                                                    object->value, sent, Now());
+        const bool updates =
+            std::any_of(actions.begin(), actions.end(), [](const auto& action) {
+              return std::holds_alternative<UpdateSlots>(action);
+            });
+        if (!updates) this->started = true;
+        this->Perform(actions);
       });
 }
 
@@ -161,6 +172,7 @@
       [this,
        asking = this->lease.get()](const connection::WriteResult& result) {
         if (asking != this->lease.get()) return;
+        this->started = true;
         this->Perform(std::visit(
             common::Overloaded{
                 [this](const connection::ObjectWritten& written) {
--- a/Source/Core/Process/rate_task.h
+++ b/Source/Core/Process/rate_task.h
@@ -47,6 +47,10 @@
 
   std::size_t HeldSlots() const;
 
+  /// True once the first attempt to take slots has ended, so that a daemon
+  /// which has just started does not refuse its first requests.
+  bool Started() const { return this->started; }
+
  private:
   void OnTick();
   void Perform(const SlotActions& actions);
@@ -69,6 +73,9 @@
   common::FailureDomainId domain;
   version::ConfigurationPointer configuration;
   std::uint32_t total_slots = 0;
+  /// No slot is taken before this time.
+  common::SteadyTime take_from;
+  bool started = false;
   RateSlotLease::SlotRange range;
   std::unique_ptr<RateSlotLease> lease;
   std::set<common::HostId> domain_hosts;
