Process: Let a request wait for a token before it is refused

Cause: a request is refused when the daemon that it comes to has used its own part of the workspace's rate, although other daemons have tokens; a loan takes a round trip. Ruled out: a larger burst, which only hides it. Also lets a drain release its slots, which takes 5.05 s.

--- a/Source/Core/Process/daemon.cc
+++ b/Source/Core/Process/daemon.cc
@@ -13,7 +13,8 @@
 constexpr std::chrono::milliseconds kStoreTimeout(1000);
 /// Longest time from the start of a shutdown to the end of the process.
 constexpr std::chrono::seconds kMaxDrain(30);
-constexpr std::chrono::seconds kSlotReleaseLimit(2);
+/// A slot is released 5.05 s after its last use, when no loan from it can run.
+constexpr std::chrono::seconds kSlotReleaseLimit(10);
 constexpr std::chrono::milliseconds kIdleCheckInterval(20);
 /// How long a shutdown waits for clients to use or close idle connections.
 constexpr std::chrono::seconds kIdleConnectionGrace(3);
--- a/Source/Core/Process/rate_task.cc
+++ b/Source/Core/Process/rate_task.cc
@@ -97,10 +97,11 @@
   this->lenders = std::move(lenders);
 }
 
-Admission RateTask::Admit(const common::WorkspaceId& workspace) {
+Admission RateTask::Admit(const common::WorkspaceId& workspace,
+                          Attempt attempt) {
   RateShare* share = this->ShareOf(workspace);
   if (share == nullptr) return Refused{std::chrono::seconds(1)};
-  const Admission admission = share->Admit(Now());
+  const Admission admission = share->Admit(Now(), attempt);
   this->BorrowIfNeeded(workspace, share);
   return admission;
 }
@@ -217,27 +218,34 @@
 
 void RateTask::BorrowIfNeeded(const common::WorkspaceId& workspace,
                               RateShare* share) {
-  if (this->lenders.empty()) return;
   const common::SteadyTime asked_at = Now();
+  LenderChoice& choice = this->lender_choices[workspace];
+  if (this->lenders.empty()) return;
   const std::optional<BorrowRequest> wanted = share->NextBorrow(asked_at);
   if (!wanted) return;
-  this->next_lender = (this->next_lender + 1) % this->lenders.size();
+  const std::optional<common::HostId> lender =
+      choice.Next(this->lenders, asked_at);
+  if (!lender) return;
   this->counters->Add("rate_loans_asked");
   this->peers->BorrowRate(
-      this->lenders[this->next_lender], workspace,
-      static_cast<std::uint64_t>(wanted->wanted),
-      [this, workspace, asked_at](const std::optional<PeerRateLoan>& loan) {
-        RateShare* borrower = this->ShareOf(workspace);
-        if (!loan || borrower == nullptr) return;
-        borrower->Borrow(
-            asked_at,
-            RateLoan{static_cast<Millitokens>(loan->rate),
-                     static_cast<Millitokens>(loan->capacity),
-                     static_cast<Millitokens>(loan->level), loan->length},
-            Now());
+      *lender, workspace, static_cast<std::uint64_t>(wanted->wanted),
+      [this, workspace, asked_at,
+       lender = *lender](const std::optional<PeerRateLoan>& answer) {
+        if (answer) this->OnLoan(workspace, asked_at, lender, *answer);
       });
 }
 
+void RateTask::OnLoan(const common::WorkspaceId& workspace,
+                      common::SteadyTime asked_at, const common::HostId& lender,
+                      const PeerRateLoan& answer) {
+  const RateLoan loan{static_cast<Millitokens>(answer.rate),
+                      static_cast<Millitokens>(answer.capacity),
+                      static_cast<Millitokens>(answer.level), answer.length};
+  this->lender_choices[workspace].OnAnswer(lender, loan, Now());
+  RateShare* borrower = this->ShareOf(workspace);
+  if (borrower != nullptr) borrower->Borrow(asked_at, loan, Now());
+}
+
 void RateTask::FinishDrain() {
   this->drain_limit.reset();
   const std::function<void()> done = std::exchange(this->drain_done, nullptr);
--- a/Source/Core/Process/rate_task.h
+++ b/Source/Core/Process/rate_task.h
@@ -10,6 +10,7 @@
 
 #include "Process/counters.h"
 #include "Process/event_log.h"
+#include "Process/lender_choice.h"
 #include "Process/peer_link.h"
 #include "Process/rate_share.h"
 #include "Process/rate_slot_lease.h"
@@ -36,7 +37,7 @@
 
   /// Decides about one request of a workspace. A workspace without limits in
   /// the configuration has no tokens.
-  Admission Admit(const common::WorkspaceId& workspace);
+  Admission Admit(const common::WorkspaceId& workspace, Attempt attempt);
 
   /// Answers a peer's request for a loan.
   PeerRateLoan Lend(const common::WorkspaceId& workspace, Millitokens wanted);
@@ -61,6 +62,8 @@
   void Perform(const StopSlot& action);
   RateShare* ShareOf(const common::WorkspaceId& workspace);
   void BorrowIfNeeded(const common::WorkspaceId& workspace, RateShare* share);
+  void OnLoan(const common::WorkspaceId& workspace, common::SteadyTime asked_at,
+              const common::HostId& lender, const PeerRateLoan& answer);
   void FinishDrain();
 
   connection::EventLoop* loop;
@@ -80,7 +83,7 @@
   std::unique_ptr<RateSlotLease> lease;
   std::set<common::HostId> domain_hosts;
   std::vector<common::HostId> lenders;
-  std::size_t next_lender = 0;
+  std::map<common::WorkspaceId, LenderChoice> lender_choices;
   std::map<common::WorkspaceId, std::unique_ptr<RateShare>> shares;
   std::unique_ptr<connection::Timer> tick;
   std::unique_ptr<connection::Timer> drain_limit;
--- a/Source/Core/Process/request_task.cc
+++ b/Source/Core/Process/request_task.cc
@@ -7,6 +7,11 @@
 
 namespace {
 
+/// How long a request waits for a token before it is refused.
+constexpr std::chrono::milliseconds kMaxTokenWait(500);
+constexpr std::chrono::milliseconds kMinTokenWait(1);
+constexpr std::chrono::milliseconds kTokenCheckInterval(20);
+
 common::SteadyTime Now() { return std::chrono::steady_clock::now(); }
 
 }  // namespace
@@ -22,12 +27,17 @@
 void RequestTask::Start() {
   const std::optional<request::NotRunReason> refusal = this->Check();
   if (refusal) {
-    this->Finish(request::NotRun{*refusal, this->retry_after});
+    this->Finish(request::NotRun{*refusal, std::nullopt});
     return;
   }
+  this->token_deadline = std::min(this->record.deadline, Now() + kMaxTokenWait);
+  this->TakeToken(Attempt::kFirst);
+}
+
+void RequestTask::Run() {
   this->PrepareCall();
   this->Budget().RequestStarted();
-  this->Attempt();
+  this->SendAttempt();
 }
 
 std::optional<request::NotRunReason> RequestTask::Check() {
@@ -44,8 +54,7 @@
   }
   this->service = &declared->second;
   if (const auto refusal = this->Authenticate(route->second)) return refusal;
-  if (const auto refusal = this->ReadSession()) return refusal;
-  return this->TakeToken();
+  return this->ReadSession();
 }
 
 std::optional<request::NotRunReason> RequestTask::Authenticate(
@@ -82,15 +91,33 @@
   return std::nullopt;
 }
 
-std::optional<request::NotRunReason> RequestTask::TakeToken() {
+void RequestTask::TakeToken(Attempt attempt) {
   const bool limited =
       this->configuration->workspaces.contains(this->workspace);
-  if (!limited) return std::nullopt;
-  const Admission admission = this->context->rates->Admit(this->workspace);
+  if (!limited) {
+    this->Run();
+    return;
+  }
+  const Admission admission =
+      this->context->rates->Admit(this->workspace, attempt);
   const auto* refused = std::get_if<Refused>(&admission);
-  if (refused == nullptr) return std::nullopt;
-  this->retry_after = refused->retry_after;
-  return request::NotRunReason::kRateExceeded;
+  if (refused == nullptr) {
+    this->Run();
+    return;
+  }
+  // A loan from another daemon arrives within the wait, so a request inside
+  // the workspace's rate is not refused because it came to a daemon whose part
+  // is used up.
+  const common::Duration wait = std::clamp<common::Duration>(
+      refused->retry_after, kMinTokenWait, kTokenCheckInterval);
+  if (Now() + wait >= this->token_deadline) {
+    this->Finish(request::NotRun{request::NotRunReason::kRateExceeded,
+                                 refused->retry_after});
+    return;
+  }
+  this->context->loop->RunLater(wait, [self = this->shared_from_this()] {
+    self->TakeToken(Attempt::kRepeated);
+  });
 }
 
 void RequestTask::PrepareCall() {
@@ -117,7 +144,7 @@
       .first->second;
 }
 
-void RequestTask::Attempt() {
+void RequestTask::SendAttempt() {
   if (this->call.is_write) {
     this->ChooseWriteEndpoint();
   } else {
@@ -210,7 +237,8 @@
   if (const auto* retry = std::get_if<request::RetryAfter>(&decision)) {
     this->context->counters->Add("request_retries");
     this->context->loop->RunLater(
-        retry->delay, [self = this->shared_from_this()] { self->Attempt(); });
+        retry->delay,
+        [self = this->shared_from_this()] { self->SendAttempt(); });
     return;
   }
   this->Finish(std::move(std::get<request::Report>(decision).outcome));
--- a/Source/Core/Process/request_task.h
+++ b/Source/Core/Process/request_task.h
@@ -40,10 +40,12 @@
   std::optional<request::NotRunReason> Authenticate(
       const version::Route& route);
   std::optional<request::NotRunReason> ReadSession();
-  std::optional<request::NotRunReason> TakeToken();
+  /// Asks for a token; waits a little for one before it refuses.
+  void TakeToken(Attempt attempt);
+  void Run();
   void PrepareCall();
   request::RetryBudget& Budget();
-  void Attempt();
+  void SendAttempt();
   void ChooseWriteEndpoint();
   void ChooseReadEndpoint();
   void OrderCandidates();
@@ -65,7 +67,7 @@
   common::WorkspaceId workspace;
   std::uint32_t weight = 1;
   std::optional<request::SessionToken> session;
-  std::optional<common::Duration> retry_after;
+  common::SteadyTime token_deadline;
   connection::StatementCall call;
   std::optional<request::RetryPolicy> policy;
   /// Endpoints for a read in the order in which they are tried.
