Connection: Drop posted actions before the event base is freed

Actions that were posted and not run were destroyed after event_base_free, and those that own a client connection then freed it on a freed base. Running them at the end was ruled out, since they may refer to objects that are gone; they are destroyed, and a client connection closes when its posted action is destroyed, run or not.

--- a/Source/Core/Connection/event_loop.cc
+++ b/Source/Core/Connection/event_loop.cc
@@ -55,6 +55,7 @@
 }
 
 EventLoop::~EventLoop() {
+  this->DropPosted();
   for (const auto& handler : this->signal_handlers) event_free(handler->handle);
   event_free(this->wakeup);
   event_base_free(this->base);
@@ -106,6 +107,19 @@
   static_cast<SignalHandler*>(context)->action();
 }
 
+void EventLoop::DropPosted() {
+  // Posted actions may own connections, which libevent must free before their
+  // base. Destroying an action may post another one.
+  while (true) {
+    std::vector<std::function<void()>> dropped;
+    {
+      const std::lock_guard<std::mutex> lock(this->mutex);
+      dropped.swap(this->posted);
+    }
+    if (dropped.empty()) return;
+  }
+}
+
 void EventLoop::RunPosted() {
   std::vector<std::function<void()>> actions;
   {
--- a/Source/Core/Connection/event_loop.h
+++ b/Source/Core/Connection/event_loop.h
@@ -67,6 +67,7 @@
   static void OnWakeup(int fd, short what, void* context);
   static void OnSignalEvent(int fd, short what, void* context);
   void RunPosted();
+  void DropPosted();
 
   struct SignalHandler {
     event* handle;
--- a/Source/Core/Connection/http_client.cc
+++ b/Source/Core/Connection/http_client.cc
@@ -85,7 +85,11 @@
 
   void CloseLater() {
     this->usable = false;
-    this->loop->Post([self = this->shared_from_this()] { self->Close(); });
+    // The close happens when the action is destroyed, because a loop that ends
+    // drops its actions without running them.
+    const std::shared_ptr<void> closer(
+        nullptr, [self = this->shared_from_this()](void*) { self->Close(); });
+    this->loop->Post([closer] {});
   }
 
   EventLoop* loop;
--- a/Source/UnitTests/Core/Connection/http_blocking_test.cc
+++ b/Source/UnitTests/Core/Connection/http_blocking_test.cc
@@ -78,5 +78,23 @@
   EXPECT_EQ(std::get<HttpFailure>(refused), HttpFailure::kNotSent);
 }
 
+// Guards against a process that ends with open connections and corrupts its
+// heap, or leaks them, since their close was posted and never run.
+TEST_F(HttpBlockingTest, OpenConnections_LoopEnds_AreClosedBefore) {
+  for (int i = 0; i < 20; ++i) {
+    EventLoop client;
+    HttpClientConnection idle(&client, this->address);
+    HttpClientConnection waiting(&client, this->address);
+    HttpRequest silent;
+    silent.path = "/silent";
+    waiting.Send(silent, std::chrono::seconds(30), [](const HttpResult&) {});
+    idle.Send(HttpRequest(), std::chrono::seconds(30),
+              [&client](const HttpResult&) { client.Stop(); });
+    client.Run();
+    EXPECT_TRUE(waiting.Busy());
+    EXPECT_FALSE(idle.Busy());
+  }
+}
+
 }  // namespace
 }  // namespace camphorferry::connection
