--- a/Source/Load/load_plan.cc
+++ b/Source/Load/load_plan.cc
@@ -16,6 +16,8 @@
   workspace.routes = object.at("routes").get<std::vector<std::string>>();
   workspace.rate = object.at("rate").get<double>();
   workspace.sessions = object.at("sessions").get<std::uint32_t>();
+  workspace.limit_rate = object.at("limit_rate").get<double>();
+  workspace.limit_burst = object.at("limit_burst").get<double>();
   return workspace;
 }
 
--- a/Source/Load/load_plan.h
+++ b/Source/Load/load_plan.h
@@ -18,6 +18,9 @@
   /// Requests per second, over all sessions.
   double rate = 0;
   std::uint32_t sessions = 1;
+  /// Limits in the configuration: requests per second and burst.
+  double limit_rate = 0;
+  double limit_burst = 0;
 };
 
 /// The whole load.
--- a/Source/Load/main.cc
+++ b/Source/Load/main.cc
@@ -75,7 +75,7 @@
   plan.run = options.run;
   LoadRun run(plan);
   run.Run();
-  camphorferry::load::PrintFigures(run.Results(), run.Findings(),
+  camphorferry::load::PrintFigures(plan, run.Results(), run.Findings(),
                                    options.profile, options.fault);
   const camphorferry::load::LedgerFindings& findings = run.Findings();
   const bool intact = findings.lost_acknowledged == 0 &&
--- a/Source/Load/session_worker.cc
+++ b/Source/Load/session_worker.cc
@@ -165,6 +165,7 @@
   const common::SteadyTime now = Now();
   if (end == WriteEnd::kAcknowledged) {
     ++this->counts->served;
+    this->counts->admitted.push_back(now);
     this->context->statistics->writes.Record(now - this->request_start);
     const auto [last, first] =
         this->context->last_write.try_emplace(this->route, now);
@@ -183,6 +184,7 @@
   const json body = this->TakeBody(result);
   if (body.value("outcome", std::string()) == "done") {
     ++this->counts->served;
+    this->counts->admitted.push_back(Now());
     this->context->statistics->reads.Record(Now() - this->request_start);
     this->CheckRead(aged, body);
   } else {
--- a/Source/Load/statistics.cc
+++ b/Source/Load/statistics.cc
@@ -34,10 +34,57 @@
   return static_cast<double>(part) / static_cast<double>(whole);
 }
 
+/// Figures that compare the service with the workspaces' limits.
+void PrintLimits(const LoadPlan& plan, const Statistics& statistics,
+                 const FigurePrinter& printer) {
+  const double seconds = std::chrono::duration<double>(plan.length).count();
+  double worst_share = 1;
+  double over_rate = 0;
+  std::uint64_t asked_inside = 0;
+  std::uint64_t refused_inside = 0;
+  for (const WorkspaceLoad& workspace : plan.workspaces) {
+    const WorkspaceCounts& counts = statistics.workspaces.at(workspace.name);
+    const double due = workspace.limit_rate * seconds + workspace.limit_burst;
+    const auto asked = static_cast<double>(counts.asked);
+    const double share =
+        static_cast<double>(counts.served) / std::min(asked, due);
+    worst_share = std::min(worst_share, share);
+    over_rate = std::max(
+        over_rate,
+        AdmittedOverRate(counts, workspace.limit_rate, workspace.limit_burst));
+    if (workspace.rate > workspace.limit_rate) continue;
+    asked_inside += counts.asked;
+    for (const auto& [reason, count] : counts.refused) refused_inside += count;
+  }
+  printer.Print("worst_workspace_share", worst_share, "ratio",
+                plan.workspaces.size());
+  printer.Print("admitted_over_rate", over_rate, "count",
+                plan.workspaces.size());
+  printer.Print("wrongful_refusals", Share(refused_inside, asked_inside),
+                "ratio", asked_inside);
+}
+
 }  // namespace
 
-void PrintFigures(const Statistics& statistics, const LedgerFindings& findings,
-                  const std::string& profile, const std::string& fault) {
+double AdmittedOverRate(const WorkspaceCounts& counts, double rate,
+                        double burst) {
+  // A bucket that drains at the rate overflows by the excess of the worst
+  // window that ends now.
+  double level = 0;
+  double excess = 0;
+  common::SteadyTime last;
+  for (const common::SteadyTime time : counts.admitted) {
+    const std::chrono::duration<double> passed = time - last;
+    level = std::max(0.0, level - rate * passed.count()) + 1;
+    last = time;
+    excess = std::max(excess, level - burst);
+  }
+  return excess;
+}
+
+void PrintFigures(const LoadPlan& plan, const Statistics& statistics,
+                  const LedgerFindings& findings, const std::string& profile,
+                  const std::string& fault) {
   const FigurePrinter printer(profile, fault);
   const std::uint64_t reads =
       statistics.replica_reads + statistics.primary_reads;
@@ -74,6 +121,7 @@
   printer.Print("served", static_cast<double>(served), "count", asked);
   printer.Print("unknown_outcomes", static_cast<double>(unknown), "count",
                 asked);
+  PrintLimits(plan, statistics, printer);
   for (const auto& [reason, count] : refused) {
     const std::string label = "refused." + reason;
     printer.Print(label.c_str(), static_cast<double>(count), "count", asked);
--- a/Source/Load/statistics.h
+++ b/Source/Load/statistics.h
@@ -8,6 +8,7 @@
 
 #include "Load/histogram.h"
 #include "Load/ledger.h"
+#include "Load/load_plan.h"
 
 namespace camphorferry::load {
 
@@ -18,6 +19,8 @@
   std::uint64_t unknown = 0;
   /// By the reason in the answer.
   std::map<std::string, std::uint64_t> refused;
+  /// When answers to requests that were admitted came.
+  std::vector<common::SteadyTime> admitted;
 };
 
 /// What the load tool saw.
@@ -32,16 +35,20 @@
   std::uint64_t over_age_reads = 0;
   /// Requests whose connection ended without an answer.
   std::uint64_t cut_requests = 0;
-  /// Admissions of a workspace by second since the start.
-  std::map<std::string, std::map<std::int64_t, std::uint64_t>> admitted;
   /// Longest time between two acknowledged writes of any session on a route,
   /// while some write was waiting.
   std::map<std::string, common::Duration> write_gaps;
 };
 
+/// Largest number of requests admitted above rate x time + burst in any window,
+/// by the times of the answers.
+double AdmittedOverRate(const WorkspaceCounts& counts, double rate,
+                        double burst);
+
 /// Prints one figure=... line for each figure.
-void PrintFigures(const Statistics& statistics, const LedgerFindings& findings,
-                  const std::string& profile, const std::string& fault);
+void PrintFigures(const LoadPlan& plan, const Statistics& statistics,
+                  const LedgerFindings& findings, const std::string& profile,
+                  const std::string& fault);
 
 }  // namespace camphorferry::load
 
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -90,6 +90,7 @@
       *) rate=20 sessions=4 ;;
     esac
     list+="${list:+,}{\"name\":\"$name\",\"key\":\"$key\",\"rate\":$rate,"
+    list+="\"limit_rate\":200,\"limit_burst\":400,"
     list+="\"sessions\":$sessions,\"routes\":[\"$service-1\",\"$service-2\","
     list+="\"$service-3\"]}"
   done <"$work/keys"
@@ -155,6 +156,7 @@
   status=0
   wait "$load" || status=$?
   cat "$work/figures"
+  if [ "$status" -ne 0 ]; then cat "$work/load.err" >&2; fi
   printf 'figure=load_exit_code profile=%s value=%s unit=code n=1 fault=%s\n' \
     "$profile" "$status" "$fault"
   print_daemons "$fault"
