Process: Decide again when a confirmed plan meets a conflict

Cause: a confirmation repeated at a second daemon while the first one's write was in flight was answered as stale although the plan was in force. The store is now read again and the decision taken anew, at most three times.

--- a/Source/Core/Process/endpoint_owner.cc
+++ b/Source/Core/Process/endpoint_owner.cc
@@ -210,7 +210,7 @@
       if (declared.id != endpoint) continue;
       auto task = std::make_unique<EndpointTask>(
           this->loop, declared, service, this->events, this->counters,
-          [this, service_id,
+          [this, service_id = service_id,
            endpoint](const connection::StatementReply* reply) {
             FailoverTask* failover = this->FailoverOf(service_id);
             if (failover != nullptr) failover->Observe(endpoint, reply);
--- a/Source/Core/Process/operator_task.cc
+++ b/Source/Core/Process/operator_task.cc
@@ -11,6 +11,7 @@
 using nlohmann::json;
 
 constexpr char kConfigurationPath[] = "config";
+constexpr int kMaxApplyAttempts = 3;
 constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
 constexpr int kConflict = 409;
@@ -97,15 +98,15 @@
           }) {}
 
 void OperatorTask::OnRequest(const connection::HttpRequest& request,
-                             Responder responder) {
+                             const Responder& responder) {
   try {
     if (request.method == "GET" && this->OnGet(request, responder)) return;
     if (request.method == "POST" && request.path == "/operator/v1/plan") {
-      this->OnPlan(request, std::move(responder));
+      this->OnPlan(request, responder);
       return;
     }
     if (request.method == "POST" && request.path == "/operator/v1/apply") {
-      this->OnApply(request, std::move(responder));
+      this->OnApply(request, responder);
       return;
     }
     if (request.method == "POST" && request.path == "/operator/v1/drain") {
@@ -153,7 +154,7 @@
 }
 
 void OperatorTask::OnPlan(const connection::HttpRequest& request,
-                          Responder responder) {
+                          const Responder& responder) {
   const OperatorRequest parsed = ParseOperatorRequest(request.body);
   this->ReadCurrent(responder, [responder, declared = parsed.declared](
                                    connection::ObjectVersion /*store_version*/,
@@ -164,29 +165,40 @@
 }
 
 void OperatorTask::OnApply(const connection::HttpRequest& request,
-                           Responder responder) {
-  OperatorRequest parsed = ParseOperatorRequest(request.body);
+                           const Responder& responder) {
+  const OperatorRequest parsed = ParseOperatorRequest(request.body);
   if (parsed.digest.empty()) {
     throw BadOperatorRequestError("expected the digest of a plan");
   }
-  this->ReadCurrent(responder, [this, responder, parsed = std::move(parsed)](
+  this->Apply(parsed.declared, parsed.digest, responder, kMaxApplyAttempts);
+}
+
+void OperatorTask::Apply(const version::Configuration& declared,
+                         const std::string& digest, const Responder& responder,
+                         int attempts_left) {
+  this->ReadCurrent(responder, [=, this](
                                    connection::ObjectVersion store_version,
                                    const version::Configuration& current) {
     version::ApplyDecision decision =
-        version::DecideApply(current, parsed.declared, parsed.digest);
+        version::DecideApply(current, declared, digest);
     if (const auto* already = std::get_if<version::AlreadyApplied>(&decision)) {
       SendJson(responder, 200,
                {{"version", already->version}, {"result", "already_applied"}});
       return;
     }
-    if (const auto* stale = std::get_if<version::StalePlan>(&decision)) {
+    const auto* stale = std::get_if<version::StalePlan>(&decision);
+    if (stale != nullptr || attempts_left == 0) {
       SendJson(responder, kConflict,
-               {{"reason", "stale"}, {"base_version", stale->current_version}});
+               {{"reason", "stale"}, {"base_version", current.version}});
       return;
     }
+    // The conflicting write may be this very plan, confirmed at another daemon,
+    // so the decision is taken again on what the store holds then.
     this->Write(store_version,
                 std::move(std::get<version::WriteConfiguration>(decision).next),
-                responder);
+                responder, [=, this] {
+                  this->Apply(declared, digest, responder, attempts_left - 1);
+                });
   });
 }
 
@@ -220,13 +232,16 @@
 }
 
 void OperatorTask::Write(connection::ObjectVersion store_version,
-                         version::Configuration next, Responder responder) {
+                         version::Configuration next,
+                         const Responder& responder,
+                         std::function<void()> on_conflict) {
   const auto written =
       std::make_shared<const version::Configuration>(std::move(next));
   this->store->Write(
       kConfigurationPath, store_version,
       version::ConfigurationToJson(*written).dump(),
-      [this, written, responder](const connection::WriteResult& result) {
+      [this, written, responder, on_conflict = std::move(on_conflict)](
+          const connection::WriteResult& result) {
         if (std::holds_alternative<connection::ObjectWritten>(result)) {
           this->events->Record(WallNow(), common::Subsystem::kVersion,
                                "plan_applied", {{"version", written->version}});
@@ -236,8 +251,7 @@
           return;
         }
         if (std::holds_alternative<connection::ObjectConflict>(result)) {
-          SendJson(responder, kConflict,
-                   {{"reason", "stale"}, {"base_version", written->version}});
+          on_conflict();
           return;
         }
         // The change may have taken effect; repeating the confirmation tells.
--- a/Source/Core/Process/operator_task.h
+++ b/Source/Core/Process/operator_task.h
@@ -38,17 +38,23 @@
       std::function<void(connection::ObjectVersion store_version,
                          const version::Configuration& current)>;
 
-  void OnRequest(const connection::HttpRequest& request, Responder responder);
+  void OnRequest(const connection::HttpRequest& request,
+                 const Responder& responder);
   bool OnGet(const connection::HttpRequest& request,
              const Responder& responder);
-  void OnPlan(const connection::HttpRequest& request, Responder responder);
-  void OnApply(const connection::HttpRequest& request, Responder responder);
+  void OnPlan(const connection::HttpRequest& request,
+              const Responder& responder);
+  void OnApply(const connection::HttpRequest& request,
+               const Responder& responder);
+  void Apply(const version::Configuration& declared, const std::string& digest,
+             const Responder& responder, int attempts_left);
   void OnDrain(const Responder& responder);
   /// Reads the configuration from the store, since the copy in force here may
   /// be older.
   void ReadCurrent(const Responder& responder, WithCurrent then);
   void Write(connection::ObjectVersion store_version,
-             version::Configuration next, Responder responder);
+             version::Configuration next, const Responder& responder,
+             std::function<void()> on_conflict);
 
   connection::ObjectStore* store;
   ConfigurationTask* configuration;
--- a/Source/Core/Process/statement_router.cc
+++ b/Source/Core/Process/statement_router.cc
@@ -21,7 +21,7 @@
       counters(counters) {}
 
 void StatementRouter::SetConfiguration(
-    version::ConfigurationPointer configuration) {
+    const version::ConfigurationPointer& configuration) {
   this->endpoint_domains.clear();
   for (const auto& [id, service] : configuration->services) {
     for (const version::Endpoint& endpoint : service.endpoints) {
--- a/Source/Core/Process/statement_router.h
+++ b/Source/Core/Process/statement_router.h
@@ -21,7 +21,7 @@
   /// The part that serves the endpoints owned here; set once at the start.
   void SetOwner(EndpointOwner* owner) { this->owner = owner; }
 
-  void SetConfiguration(version::ConfigurationPointer configuration);
+  void SetConfiguration(const version::ConfigurationPointer& configuration);
 
   /// Runs a statement; the callback is called once.
   void Execute(const connection::StatementCall& call,
