--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -78,8 +78,7 @@
 
 # Repeats a command until it succeeds: SECONDS COMMAND...
 wait_for() {
-  local try
-  for try in $(seq 1 "$(($1 * 10))"); do
+  for _ in $(seq 1 "$(($1 * 10))"); do
     if "${@:2}"; then return 0; fi
     sleep 0.1
   done
@@ -201,6 +200,7 @@
 check_programs
 
 step "start the platform's stand-in and a service of three databases"
+# shellcheck disable=SC2119
 fleet_start_platform
 fleet_start_service ledger "${domains[@]}" --slots 4 --connections 32
 step "start three daemons in three failure domains"
@@ -271,7 +271,7 @@
 body='{"route":"ledger","operations":[{"op":"put","table":"contributions",
   "key":"after","value":"written after the kill"}]}'
 # A client repeats an unknown outcome with the same idempotency key.
-for try in $(seq 1 20); do
+for _ in $(seq 1 20); do
   send ferry-2 "$body" -H "Idempotency-Key: $idempotency_key" \
     -H 'Camphorferry-Deadline-Ms: 10000'
   if [ "$status" = 200 ]; then break; fi
