Connection: Close connections unanswered, and before a stopped loop ends

A stand-in must be able to drop a connection without an answer, as a failing server does. A connection whose close was still queued when the loop ended was leaked together with its request, or freed on a freed event base; the new tests show the leak in the sanitizer build.

--- a/Source/Core/Connection/event_loop.cc
+++ b/Source/Core/Connection/event_loop.cc
@@ -55,6 +55,9 @@
 }
 
 EventLoop::~EventLoop() {
+  // Actions that never ran may own connections, which must be freed before
+  // the base that they belong to.
+  this->posted.clear();
   for (const auto& handler : this->signal_handlers) event_free(handler->handle);
   event_free(this->wakeup);
   event_base_free(this->base);
--- a/Source/Core/Connection/http_client.cc
+++ b/Source/Core/Connection/http_client.cc
@@ -85,9 +85,21 @@
 
   void CloseLater() {
     this->usable = false;
-    this->loop->Post([self = this->shared_from_this()] { self->Close(); });
+    // The connection is closed when the action is freed, so that it is also
+    // closed if the loop ends before the action's turn.
+    this->loop->Post(
+        [closer = std::make_shared<Closer>(this->shared_from_this())] {});
   }
 
+  struct Closer {
+    explicit Closer(std::shared_ptr<State> state) : state(std::move(state)) {}
+    ~Closer() { this->state->Close(); }
+    Closer(const Closer&) = delete;
+    Closer& operator=(const Closer&) = delete;
+
+    std::shared_ptr<State> state;
+  };
+
   EventLoop* loop;
   SocketAddress address;
   evhttp_connection* connection = nullptr;
--- a/Source/Core/Connection/http_server.cc
+++ b/Source/Core/Connection/http_server.cc
@@ -119,6 +119,21 @@
   evhttp_send_reply(pending, response.status, nullptr, nullptr);
 }
 
+void HttpResponder::CloseUnanswered() {
+  if (this->request == nullptr) return;
+  evhttp_connection* connection =
+      *this->server_alive ? evhttp_request_get_connection(this->request)
+                          : nullptr;
+  if (connection != nullptr) {
+    bufferevent* stream = evhttp_connection_get_bufferevent(connection);
+    shutdown(bufferevent_getfd(stream), SHUT_RDWR);
+  }
+  // Libevent frees a request only after an answer; this one can't be written.
+  HttpResponse unwritable;
+  unwritable.status = kInternalServerError;
+  this->Send(unwritable);
+}
+
 HttpServer::HttpServer(EventLoop* loop, const SocketAddress& address,
                        const HttpServerLimits& limits, Handler handler)
     : server(evhttp_new(loop->Base())), handler(std::move(handler)) {
--- a/Source/Core/Connection/http_server.h
+++ b/Source/Core/Connection/http_server.h
@@ -44,6 +44,10 @@
   /// Sends the answer; later calls do nothing.
   void Send(const HttpResponse& response);
 
+  /// Closes the connection without an answer, as a failing server would. The
+  /// process must ignore SIGPIPE.
+  void CloseUnanswered();
+
  private:
   evhttp_request* request;
   std::shared_ptr<bool> server_alive;
