--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -17,7 +17,7 @@
 # Waits until a process has written its "ready" line: NAME.
 fleet_wait_ready() {
   local name=$1 try
-  for try in $(seq 1 200); do
+  for try in $(seq 1 600); do
     if grep -q '^ready ' "$work/$name.out" 2>/dev/null; then return 0; fi
     sleep 0.05
   done
@@ -84,7 +84,7 @@
   done <"$work/services"
 }
 
-# Starts a daemon: ID DOMAIN.
+# Starts a daemon: ID DOMAIN. Each listener gets a port from the system.
 fleet_start_daemon() {
   local id=$1 domain=$2
   cat >"$work/$id.toml" <<SETTINGS
@@ -133,8 +133,8 @@
 fleet_wait_serving() {
   local port try
   port=$(fleet_value "$1" clients_port)
-  for try in $(seq 1 200); do
-    if curl -sf "http://127.0.0.1:$port/readyz" >/dev/null; then return 0; fi
+  for try in $(seq 1 600); do
+    if curl -sf -m 2 "http://127.0.0.1:$port/readyz" >/dev/null; then return 0; fi
     sleep 0.05
   done
   printf 'fleet: %s is not ready for clients\n' "$1" >&2
@@ -191,3 +191,43 @@
 fleet_signal() {
   kill "-$1" "$(cat "$work/$2.pid")"
 }
+
+# Waits until a command succeeds: SECONDS WHAT COMMAND...
+fleet_wait() {
+  local timeout=$1 what=$2 end=$((SECONDS + $1))
+  shift 2
+  until "$@"; do
+    if [ "$SECONDS" -ge "$end" ]; then
+      printf 'fleet: not within %s s: %s\n' "$timeout" "$what" >&2
+      return 1
+    fi
+    sleep 0.05
+  done
+}
+
+# Writes the ports that a daemon got into its settings, so that it gets the same
+# ones when it is started again: ID.
+fleet_keep_ports() {
+  local listener
+  for listener in clients operators peers; do
+    sed -i "s/^$listener = .*/$listener = \"$(fleet_address "$1" \
+      "${listener}_port")\"/" "$work/$1.toml"
+  done
+}
+
+# Starts a daemon again with its settings: ID.
+fleet_restart_daemon() {
+  fleet_start "$1" "$build/Source/Daemon/camphorferryd" "$work/$1.toml"
+}
+
+# Prints the state of a database and everything that it holds: NAME. The
+# control listener does not count against the limit of connections.
+fleet_dump() {
+  curl -sf -m 2 \
+    "http://127.0.0.1:$(fleet_value "$1" control_port)/control/dump"
+}
+
+# Prints a daemon's state: ID.
+fleet_daemon_status() {
+  curl -sf -m 2 "http://$(fleet_address "$1" operators_port)/operator/v1/status"
+}
