--- a/Source/StandIns/database_core.cc
+++ b/Source/StandIns/database_core.cc
@@ -29,19 +29,23 @@
 
 ExecuteResult DatabaseCore::Read(const ExecuteRequest& request,
                                  common::SteadyTime now) const {
-  if (this->unmatched) return this->Refuse(request::NotRunReason::kLagging);
-  if (this->LastPosition() < request.min_position) {
-    return this->Refuse(request::NotRunReason::kLagging);
-  }
-  const common::Duration age = this->Age(now);
-  if (request.max_age && (age == kUnknownAge || age > *request.max_age)) {
+  if (this->IsLagging(request, now)) {
     return this->Refuse(request::NotRunReason::kLagging);
   }
   return ExecuteDone{.results = this->records.Read(request.operations),
                      .position = this->LastPosition(),
                      .term = this->term,
                      .role = this->role,
-                     .age = age};
+                     .age = this->Age(now)};
+}
+
+bool DatabaseCore::IsLagging(const ExecuteRequest& request,
+                             common::SteadyTime now) const {
+  if (this->unmatched) return true;
+  if (this->LastPosition() < request.min_position) return true;
+  if (!request.max_age) return false;
+  const common::Duration age = this->Age(now);
+  return age == kUnknownAge || age > *request.max_age;
 }
 
 ExecuteResult DatabaseCore::Write(const ExecuteRequest& request) {
--- a/Source/StandIns/database_core.h
+++ b/Source/StandIns/database_core.h
@@ -131,6 +131,9 @@
   /// Runs a statement whole or not at all.
   ExecuteResult Execute(const ExecuteRequest& request, common::SteadyTime now);
 
+  /// Whether a read would be refused as lagging now.
+  bool IsLagging(const ExecuteRequest& request, common::SteadyTime now) const;
+
   /// Refuses all writes and replication of lower terms from now on.
   FenceResult Fence(common::Term term, const std::string& proposer);
 
