--- a/scripts/slopes.sh
+++ b/scripts/slopes.sh
@@ -54,6 +54,10 @@
 
 pid_of() { cat "$work/$1.pid"; }
 
+operators_url() {
+  printf 'http://127.0.0.1:%s/operator/v1' "$(fleet_value "$1" operators_port)"
+}
+
 daemon_names() { cut -d' ' -f1 "$work/daemons"; }
 
 # Writes the declared domains as JSON members; a domain has as many rate slots
@@ -149,7 +153,9 @@
 resident_kb() { awk '/^VmRSS:/ { print $2 }' "/proc/$(pid_of "$1")/status"; }
 
 # Used processor time in ticks: NAME. Fields are counted after the command name.
-cpu_ticks() { sed 's/.*) //' "/proc/$(pid_of "$1")/stat" | awk '{ print $12 + $13 }'; }
+cpu_ticks() {
+  sed 's/.*) //' "/proc/$(pid_of "$1")/stat" | awk '{ print $12 + $13 }'
+}
 
 cpu_ticks_all() {
   local id total=0
@@ -316,7 +322,7 @@
       "$(awk -v t="$ticks" -v hz="$ticks_per_second" 'BEGIN { print t * 1000 / hz }')" ms
   done
   printf 'note=%s counters=%s\n' "$prefix" "$(curl -sf \
-    "http://127.0.0.1:$(fleet_value a-1 operators_port)/operator/v1/counters?format=json")"
+    "$(operators_url a-1)/counters?format=json")"
   fleet_stop
   slope "${prefix}_cpu" statement
 }
@@ -368,7 +374,7 @@
     until grep -q open "$work/holder.$size"; do sleep 0.1; done
     total=$size
     sleep 1
-    open=$(curl -sf "http://127.0.0.1:$(fleet_value a-1 operators_port)/operator/v1/counters?format=json")
+    open=$(curl -sf "$(operators_url a-1)/counters?format=json")
     printf 'note=client_connections size=%s counters=%s\n' "$size" "$open"
     point client_connections_memory "$size" "$(resident_kb a-1)" kB
     ticks=$(cpu_ticks a-1)
@@ -491,7 +497,7 @@
   wait_all_serving
   sleep 2
   point "document_$1" "$2" "$(curl -sf \
-    "http://127.0.0.1:$(fleet_value a-1 operators_port)/operator/v1/configuration" |
+    "$(operators_url a-1)/configuration" |
     wc -c)" B
   point "document_$1_memory" "$2" "$(resident_kb a-1)" kB
   fleet_stop
@@ -558,10 +564,95 @@
   slope change_peer_bytes document_byte
 }
 
+# Writes to a route until an acknowledged write and prints the time: PORT ROUTE.
+time_of_write() {
+  local body
+  body="{\"route\":\"$2\",\"repeatable\":true,"
+  body+='"operations":[{"op":"put","table":"t","key":"k","value":1}]}'
+  until [ "$(curl -s -m 5 -o /dev/null -w '%{http_code}' -d "$body" \
+    "http://127.0.0.1:$1/v1/statement")" = 200 ]; do
+    sleep 0.01
+  done
+  printf '%s\n' "$EPOCHREALTIME"
+}
+
+# Longest time from the kill of all primaries to an acknowledged write of each
+# service, by the number of services.
+measure_failover() {
+  local size i port routes killed waiters waiter
+  for size in 1 3 6; do
+    begin "failover-$size"
+    routes=
+    for i in $(seq 1 "$size"); do
+      fleet_start_service "ledger-$i" a a a
+      routes+="${routes:+,}\"ledger-$i\":{\"service\":\"ledger-$i\","
+      routes+='"open":true,"workspaces":[]}'
+    done
+    start_daemons a 4 a
+    publish_hosts
+    apply a-1 '"public":{"rate":100000,"burst":100000,"weight":1}' \
+      "$(services_json)" "$routes" ''
+    wait_all_serving
+    sleep "$settle_seconds"
+    port=$(fleet_value a-1 clients_port)
+    for i in $(seq 1 "$size"); do
+      time_of_write "$port" "ledger-$i" >/dev/null
+    done
+    killed=$EPOCHREALTIME
+    for i in $(seq 1 "$size"); do kill -KILL "$(pid_of "ledger-$i-1")"; done
+    waiters=()
+    for i in $(seq 1 "$size"); do
+      time_of_write "$port" "ledger-$i" >"$work/written.$i" &
+      waiters+=("$!")
+    done
+    for waiter in "${waiters[@]}"; do wait "$waiter"; done
+    point failover_gap "$size" "$(cat "$work"/written.* |
+      awk -v killed="$killed" '{ gap = ($1 - killed) * 1000
+        if (gap > longest) longest = gap } END { printf "%.0f", longest }')" ms
+    fleet_stop
+  done
+  slope failover_gap service_with_killed_primary
+}
+
+# Longest time of five changes from before the plan until the change is in force
+# at the last daemon, by the number of daemons, from the daemons' events. Polling
+# the daemons instead took more processor time than the change itself.
+measure_force() {
+  local size version id
+  for size in 2 4 8; do
+    begin "force-$size"
+    start_daemons a "$size" a
+    publish_hosts
+    apply a-1 "$(workspaces_json 1)" '' '' ''
+    wait_all_serving
+    sleep "$settle_seconds"
+    for version in 2 3 4 5 6; do
+      printf '%s %s\n' "$version" "$EPOCHREALTIME" >>"$work/began"
+      apply a-1 "$(workspaces_json "$version")" '' '' ''
+      sleep 1
+    done
+    # An event's time has microseconds in its upper 52 of 64 bits.
+    for id in $(daemon_names); do
+      curl -sf "$(operators_url "$id")/events" |
+        jq -r '.events[] | select(.event == "configuration_in_force") |
+          "\(.fields.version) \(.time / 4096 | floor)"'
+    done >"$work/in_force"
+    point force_daemons "$size" \
+      "$(awk '$1 == 6' "$work/in_force" | wc -l)" daemons
+    point force_time "$size" "$(awk '
+      NR == FNR { began[$1] = $2; next }
+      $1 in began { took = $2 / 1000 - began[$1] * 1000
+        if (took > longest) longest = took }
+      END { printf "%.1f", longest }' "$work/began" "$work/in_force")" ms
+    fleet_stop
+  done
+  slope force_time daemon
+}
+
 groups=("$@")
 if [ "${#groups[@]}" -eq 0 ]; then
   groups=(connections daemons ring domains services declared document change
-    statements)
+    statements failover force)
 fi
 printf 'note=machine cores=%s load=%s window_s=%s\n' "$(nproc)" \
   "$(cut -d' ' -f1 /proc/loadavg)" "$window"
