--- a/scripts/process-tests/setup.sh
+++ b/scripts/process-tests/setup.sh
@@ -14,6 +14,9 @@
 # Limit for each awaited event; far above what any of them takes.
 readonly limit=45
 
+# A test that starts processes of its own ends them here.
+stop_own_processes() { :; }
+
 # Prints the state of each database that answers, without its contents.
 print_databases() {
   local index
@@ -31,6 +34,7 @@
       tail -20 >&2 || true
     print_databases >&2
   fi
+  stop_own_processes
   fleet_stop
   rm -rf "$work"
   exit "$status"
@@ -57,7 +61,7 @@
   fleet_publish_hosts
   fleet_declare_services 4 32 >"$work/services.toml"
   fleet_declare_workspaces 2 400 800 ledger >"$work/workspaces.toml"
-  for domain in $(cut -d' ' -f2 "$work/daemons" | sort -u); do
+  cut -d' ' -f2 "$work/daemons" | sort -u | while read -r domain; do
     printf '[domain.%s]\nregion = "one"\nrate_slots = %s\n\n' "$domain" \
       "$(grep -c " $domain\$" "$work/daemons")"
   done >"$work/domains.toml"
@@ -79,7 +83,7 @@
 
 # Starts load on all daemons in the background: SECONDS.
 start_load() {
-  local workspace key id list= clients=
+  local workspace key id list="" clients=""
   while read -r workspace key; do
     list+="${list:+,}{\"name\":\"$workspace\",\"key\":\"$key\",\"rate\":40,"
     list+="\"limit_rate\":400,\"limit_burst\":800,"
@@ -97,8 +101,8 @@
   say "started load for $1 s"
 }
 
-# Sends a statement to a daemon and prints the response: ID KEY OPERATIONS. Fails
-# unless it was done.
+# Sends a statement to a daemon and prints the response: ID KEY OPERATIONS.
+# Fails unless it was done.
 send_statement() {
   curl -s -m 10 -H "Authorization: Bearer $2" \
     -d "{\"route\":\"ledger\",\"operations\":$3}" \
