Connection: Tell slow statements from silent connections

Cause: with 2 slots and 300 ms a statement, 18 of 20 concurrent writes ended as unknown/connection_lost: statements that waited for a slot inside the database passed the 500 ms silence limit, and the answered probe closed them. The limit now follows the recent answers. Ruled out: asking the database whether the statement runs, which its protocol doesn't tell.

--- a/Source/Core/Connection/link_monitor.cc
+++ b/Source/Core/Connection/link_monitor.cc
@@ -37,6 +37,7 @@
     this->Close(event.link, &link);
     return;
   }
+  this->LearnLatency(now - link.outstanding->sent);
   link.outstanding.reset();
   link.last_answer = now;
 }
@@ -76,12 +77,14 @@
 void LinkMonitor::CloseSilentLinks(common::SteadyTime probe_opened) {
   std::optional<common::SteadyTime> oldest;
   for (auto& [id, link] : this->links) {
-    if (!IsSilent(link, probe_opened)) continue;
+    if (!this->IsSilent(link, probe_opened)) continue;
     const common::SteadyTime sent = link.outstanding->sent;
     oldest = std::min(oldest.value_or(sent), sent);
     this->Close(id, &link);
   }
   if (!oldest) return;
+  // If these statements were only slow, the next ones get more time.
+  this->LearnLatency(this->silence_limit);
   for (auto& [id, link] : this->links) {
     const bool idle = !link.outstanding && !link.closing;
     if (idle && link.last_answer <= oldest) this->Close(id, &link);
@@ -99,17 +102,25 @@
 /// is down is probed until it answers.
 void LinkMonitor::OpenProbeIfDue(common::SteadyTime now) {
   if (this->probe || now < this->probe_not_before) return;
-  const bool silent = std::any_of(
-      this->links.begin(), this->links.end(),
-      [now](const auto& entry) { return IsSilent(entry.second, now); });
+  const bool silent = std::any_of(this->links.begin(), this->links.end(),
+                                  [this, now](const auto& entry) {
+                                    return this->IsSilent(entry.second, now);
+                                  });
   if (!silent && !this->down) return;
   this->probe = Probe{this->next_probe++, now};
   this->actions.push_back(OpenProbe{this->probe->id});
 }
 
-bool LinkMonitor::IsSilent(const Link& link, common::SteadyTime now) {
+bool LinkMonitor::IsSilent(const Link& link, common::SteadyTime now) const {
   if (link.closing || !link.outstanding) return false;
-  return now - link.outstanding->sent >= kSilenceLimit;
+  return now - link.outstanding->sent >= this->silence_limit;
+}
+
+void LinkMonitor::LearnLatency(common::Duration latency) {
+  constexpr int kDecay = 16;
+  this->slowest = std::max(latency, this->slowest - this->slowest / kDecay);
+  this->silence_limit =
+      std::clamp(2 * this->slowest, kSilenceLimit, kMaxSilenceLimit);
 }
 
 void LinkMonitor::Close(LinkId id, Link* link) {
--- a/Source/Core/Connection/link_monitor.h
+++ b/Source/Core/Connection/link_monitor.h
@@ -87,9 +87,12 @@
   LinkId link;
 };
 
-/// A request without an answer for this long makes its link suspect.
+/// A request without an answer for this long makes its link suspect, unless
+/// the endpoint's recent answers were slow.
 inline constexpr common::Duration kSilenceLimit =
     std::chrono::milliseconds(500);
+/// Largest limit for an endpoint that answers slowly.
+inline constexpr common::Duration kMaxSilenceLimit = std::chrono::seconds(5);
 /// A probe without an answer for this long has failed.
 inline constexpr common::Duration kProbeTimeout =
     std::chrono::milliseconds(500);
@@ -144,7 +147,8 @@
   void CloseSilentLinks(common::SteadyTime probe_opened);
   void FailProbe(common::SteadyTime now);
   void OpenProbeIfDue(common::SteadyTime now);
-  static bool IsSilent(const Link& link, common::SteadyTime now);
+  bool IsSilent(const Link& link, common::SteadyTime now) const;
+  void LearnLatency(common::Duration latency);
   void Close(LinkId id, Link* link);
 
   std::map<LinkId, Link> links;
@@ -152,6 +156,10 @@
   std::uint64_t next_probe = 1;
   common::SteadyTime probe_not_before;
   bool down = false;
+  /// Slowest recent answer, reduced by each faster one. A probe can't tell a
+  /// slow statement from a silent link, so the limit follows the statements.
+  common::Duration slowest = common::Duration::zero();
+  common::Duration silence_limit = kSilenceLimit;
   std::vector<LinkAction> actions;
 };
 
--- a/Source/Core/Process/endpoint_owner.cc
+++ b/Source/Core/Process/endpoint_owner.cc
@@ -132,6 +132,11 @@
     done(NotRun(request::NotRunReason::kNotPrimary, primary));
     return;
   }
+  if (!failover->MayConfirm()) {
+    // Without a replica the outcome could only be unknown.
+    done(NotRun(request::NotRunReason::kNoPrimary, primary));
+    return;
+  }
   call.term = primary.term;
   this->Run(std::move(call), std::move(done));
 }
--- a/Source/Core/Process/failover_task.cc
+++ b/Source/Core/Process/failover_task.cc
@@ -1,5 +1,6 @@
 #include "Process/failover_task.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -72,6 +73,15 @@
   return {primary->endpoint, primary->term};
 }
 
+bool FailoverTask::MayConfirm() const {
+  const connection::PrimaryHint primary = this->Primary();
+  return std::any_of(this->members.begin(), this->members.end(),
+                     [this, &primary](const auto& member) {
+                       return member.first != primary.endpoint &&
+                              !this->coordinator.IsSuspect(member.first);
+                     });
+}
+
 void FailoverTask::Handle(const FailoverEvent& event) {
   const std::vector<FailoverAction> actions =
       this->coordinator.Handle(event, Now());
--- a/Source/Core/Process/failover_task.h
+++ b/Source/Core/Process/failover_task.h
@@ -36,6 +36,9 @@
   /// trusts.
   connection::PrimaryHint Primary() const;
 
+  /// True if some endpoint beside the primary may confirm a write.
+  bool MayConfirm() const;
+
  private:
   struct Member {
     connection::SocketAddress address;
--- a/Source/StandIns/answer_gate.cc
+++ b/Source/StandIns/answer_gate.cc
@@ -11,6 +11,15 @@
   return true;
 }
 
+void AnswerGate::SetIsolated(bool isolated) {
+  const bool ends = this->isolated && !isolated;
+  this->isolated = isolated;
+  if (!ends) return;
+  for (const auto& responder : std::exchange(this->held, {})) {
+    responder->CloseUnanswered();
+  }
+}
+
 bool AnswerGate::IsSilent(std::uint64_t connection_id) const {
   return this->isolated || connection_id <= this->silent_up_to;
 }
--- a/Source/StandIns/answer_gate.h
+++ b/Source/StandIns/answer_gate.h
@@ -17,7 +17,10 @@
   bool NoteConnection(std::uint64_t connection_id);
 
   /// While isolated, no request on any connection is seen or answered.
-  void SetIsolated(bool isolated) { this->isolated = isolated; }
+  /// The end of an isolation closes the connections whose requests were lost,
+  /// since their clients have given up on them; kept ones would use up the
+  /// connection limit.
+  void SetIsolated(bool isolated);
   bool Isolated() const { return this->isolated; }
 
   /// Connections that have sent a request so far get no answer again.
--- a/Source/UnitTests/Core/Connection/link_monitor_test.cc
+++ b/Source/UnitTests/Core/Connection/link_monitor_test.cc
@@ -43,6 +43,30 @@
   EXPECT_TRUE(this->monitor.MayUse(3));
 }
 
+// Guards against unknown outcomes at an endpoint that is healthy but slow: its
+// statements were closed as silent while the probe was answered.
+TEST_F(LinkMonitorTest, SlowAnswers_NextStatement_GetsMoreTime) {
+  this->After(milliseconds(0), LinkSent{1, "slow"});
+  this->After(milliseconds(450), LinkAnswered{1, "slow"});
+  this->After(milliseconds(1), LinkSent{1, "slower"});
+  EXPECT_EQ(this->After(milliseconds(700), LinkTick{}), Actions{});
+  this->After(milliseconds(1), LinkAnswered{1, "slower"});
+  EXPECT_TRUE(this->monitor.MayUse(1));
+}
+
+// Guards against a limit that stays high after the endpoint is fast again, so
+// that a silent link is found late.
+TEST_F(LinkMonitorTest, FastAnswersAfterSlow_SilentLink_IsProbedInTime) {
+  this->After(milliseconds(0), LinkSent{1, "slow"});
+  this->After(milliseconds(450), LinkAnswered{1, "slow"});
+  for (int i = 0; i < 20; ++i) {
+    this->After(milliseconds(1), LinkSent{1, std::to_string(i)});
+    this->After(milliseconds(1), LinkAnswered{1, std::to_string(i)});
+  }
+  this->After(milliseconds(1), LinkSent{1, "silent"});
+  EXPECT_EQ(this->After(milliseconds(500), LinkTick{}), Actions{OpenProbe{1}});
+}
+
 // Guards against closing a link whose slow answer came before the probe's.
 TEST_F(LinkMonitorTest, AnswerBeforeProbe_ProbeAnswered_KeepsLink) {
   this->After(milliseconds(0), LinkSent{1, "slow"});
