--- a/Source/Core/Process/daemon.cc
+++ b/Source/Core/Process/daemon.cc
@@ -146,11 +146,13 @@
   std::vector<common::HostId> lenders;
   std::vector<common::HostId> far_lenders;
   std::set<common::HostId> domain_hosts = {this->settings.host};
+  std::set<common::HostId> live;
   for (const auto& [peer, domain] : this->membership_task.KnownPeers()) {
     const bool near = domain == this->settings.domain;
     if (near) domain_peers.insert(peer);
     if (near) domain_hosts.insert(peer);
     if (!this->membership.IsLive(peer, Now())) continue;
+    live.insert(peer);
     (near ? lenders : far_lenders).push_back(peer);
   }
   lenders.insert(lenders.end(), far_lenders.begin(), far_lenders.end());
@@ -162,6 +164,7 @@
   const bool watching = std::find(watchers.begin(), watchers.end(),
                                   this->settings.host) != watchers.end();
   this->configuration.SetWatching(watching);
+  this->membership_task.SetWatching(watching);
   if (!this->announced_live && this->Ready()) {
     this->announced_live = true;
     this->events.Record(WallNow(), common::Subsystem::kProcess, "daemon_ready",
@@ -169,6 +172,12 @@
     this->membership_task.SetState(PeerState::kLive);
     return;
   }
+  // Finding the owner of every endpoint takes time that grows with the number
+  // of services, so it is done only when the live daemons have changed.
+  const bool self_live = this->membership.IsLive(this->settings.host, Now());
+  if (self_live) live.insert(this->settings.host);
+  if (live == this->live_hosts) return;
+  this->live_hosts = std::move(live);
   this->UpdateOwnership();
 }
 
--- a/Source/Core/Process/daemon.h
+++ b/Source/Core/Process/daemon.h
@@ -2,6 +2,7 @@
 #define CAMPHORFERRY_PROCESS_DAEMON_H_
 
 #include <memory>
+#include <set>
 
 #include "Process/client_task.h"
 #include "Process/configuration_task.h"
@@ -74,6 +75,8 @@
   std::unique_ptr<ClientTask> clients;
   std::unique_ptr<OperatorTask> operators;
   bool announced_live = false;
+  /// Live daemons at the last update of ownership.
+  std::set<common::HostId> live_hosts;
   common::SteadyTime drain_deadline;
   common::SteadyTime quiet_deadline;
   std::unique_ptr<connection::Timer> drain_timer;
--- a/Source/Core/Process/failover_task.cc
+++ b/Source/Core/Process/failover_task.cc
@@ -64,7 +64,18 @@
                            const connection::StatementReply* reply) {
   if (reply == nullptr) {
     this->Handle(StatusMissed{endpoint, std::nullopt, MissKind::kTimedOut});
+    return;
   }
+  const auto* done = std::get_if<request::Done>(&reply->outcome);
+  if (done == nullptr) return;
+  // An answer shows the same as a poll, which is then not needed. It doesn't
+  // carry the fence; one that executed is not fenced above its term.
+  const request::EndpointRole role = done->served_by_primary
+                                         ? request::EndpointRole::kPrimary
+                                         : request::EndpointRole::kReplica;
+  this->Handle(StatusSeen{
+      endpoint, std::nullopt,
+      EndpointStatus{reply->term, reply->term, role, done->position}});
 }
 
 connection::PrimaryHint FailoverTask::Primary() const {
--- a/Source/Core/Process/membership_task.cc
+++ b/Source/Core/Process/membership_task.cc
@@ -8,6 +8,12 @@
 namespace {
 
 constexpr std::chrono::seconds kHostListInterval(1);
+/// Daemons that don't watch the store read the host list in each tenth
+/// interval only, since the store's rate of reads grows more slowly than the
+/// fleet.
+constexpr int kIntervalsBetweenReads = 10;
+/// Reads after the start that every daemon makes.
+constexpr int kFirstReads = 5;
 
 common::SteadyTime Now() { return std::chrono::steady_clock::now(); }
 
@@ -65,9 +71,10 @@
 }
 
 void MembershipTask::ReadHosts() {
-  // The list is only needed for hosts that the settings don't name, so one
-  // watcher a domain could read it for all at a larger size.
-  if (this->reading_hosts) return;
+  const int interval = this->host_list_intervals++;
+  const bool due = this->watching || interval < kFirstReads ||
+                   interval % kIntervalsBetweenReads == 0;
+  if (this->reading_hosts || !due) return;
   this->reading_hosts = true;
   this->store->ReadHosts([this](const connection::HostListResult& result) {
     this->reading_hosts = false;
--- a/Source/Core/Process/membership_task.h
+++ b/Source/Core/Process/membership_task.h
@@ -37,6 +37,9 @@
   /// Sets the state that this daemon tells its peers, and tells them at once.
   void SetState(PeerState state);
 
+  /// Sets whether this daemon watches the store for its domain.
+  void SetWatching(bool watching) { this->watching = watching; }
+
   /// Answers a peer's heartbeat.
   HeartbeatExchange OnHeartbeat(const HeartbeatExchange& exchange);
 
@@ -63,7 +66,9 @@
   std::map<common::HostId, common::FailureDomainId> domains;
   PeerState state = PeerState::kStarting;
   Hooks hooks;
+  bool watching = false;
   bool reading_hosts = false;
+  int host_list_intervals = 0;
   std::unique_ptr<connection::Timer> round;
   std::unique_ptr<connection::Timer> host_list;
 };
