Load: Keep a session's token when a read is sent without it

Cause: the token of a read with a maximum age replaced the session's token, so a later read could be older than the session's own write; the tool then counted stale_own_reads and lost_acknowledged that the product had not caused.

--- a/Source/Load/session_worker.cc
+++ b/Source/Load/session_worker.cc
@@ -181,7 +181,11 @@
 
 void SessionWorker::OnReadAnswer(bool aged,
                                  const connection::HttpResult& result) {
+  // An aged read is sent without the session, so its token would set the
+  // session back.
+  const std::string before = this->session;
   const json body = this->TakeBody(result);
+  if (aged) this->session = before;
   if (body.value("outcome", std::string()) == "done") {
     ++this->counts->served;
     this->counts->admitted.push_back(Now());
