Request: Bound the fairness simulation by requests

The threshold is unchanged; what still waits at the end counts as not served, which weighs more in a shorter run.

--- a/Source/UnitTests/Core/Request/fair_queue_test.cc
+++ b/Source/UnitTests/Core/Request/fair_queue_test.cc
@@ -98,7 +98,9 @@
   unsigned seed = 1;
 };
 
-constexpr double kRunSeconds = 100.0;
+// Requests that fit into a run. The share that is still waiting at the end
+// counts as not served, so a shorter run is the stricter one.
+constexpr double kRunRequests = 8000.0;
 constexpr double kHeavyFactor = 5.0;
 
 /// Served / min(asked, due) of the worst-served workspace in virtual time.
@@ -112,17 +114,18 @@
   const double capacity =
       static_cast<double>(scenario.slots) /
       std::chrono::duration<double>(scenario.service).count();
+  const double run_seconds = kRunRequests / capacity;
   std::vector<double> due(count);
   std::vector<double> asked(count);
   std::vector<double> served(count);
   std::vector<std::pair<SteadyTime, int>> arrivals;
   for (int i = 0; i < count; ++i) {
-    due[i] = capacity * scenario.weights[i] / total_weight * kRunSeconds;
+    due[i] = capacity * scenario.weights[i] / total_weight * run_seconds;
     asked[i] = std::floor(due[i] *
                           (i == scenario.heavy ? kHeavyFactor : scenario.load));
     for (int k = 0; k < asked[i]; ++k) {
       const std::chrono::duration<double> at((k + uniform(random)) *
-                                             kRunSeconds / asked[i]);
+                                             run_seconds / asked[i]);
       arrivals.emplace_back(kStart + std::chrono::duration_cast<Duration>(at),
                             i);
     }
