--- a/Source/Core/Common/common.h
+++ b/Source/Core/Common/common.h
@@ -4,6 +4,7 @@
 /// Public header of the Common library: time, identifiers, errors, clocks,
 /// hashes and logs that all other libraries use.
 
+#include "Common/clock.h"
 #include "Common/digest.h"
 #include "Common/error.h"
 #include "Common/fault_list.h"
--- a/Source/Core/Process/acknowledgement_task.cc
+++ b/Source/Core/Process/acknowledgement_task.cc
@@ -8,8 +8,6 @@
 
 constexpr std::chrono::milliseconds kTickInterval(20);
 
-common::SteadyTime Now() { return std::chrono::steady_clock::now(); }
-
 }  // namespace
 
 AcknowledgementTask::AcknowledgementTask(
@@ -26,12 +24,12 @@
       this->loop->Every(kTickInterval, [self = this->shared_from_this()] {
         self->Handle(AcknowledgementTick{});
       });
-  this->Perform(this->rule.Start(Now()));
+  this->Perform(this->rule.Start(common::SteadyNow()));
 }
 
 void AcknowledgementTask::Handle(const AcknowledgementEvent& event) {
   if (!this->done) return;
-  this->Perform(this->rule.Handle(event, Now()));
+  this->Perform(this->rule.Handle(event, common::SteadyNow()));
 }
 
 void AcknowledgementTask::Perform(const AcknowledgementDecision& decision) {
--- a/Source/Core/Process/client_task.cc
+++ b/Source/Core/Process/client_task.cc
@@ -73,9 +73,9 @@
                  {request::NotRun{reason, std::nullopt}, ""});
   };
   try {
-    request::RequestRecord record = request::RequestRecord::Parse(
-        request.headers, request.body, generated,
-        std::chrono::steady_clock::now(), std::chrono::system_clock::now());
+    request::RequestRecord record =
+        request::RequestRecord::Parse(request.headers, request.body, generated,
+                                      common::SteadyNow(), common::WallNow());
     std::make_shared<RequestTask>(
         this->context, std::move(record), ReadKey(request),
         [this, responder, request_id](const RequestAnswer& answer) {
--- a/Source/Core/Process/configuration_task.cc
+++ b/Source/Core/Process/configuration_task.cc
@@ -11,8 +11,6 @@
 /// Delay before the next call after the store did not answer.
 constexpr std::chrono::milliseconds kStoreRetryDelay(500);
 
-common::WallTime WallNow() { return std::chrono::system_clock::now(); }
-
 }  // namespace
 
 ConfigurationTask::ConfigurationTask(connection::EventLoop* loop,
@@ -140,7 +138,8 @@
         version::ParseConfiguration(document));
   } catch (const version::BadConfigurationError& error) {
     this->events->Record(
-        WallNow(), common::Subsystem::kVersion, "configuration_rejected",
+        common::WallNow(), common::Subsystem::kVersion,
+        "configuration_rejected",
         {{"fault", version::ToString(error.Fault())}, {"path", error.Path()}});
     return nullptr;
   }
@@ -149,7 +148,7 @@
 void ConfigurationTask::Report(const version::OfferResult& result,
                                Source source) {
   if (const auto* conflict = std::get_if<version::OfferConflict>(&result)) {
-    this->events->Record(WallNow(), common::Subsystem::kVersion,
+    this->events->Record(common::WallNow(), common::Subsystem::kVersion,
                          "configuration_conflict",
                          {{"version", conflict->version}});
     return;
@@ -159,7 +158,7 @@
   this->document =
       version::ConfigurationToJson(*this->tracker.Current()).dump();
   this->events->Record(
-      WallNow(), common::Subsystem::kVersion, "configuration_in_force",
+      common::WallNow(), common::Subsystem::kVersion, "configuration_in_force",
       {{"version", accepted->version},
        {"source", source == Source::kStore ? "store" : "peer"}});
   this->on_change(this->tracker.Current());
--- a/Source/Core/Process/confirm_batch.cc
+++ b/Source/Core/Process/confirm_batch.cc
@@ -12,8 +12,6 @@
 /// Time allowed for the answer beyond the wait.
 constexpr std::chrono::milliseconds kAnswerMargin(200);
 
-common::SteadyTime Now() { return std::chrono::steady_clock::now(); }
-
 /// True if the reply settles a wait for the position.
 bool Settles(const connection::ConfirmReply& reply,
              common::LogPosition position) {
@@ -63,7 +61,7 @@
 
 void ConfirmBatch::OnReply(const connection::ConfirmReply& reply) {
   this->asking = false;
-  const common::SteadyTime now = Now();
+  const common::SteadyTime now = common::SteadyNow();
   std::vector<Waiter> waiting = std::exchange(this->waiters, {});
   for (Waiter& waiter : waiting) {
     if (!reply.answered) {
--- a/Source/Core/Process/daemon.cc
+++ b/Source/Core/Process/daemon.cc
@@ -19,10 +19,6 @@
 /// How long a shutdown waits for clients to use or close idle connections.
 constexpr std::chrono::seconds kIdleConnectionGrace(3);
 
-common::SteadyTime Now() { return std::chrono::steady_clock::now(); }
-
-common::WallTime WallNow() { return std::chrono::system_clock::now(); }
-
 std::uint64_t NewIncarnation() {
   std::random_device device;
   return (std::uint64_t{device()} << 32) | device();
@@ -36,7 +32,8 @@
       events(settings.host, kEventCapacity),
       store(&this->loop, settings.store, kStoreTimeout),
       peers(&this->loop, &this->events),
-      membership(settings.host, settings.domain, this->incarnation, Now()),
+      membership(settings.host, settings.domain, this->incarnation,
+                 common::SteadyNow()),
       router(&this->loop, settings.host, &this->membership, &this->peers,
              &this->counters),
       owner(&this->loop, &this->events, &this->counters, &this->primaries,
@@ -92,7 +89,8 @@
 void Daemon::Run() {
   this->loop.OnSignal(SIGTERM, [this] { this->StartDrain(); });
   this->loop.OnSignal(SIGINT, [this] { this->StartDrain(); });
-  this->events.Record(WallNow(), common::Subsystem::kProcess, "daemon_started",
+  this->events.Record(common::WallNow(), common::Subsystem::kProcess,
+                      "daemon_started",
                       {{"host", this->settings.host},
                        {"domain", this->settings.domain},
                        {"clients_port", this->ClientPort()},
@@ -151,7 +149,7 @@
     const bool near = domain == this->settings.domain;
     if (near) domain_peers.insert(peer);
     if (near) domain_hosts.insert(peer);
-    if (!this->membership.IsLive(peer, Now())) continue;
+    if (!this->membership.IsLive(peer, common::SteadyNow())) continue;
     live.insert(peer);
     (near ? lenders : far_lenders).push_back(peer);
   }
@@ -160,21 +158,22 @@
   this->rates.SetDomainHosts(domain_hosts);
   this->rates.SetLenders(std::move(lenders));
   const std::vector<common::HostId> watchers =
-      this->membership.WatchersOf(this->settings.domain, Now());
+      this->membership.WatchersOf(this->settings.domain, common::SteadyNow());
   const bool watching = std::find(watchers.begin(), watchers.end(),
                                   this->settings.host) != watchers.end();
   this->configuration.SetWatching(watching);
   this->membership_task.SetWatching(watching);
   if (!this->announced_live && this->Ready()) {
     this->announced_live = true;
-    this->events.Record(WallNow(), common::Subsystem::kProcess, "daemon_ready",
-                        {});
+    this->events.Record(common::WallNow(), common::Subsystem::kProcess,
+                        "daemon_ready", {});
     this->membership_task.SetState(PeerState::kLive);
     return;
   }
   // Finding the owner of every endpoint takes time that grows with the number
   // of services, so it is done only when the live daemons have changed.
-  const bool self_live = this->membership.IsLive(this->settings.host, Now());
+  const bool self_live =
+      this->membership.IsLive(this->settings.host, common::SteadyNow());
   if (self_live) live.insert(this->settings.host);
   if (live == this->live_hosts) return;
   this->live_hosts = std::move(live);
@@ -245,14 +244,14 @@
 void Daemon::StartDrain() {
   if (this->requests.draining) return;
   this->requests.draining = true;
-  this->drain_deadline = Now() + kMaxDrain;
-  this->events.Record(WallNow(), common::Subsystem::kProcess, "drain_started",
-                      {});
+  this->drain_deadline = common::SteadyNow() + kMaxDrain;
+  this->events.Record(common::WallNow(), common::Subsystem::kProcess,
+                      "drain_started", {});
   this->membership_task.SetState(PeerState::kDraining);
   // The load balancer needs this time to notice that the daemon is not ready.
   this->drain_timer = this->loop.After(this->settings.shutdown_notice, [this] {
     this->clients->StopListening();
-    this->quiet_deadline = Now() + kIdleConnectionGrace;
+    this->quiet_deadline = common::SteadyNow() + kIdleConnectionGrace;
     this->rates.Drain(kSlotReleaseLimit, [this] { this->FinishDrain(); });
   });
 }
@@ -264,9 +263,9 @@
 
 void Daemon::StopWhenIdle() {
   const bool idle = this->clients->ActiveRequests() == 0 && this->owner.Idle();
-  if (!idle && Now() < this->drain_deadline) return;
-  this->events.Record(WallNow(), common::Subsystem::kProcess, "daemon_stopped",
-                      {{"idle", idle ? "yes" : "no"}});
+  if (!idle && common::SteadyNow() < this->drain_deadline) return;
+  this->events.Record(common::WallNow(), common::Subsystem::kProcess,
+                      "daemon_stopped", {{"idle", idle ? "yes" : "no"}});
   this->loop.Stop();
 }
 
--- a/Source/Core/Process/endpoint_owner.cc
+++ b/Source/Core/Process/endpoint_owner.cc
@@ -11,8 +11,6 @@
 constexpr std::chrono::seconds kMaxPromotionWait(3);
 constexpr std::chrono::milliseconds kPromotionCheckInterval(20);
 
-common::SteadyTime Now() { return std::chrono::steady_clock::now(); }
-
 connection::StatementReply NotRun(request::NotRunReason reason,
                                   const connection::PrimaryHint& hint) {
   return {request::NotRun{reason, std::nullopt}, hint.term, hint};
@@ -102,7 +100,7 @@
     return;
   }
   const common::SteadyTime until =
-      std::min(call.deadline, Now() + kMaxPromotionWait);
+      std::min(call.deadline, common::SteadyNow() + kMaxPromotionWait);
   this->ExecuteWrite(std::move(call), until, std::move(counted));
 }
 
@@ -116,7 +114,7 @@
   }
   const connection::PrimaryHint primary = failover->Primary();
   if (primary.endpoint.Empty()) {
-    if (Now() >= until) {
+    if (common::SteadyNow() >= until) {
       done(NotRun(request::NotRunReason::kNoPrimary, primary));
       return;
     }
@@ -201,7 +199,7 @@
     done(connection::ConfirmReply{});
     return;
   }
-  task->Confirm(position, Now() + wait, std::move(done));
+  task->Confirm(position, common::SteadyNow() + wait, std::move(done));
 }
 
 bool EndpointOwner::Idle() const { return this->unfinished == 0; }
--- a/Source/Core/Process/endpoint_task.cc
+++ b/Source/Core/Process/endpoint_task.cc
@@ -17,8 +17,6 @@
 constexpr std::size_t kConnectionShare = 4;
 constexpr std::uint32_t kStatementCost = 1;
 
-common::SteadyTime Now() { return std::chrono::steady_clock::now(); }
-
 std::size_t MaxLanes(const version::Service& service) {
   const std::size_t wanted = service.slots + kSpareConnections;
   const std::size_t allowed = service.connections / kConnectionShare;
@@ -66,9 +64,9 @@
   const common::WorkspaceId workspace = call.workspace;
   const std::uint32_t weight = call.weight;
   const common::SteadyTime deadline = call.deadline;
-  Queue::PushResult pushed =
-      this->queue.Push(workspace, weight, deadline, kStatementCost,
-                       Pending{std::move(call), std::move(done)}, Now());
+  Queue::PushResult pushed = this->queue.Push(
+      workspace, weight, deadline, kStatementCost,
+      Pending{std::move(call), std::move(done)}, common::SteadyNow());
   if (auto* refused = std::get_if<Queue::Refused>(&pushed)) {
     this->counters->Add("endpoint_queue_refused");
     refused->item.done({refused->outcome, 0});
@@ -102,7 +100,7 @@
 
 std::optional<EndpointTask::Pending> EndpointTask::PopReady() {
   while (true) {
-    Queue::PopResult popped = this->queue.Pop(Now());
+    Queue::PopResult popped = this->queue.Pop(common::SteadyNow());
     if (auto* ready = std::get_if<Queue::Ready>(&popped)) {
       return std::move(ready->item);
     }
@@ -136,7 +134,7 @@
 
 void EndpointTask::Run(Lane* lane, Pending pending) {
   ++this->running;
-  lane->started = Now();
+  lane->started = common::SteadyNow();
   lane->done = std::move(pending.done);
   const std::string request_id = pending.call.request_id;
   this->Handle(connection::LinkSent{lane->id, request_id});
@@ -166,14 +164,14 @@
 
 void EndpointTask::End(Lane* lane, const connection::StatementReply& reply) {
   --this->running;
-  this->queue.Completed(Now() - lane->started);
+  this->queue.Completed(common::SteadyNow() - lane->started);
   const Callback done = std::exchange(lane->done, nullptr);
   this->observer(IsLost(reply) ? nullptr : &reply);
   done(reply);
 }
 
 void EndpointTask::OnTick() {
-  while (auto shed = this->queue.PopExpired(Now())) {
+  while (auto shed = this->queue.PopExpired(common::SteadyNow())) {
     this->counters->Add("endpoint_deadline_passed");
     shed->item.done({shed->outcome, 0});
   }
@@ -183,7 +181,7 @@
 
 void EndpointTask::Handle(const connection::LinkEvent& event) {
   for (const connection::LinkAction& action :
-       this->monitor.Handle(event, Now())) {
+       this->monitor.Handle(event, common::SteadyNow())) {
     std::visit([this](const auto& typed) { this->Perform(typed); }, action);
   }
 }
@@ -208,9 +206,9 @@
 void EndpointTask::Perform(const connection::CloseLink& action) {
   Lane* lane = this->FindLane(action.link);
   if (lane == nullptr) return;
-  this->events->Record(
-      std::chrono::system_clock::now(), common::Subsystem::kConnection,
-      "endpoint_connection_closed", {{"endpoint", this->endpoint.id}});
+  this->events->Record(common::WallNow(), common::Subsystem::kConnection,
+                       "endpoint_connection_closed",
+                       {{"endpoint", this->endpoint.id}});
   if (lane->done) {
     // The request was sent, so it may have run.
     this->End(lane,
@@ -220,9 +218,8 @@
 }
 
 void EndpointTask::Perform(const connection::MarkEndpointDown& /*action*/) {
-  this->events->Record(std::chrono::system_clock::now(),
-                       common::Subsystem::kConnection, "endpoint_down",
-                       {{"endpoint", this->endpoint.id}});
+  this->events->Record(common::WallNow(), common::Subsystem::kConnection,
+                       "endpoint_down", {{"endpoint", this->endpoint.id}});
   this->observer(nullptr);
   this->RefuseAll();
 }
--- a/Source/Core/Process/failover_task.cc
+++ b/Source/Core/Process/failover_task.cc
@@ -12,10 +12,6 @@
 /// Time allowed for fence, promote and follow calls.
 constexpr std::chrono::milliseconds kControlTimeout(500);
 
-common::SteadyTime Now() { return std::chrono::steady_clock::now(); }
-
-common::WallTime WallNow() { return std::chrono::system_clock::now(); }
-
 std::vector<common::EndpointId> EndpointIds(const version::Service& service) {
   std::vector<common::EndpointId> ids;
   for (const version::Endpoint& endpoint : service.endpoints) {
@@ -95,7 +91,7 @@
 
 void FailoverTask::Handle(const FailoverEvent& event) {
   const std::vector<FailoverAction> actions =
-      this->coordinator.Handle(event, Now());
+      this->coordinator.Handle(event, common::SteadyNow());
   for (const FailoverAction& action : actions) {
     std::visit([this](const auto& typed) { this->Perform(typed); }, action);
   }
@@ -127,7 +123,8 @@
 }
 
 void FailoverTask::Perform(const SendFence& action) {
-  this->events->Record(WallNow(), common::Subsystem::kProcess, "fence_sent",
+  this->events->Record(common::WallNow(), common::Subsystem::kProcess,
+                       "fence_sent",
                        {{"service", this->service},
                         {"endpoint", action.endpoint},
                         {"term", action.term}});
@@ -149,7 +146,8 @@
 }
 
 void FailoverTask::Perform(const SendPromote& action) {
-  this->events->Record(WallNow(), common::Subsystem::kProcess, "promote_sent",
+  this->events->Record(common::WallNow(), common::Subsystem::kProcess,
+                       "promote_sent",
                        {{"service", this->service},
                         {"endpoint", action.endpoint},
                         {"term", action.term}});
@@ -194,7 +192,8 @@
   const bool changed =
       this->directory->Learn(this->service, {action.endpoint, action.term});
   if (!changed) return;
-  this->events->Record(WallNow(), common::Subsystem::kProcess, "primary_known",
+  this->events->Record(common::WallNow(), common::Subsystem::kProcess,
+                       "primary_known",
                        {{"service", this->service},
                         {"endpoint", action.endpoint},
                         {"term", action.term}});
--- a/Source/Core/Process/grpc_peer_link.cc
+++ b/Source/Core/Process/grpc_peer_link.cc
@@ -62,12 +62,11 @@
     std::function<void(const Reply*)> done;
   };
   auto state = std::make_shared<CallState>();
-  request.set_hybrid_time(
-      this->events->Stamp(std::chrono::system_clock::now()));
+  request.set_hybrid_time(this->events->Stamp(common::WallNow()));
   state->request = std::move(request);
   state->done = std::move(done);
   state->context.set_deadline(
-      std::chrono::system_clock::now() +
+      common::WallNow() +
       std::chrono::duration_cast<std::chrono::system_clock::duration>(timeout));
   const auto finish = [state, link_alive = this->alive, loop = this->loop,
                        events = this->events](const grpc::Status& status) {
--- a/Source/Core/Process/grpc_peer_server.cc
+++ b/Source/Core/Process/grpc_peer_server.cc
@@ -22,7 +22,7 @@
     this->loop->Post([this, request, reply, reactor] {
       this->events->Observe(request->hybrid_time());
       this->handler->OnExecute(
-          FromMessage(*request, std::chrono::steady_clock::now()),
+          FromMessage(*request, common::SteadyNow()),
           [this, reply,
            reactor](const connection::StatementReply& statement_reply) {
             *reply = ToMessage(statement_reply);
@@ -116,8 +116,7 @@
  private:
   template <typename Reply>
   void Finish(Reply* reply, grpc::ServerUnaryReactor* reactor) {
-    reply->set_hybrid_time(
-        this->events->Stamp(std::chrono::system_clock::now()));
+    reply->set_hybrid_time(this->events->Stamp(common::WallNow()));
     reactor->Finish(grpc::Status::OK);
   }
 
@@ -149,7 +148,7 @@
 void GrpcPeerServer::Shutdown(common::Duration grace) {
   if (this->server == nullptr) return;
   this->server->Shutdown(
-      std::chrono::system_clock::now() +
+      common::WallNow() +
       std::chrono::duration_cast<std::chrono::system_clock::duration>(grace));
   this->server.reset();
 }
--- a/Source/Core/Process/membership_task.cc
+++ b/Source/Core/Process/membership_task.cc
@@ -15,8 +15,6 @@
 /// Reads after the start that every daemon makes.
 constexpr int kFirstReads = 5;
 
-common::SteadyTime Now() { return std::chrono::steady_clock::now(); }
-
 }  // namespace
 
 MembershipTask::MembershipTask(connection::EventLoop* loop,
@@ -58,7 +56,7 @@
 
 void MembershipTask::Round() {
   for (const common::HostId& target :
-       this->membership->HeartbeatTargets(Now())) {
+       this->membership->HeartbeatTargets(common::SteadyNow())) {
     const auto target_domain = this->domains.find(target);
     if (target_domain == this->domains.end()) continue;
     this->peers->Heartbeat(
@@ -85,7 +83,7 @@
 }
 
 void MembershipTask::Learn(const HeartbeatExchange& exchange) {
-  this->membership->OnHeartbeat(exchange.heartbeat, Now());
+  this->membership->OnHeartbeat(exchange.heartbeat, common::SteadyNow());
   this->hooks.on_version(exchange.heartbeat.host,
                          exchange.configuration_version);
 }
@@ -97,7 +95,8 @@
   exchange.heartbeat.incarnation = this->incarnation;
   exchange.heartbeat.domain = this->domain;
   exchange.heartbeat.state = this->state;
-  exchange.heartbeat.reports = this->membership->Reports(receiver, Now());
+  exchange.heartbeat.reports =
+      this->membership->Reports(receiver, common::SteadyNow());
   exchange.configuration_version = this->hooks.configuration_version();
   return exchange;
 }
@@ -122,7 +121,7 @@
     all.push_back(host);
     if (id != this->self) this->domains[id] = host.domain;
   }
-  this->membership->SetHosts(all, Now());
+  this->membership->SetHosts(all, common::SteadyNow());
 }
 
 }  // namespace camphorferry::process
--- a/Source/Core/Process/operator_task.cc
+++ b/Source/Core/Process/operator_task.cc
@@ -17,8 +17,6 @@
 constexpr int kConflict = 409;
 constexpr int kUnavailable = 503;
 
-common::WallTime WallNow() { return std::chrono::system_clock::now(); }
-
 void SendJson(const std::shared_ptr<connection::HttpResponder>& responder,
               int status, const json& body) {
   connection::HttpResponse response;
@@ -91,11 +89,11 @@
       counters(counters),
       events(events),
       hooks(std::move(hooks)),
-      server(
-          loop, address, connection::HttpServerLimits{},
-          [this](const connection::HttpRequest& request, Responder responder) {
-            this->OnRequest(request, std::move(responder));
-          }) {}
+      server(loop, address, connection::HttpServerLimits{},
+             [this](const connection::HttpRequest& request,
+                    const Responder& responder) {
+               this->OnRequest(request, responder);
+             }) {}
 
 void OperatorTask::OnRequest(const connection::HttpRequest& request,
                              const Responder& responder) {
@@ -243,7 +241,7 @@
       [this, written, responder, on_conflict = std::move(on_conflict)](
           const connection::WriteResult& result) {
         if (std::holds_alternative<connection::ObjectWritten>(result)) {
-          this->events->Record(WallNow(), common::Subsystem::kVersion,
+          this->events->Record(common::WallNow(), common::Subsystem::kVersion,
                                "plan_applied", {{"version", written->version}});
           this->configuration->OnWritten(written);
           SendJson(responder, 200,
--- a/Source/Core/Process/rate_task.cc
+++ b/Source/Core/Process/rate_task.cc
@@ -12,10 +12,6 @@
 /// one of its domain would take all slots, and giving them back takes minutes.
 constexpr std::chrono::milliseconds kTakeDelay(2500);
 
-common::SteadyTime Now() { return std::chrono::steady_clock::now(); }
-
-common::WallTime WallNow() { return std::chrono::system_clock::now(); }
-
 std::uint32_t TotalSlots(const version::Configuration& configuration) {
   std::uint32_t total = 0;
   for (const auto& [id, domain] : configuration.domains) {
@@ -52,7 +48,7 @@
       host(std::move(host)),
       incarnation(incarnation),
       domain(std::move(domain)),
-      take_from(Now() + kTakeDelay) {
+      take_from(common::SteadyNow() + kTakeDelay) {
   this->tick = loop->Every(kTickInterval, [this] { this->OnTick(); });
 }
 
@@ -78,12 +74,13 @@
     const RateLimits limits{workspace.rate, workspace.burst, this->total_slots};
     std::unique_ptr<RateShare>& share = this->shares[id];
     if (share != nullptr) {
-      share->SetLimits(limits, Now());
+      share->SetLimits(limits, common::SteadyNow());
       continue;
     }
-    share = std::make_unique<RateShare>(limits, Now());
-    for (const auto& [slot, end] : this->lease->HeldSlots(Now())) {
-      share->AddSlot(slot, end, Now());
+    share = std::make_unique<RateShare>(limits, common::SteadyNow());
+    for (const auto& [slot, end] :
+         this->lease->HeldSlots(common::SteadyNow())) {
+      share->AddSlot(slot, end, common::SteadyNow());
     }
   }
 }
@@ -101,7 +98,7 @@
                           Attempt attempt) {
   RateShare* share = this->ShareOf(workspace);
   if (share == nullptr) return Refused{std::chrono::seconds(1)};
-  const Admission admission = share->Admit(Now(), attempt);
+  const Admission admission = share->Admit(common::SteadyNow(), attempt);
   this->BorrowIfNeeded(workspace, share);
   return admission;
 }
@@ -110,7 +107,7 @@
                             Millitokens wanted) {
   RateShare* share = this->ShareOf(workspace);
   if (share == nullptr) return {};
-  const RateLoan loan = share->Lend(wanted, Now());
+  const RateLoan loan = share->Lend(wanted, common::SteadyNow());
   if (loan.Empty()) return {};
   this->counters->Add("rate_loans_given");
   return {static_cast<std::uint64_t>(loan.rate),
@@ -125,17 +122,19 @@
   }
   this->drain_done = std::move(done);
   this->drain_limit = this->loop->After(limit, [this] { this->FinishDrain(); });
-  this->Perform(this->lease->Drain(Now()));
+  this->Perform(this->lease->Drain(common::SteadyNow()));
   if (this->lease->Drained()) this->FinishDrain();
 }
 
 std::size_t RateTask::HeldSlots() const {
-  return this->lease == nullptr ? 0 : this->lease->HeldSlots(Now()).size();
+  return this->lease == nullptr
+             ? 0
+             : this->lease->HeldSlots(common::SteadyNow()).size();
 }
 
 void RateTask::OnTick() {
-  if (this->lease == nullptr || Now() < this->take_from) return;
-  this->Perform(this->lease->Tick(Now()));
+  if (this->lease == nullptr || common::SteadyNow() < this->take_from) return;
+  this->Perform(this->lease->Tick(common::SteadyNow()));
   if (this->drain_done && this->lease->Drained()) this->FinishDrain();
 }
 
@@ -146,7 +145,7 @@
 }
 
 void RateTask::Perform(const ReadSlots& /*action*/) {
-  const common::SteadyTime sent = Now();
+  const common::SteadyTime sent = common::SteadyNow();
   this->store->Read(
       "rates/" + this->domain.Value(),
       [this, sent,
@@ -155,9 +154,10 @@
         if (asking != this->lease.get()) return;
         const auto* object = std::get_if<connection::StoredObject>(&result);
         const SlotActions actions =
-            object == nullptr ? this->lease->OnReadFailed(Now())
-                              : this->lease->OnRead(object->version,
-                                                    object->value, sent, Now());
+            object == nullptr
+                ? this->lease->OnReadFailed(common::SteadyNow())
+                : this->lease->OnRead(object->version, object->value, sent,
+                                      common::SteadyNow());
         const bool updates =
             std::any_of(actions.begin(), actions.end(), [](const auto& action) {
               return std::holds_alternative<UpdateSlots>(action);
@@ -177,37 +177,38 @@
         this->Perform(std::visit(
             common::Overloaded{
                 [this](const connection::ObjectWritten& written) {
-                  return this->lease->OnUpdated(written.version, Now());
+                  return this->lease->OnUpdated(written.version,
+                                                common::SteadyNow());
                 },
                 [this](const connection::ObjectConflict& /*conflict*/) {
-                  return this->lease->OnUpdateConflicted(Now());
+                  return this->lease->OnUpdateConflicted(common::SteadyNow());
                 },
                 [this](const connection::StoreNoAnswer& /*none*/) {
-                  return this->lease->OnUpdateAnswerLost(Now());
+                  return this->lease->OnUpdateAnswerLost(common::SteadyNow());
                 }},
             result));
       });
 }
 
 void RateTask::Perform(const UseSlot& action) {
-  this->events->Record(WallNow(), common::Subsystem::kProcess,
+  this->events->Record(common::WallNow(), common::Subsystem::kProcess,
                        "rate_slot_taken", {{"slot", action.slot}});
   for (const auto& [id, share] : this->shares) {
-    share->AddSlot(action.slot, action.lease_end, Now());
+    share->AddSlot(action.slot, action.lease_end, common::SteadyNow());
   }
 }
 
 void RateTask::Perform(const ExtendSlot& action) {
   for (const auto& [id, share] : this->shares) {
-    share->RenewSlot(action.slot, action.lease_end, Now());
+    share->RenewSlot(action.slot, action.lease_end, common::SteadyNow());
   }
 }
 
 void RateTask::Perform(const StopSlot& action) {
-  this->events->Record(WallNow(), common::Subsystem::kProcess,
+  this->events->Record(common::WallNow(), common::Subsystem::kProcess,
                        "rate_slot_stopped", {{"slot", action.slot}});
   for (const auto& [id, share] : this->shares) {
-    share->RemoveSlot(action.slot, Now());
+    share->RemoveSlot(action.slot, common::SteadyNow());
   }
 }
 
@@ -218,7 +219,7 @@
 
 void RateTask::BorrowIfNeeded(const common::WorkspaceId& workspace,
                               RateShare* share) {
-  const common::SteadyTime asked_at = Now();
+  const common::SteadyTime asked_at = common::SteadyNow();
   LenderChoice& choice = this->lender_choices[workspace];
   if (this->lenders.empty()) return;
   const std::optional<BorrowRequest> wanted = share->NextBorrow(asked_at);
@@ -241,9 +242,10 @@
   const RateLoan loan{static_cast<Millitokens>(answer.rate),
                       static_cast<Millitokens>(answer.capacity),
                       static_cast<Millitokens>(answer.level), answer.length};
-  this->lender_choices[workspace].OnAnswer(lender, loan, Now());
+  this->lender_choices[workspace].OnAnswer(lender, loan, common::SteadyNow());
   RateShare* borrower = this->ShareOf(workspace);
-  if (borrower != nullptr) borrower->Borrow(asked_at, loan, Now());
+  if (borrower != nullptr)
+    borrower->Borrow(asked_at, loan, common::SteadyNow());
 }
 
 void RateTask::FinishDrain() {
--- a/Source/Core/Process/request_task.cc
+++ b/Source/Core/Process/request_task.cc
@@ -12,8 +12,6 @@
 constexpr std::chrono::milliseconds kMinTokenWait(1);
 constexpr std::chrono::milliseconds kTokenCheckInterval(20);
 
-common::SteadyTime Now() { return std::chrono::steady_clock::now(); }
-
 }  // namespace
 
 RequestTask::RequestTask(RequestContext* context, request::RequestRecord record,
@@ -30,7 +28,8 @@
     this->Finish(request::NotRun{*refusal, std::nullopt});
     return;
   }
-  this->token_deadline = std::min(this->record.deadline, Now() + kMaxTokenWait);
+  this->token_deadline =
+      std::min(this->record.deadline, common::SteadyNow() + kMaxTokenWait);
   this->TakeToken(Attempt::kFirst);
 }
 
@@ -110,7 +109,7 @@
   // is used up.
   const common::Duration wait = std::clamp<common::Duration>(
       refused->retry_after, kMinTokenWait, kTokenCheckInterval);
-  if (Now() + wait >= this->token_deadline) {
+  if (common::SteadyNow() + wait >= this->token_deadline) {
     this->Finish(request::NotRun{request::NotRunReason::kRateExceeded,
                                  refused->retry_after});
     return;
@@ -140,7 +139,8 @@
 }
 
 request::RetryBudget& RequestTask::Budget() {
-  return this->context->retry_budgets.try_emplace(this->record.route, Now())
+  return this->context->retry_budgets
+      .try_emplace(this->record.route, common::SteadyNow())
       .first->second;
 }
 
@@ -189,12 +189,14 @@
                                              this->call.max_age};
   const request::ReadRouter reads(this->Home());
   const std::uint64_t spread = this->context->random();
-  this->candidates = reads.Candidates(endpoints, requirement, spread, Now());
+  this->candidates =
+      reads.Candidates(endpoints, requirement, spread, common::SteadyNow());
   this->next_candidate = 0;
   if (!this->candidates.empty()) return;
   // Nothing is believed reachable; asking costs less than refusing.
   for (request::ReadEndpoint& endpoint : endpoints) endpoint.reachable = true;
-  this->candidates = reads.Candidates(endpoints, requirement, spread, Now());
+  this->candidates =
+      reads.Candidates(endpoints, requirement, spread, common::SteadyNow());
 }
 
 request::ReadHome RequestTask::Home() const {
@@ -224,7 +226,7 @@
       this->context->endpoints.Find(endpoint.id);
   described.position = known.position;
   described.position_learned = known.learned;
-  described.reachable = known.avoid_until <= Now();
+  described.reachable = known.avoid_until <= common::SteadyNow();
   return described;
 }
 
@@ -232,8 +234,8 @@
   this->LearnFrom(reply);
   const double jitter =
       std::uniform_real_distribution<>(0, 1)(this->context->random);
-  request::RetryDecision decision =
-      this->policy->Decide(reply.outcome, Now(), jitter, this->Budget());
+  request::RetryDecision decision = this->policy->Decide(
+      reply.outcome, common::SteadyNow(), jitter, this->Budget());
   if (const auto* retry = std::get_if<request::RetryAfter>(&decision)) {
     this->context->counters->Add("request_retries");
     this->context->loop->RunLater(
@@ -245,7 +247,8 @@
 }
 
 void RequestTask::LearnFrom(const connection::StatementReply& reply) {
-  this->context->endpoints.Learn(this->call.endpoint, reply, Now());
+  this->context->endpoints.Learn(this->call.endpoint, reply,
+                                 common::SteadyNow());
   if (!reply.primary.endpoint.Empty()) {
     this->context->primaries->Learn(this->service_id, reply.primary);
     return;
--- a/Source/Core/Process/statement_router.cc
+++ b/Source/Core/Process/statement_router.cc
@@ -4,12 +4,6 @@
 
 namespace camphorferry::process {
 
-namespace {
-
-common::SteadyTime Now() { return std::chrono::steady_clock::now(); }
-
-}  // namespace
-
 StatementRouter::StatementRouter(connection::EventLoop* loop,
                                  common::HostId self,
                                  const Membership* membership, PeerLink* peers,
@@ -47,7 +41,7 @@
     return;
   }
   this->counters->Add("statements_forwarded");
-  this->peers->Execute(owner_host, call, Now(), std::move(done));
+  this->peers->Execute(owner_host, call, common::SteadyNow(), std::move(done));
 }
 
 void StatementRouter::Confirm(const common::EndpointId& endpoint,
@@ -72,7 +66,8 @@
     const common::EndpointId& endpoint) const {
   const auto domain = this->endpoint_domains.find(endpoint);
   if (domain == this->endpoint_domains.end()) return common::HostId();
-  return this->membership->OwnerOf(endpoint, domain->second, Now())
+  return this->membership
+      ->OwnerOf(endpoint, domain->second, common::SteadyNow())
       .value_or(common::HostId());
 }
 
--- a/Source/Load/load_run.cc
+++ b/Source/Load/load_run.cc
@@ -16,7 +16,7 @@
 }
 
 void LoadRun::Run() {
-  this->context.start = std::chrono::steady_clock::now();
+  this->context.start = common::SteadyNow();
   this->context.end = this->context.start + this->plan.length;
   for (const WorkspaceLoad& workspace : this->plan.workspaces) {
     for (std::uint32_t i = 0; i < workspace.sessions; ++i) {
--- a/Source/Load/session_worker.cc
+++ b/Source/Load/session_worker.cc
@@ -20,8 +20,6 @@
 constexpr int kMaxConnectAttempts = 16;
 constexpr std::uint32_t kScanLimit = 1000;
 
-common::SteadyTime Now() { return std::chrono::steady_clock::now(); }
-
 json BalanceRead(const std::string& account) {
   return {{{"op", "get"}, {"table", "balance"}, {"key", account}},
           {{"op", "get"}, {"table", "owner"}, {"key", account}}};
@@ -57,7 +55,7 @@
 }
 
 void SessionWorker::ScheduleNext() {
-  const common::SteadyTime now = Now();
+  const common::SteadyTime now = common::SteadyNow();
   if (std::max(now, this->next_due) >= this->context->end) {
     this->finished = true;
     return;
@@ -73,8 +71,8 @@
   // A session that fell behind does not catch up in a burst of its own.
   this->next_due = std::max(
       this->next_due + std::chrono::duration_cast<common::Duration>(interval),
-      Now());
-  this->request_start = Now();
+      common::SteadyNow());
+  this->request_start = common::SteadyNow();
   ++this->counts->asked;
   if (this->next_write == 1 || this->Chance(this->context->plan->write_share)) {
     this->StartWrite();
@@ -116,7 +114,7 @@
   this->write_unsettled = false;
   if (this->write_keyed) {
     const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(
-        std::chrono::system_clock::now().time_since_epoch());
+        common::WallNow().time_since_epoch());
     this->write.headers["Idempotency-Key"] =
         std::to_string(seconds.count()) + "-" +
         common::Sha256Hex(this->account + "/" + std::to_string(number))
@@ -149,7 +147,8 @@
     return;
   }
   if (!not_sent && outcome != "not_run") this->write_unsettled = true;
-  const bool in_time = Now() < this->request_start + kSettleTimeout;
+  const bool in_time =
+      common::SteadyNow() < this->request_start + kSettleTimeout;
   const bool may_repeat = this->write_keyed || not_sent;
   if (may_repeat && in_time) {
     this->context->loop->RunLater(kRetryPause, [this] { this->SendWrite(); });
@@ -162,7 +161,7 @@
 
 void SessionWorker::EndWrite(WriteEnd end) {
   this->context->ledger->Record(this->account, this->next_write++, end);
-  const common::SteadyTime now = Now();
+  const common::SteadyTime now = common::SteadyNow();
   if (end == WriteEnd::kAcknowledged) {
     ++this->counts->served;
     this->counts->admitted.push_back(now);
@@ -188,8 +187,9 @@
   if (aged) this->session = before;
   if (body.value("outcome", std::string()) == "done") {
     ++this->counts->served;
-    this->counts->admitted.push_back(Now());
-    this->context->statistics->reads.Record(Now() - this->request_start);
+    this->counts->admitted.push_back(common::SteadyNow());
+    this->context->statistics->reads.Record(common::SteadyNow() -
+                                            this->request_start);
     this->CheckRead(aged, body);
   } else {
     this->CountOutcome(body);
