--- a/Source/Core/Process/rate_task.cc
+++ b/Source/Core/Process/rate_task.cc
@@ -244,8 +244,8 @@
                       static_cast<Millitokens>(answer.level), answer.length};
   this->lender_choices[workspace].OnAnswer(lender, loan, common::SteadyNow());
   RateShare* borrower = this->ShareOf(workspace);
-  if (borrower != nullptr)
-    borrower->Borrow(asked_at, loan, common::SteadyNow());
+  if (borrower == nullptr) return;
+  borrower->Borrow(asked_at, loan, common::SteadyNow());
 }
 
 void RateTask::FinishDrain() {
