--- a/Source/Core/Connection/http_client.cc
+++ b/Source/Core/Connection/http_client.cc
@@ -100,15 +100,8 @@
   std::shared_ptr<State>* context = nullptr;
   std::unique_ptr<Timer> timeout;
   bool usable = true;
-  bool connected = false;
 };
 
-namespace {
-
-using StatePointer = std::weak_ptr<HttpClientConnection>;
-
-}  // namespace
-
 HttpClientConnection::HttpClientConnection(EventLoop* loop,
                                            SocketAddress address)
     : state(std::make_shared<State>(loop, std::move(address))) {
--- a/Source/Core/Process/failover_task.cc
+++ b/Source/Core/Process/failover_task.cc
@@ -97,6 +97,23 @@
   }
 }
 
+template <typename Reply, typename Failed, typename Action>
+std::function<void(const FailoverTask::AcceptedResult&)> FailoverTask::Reporter(
+    const Action& action,
+    const std::shared_ptr<connection::HttpEndpointLink>& link) {
+  return
+      [this, action, link, alive = this->alive](const AcceptedResult& result) {
+        if (!*alive) return;
+        const auto* reply = std::get_if<connection::ControlAccepted>(&result);
+        if (reply == nullptr) {
+          this->Handle(Failed{action.endpoint, action.request});
+          return;
+        }
+        this->Handle(Reply{action.endpoint, action.request, action.term,
+                           reply->accepted});
+      };
+}
+
 void FailoverTask::Perform(const SendStatus& action) {
   Member& member = this->members.at(action.endpoint);
   const bool reusable = member.status_link != nullptr &&
@@ -152,40 +169,17 @@
                         {"endpoint", action.endpoint},
                         {"term", action.term}});
   const auto link = this->NewLink(action.endpoint);
-  link->Promote(
-      action.term, this->coordinator.Proposer(), kControlTimeout,
-      [this, action, link, alive = this->alive](
-          const connection::ControlResult<connection::ControlAccepted>&
-              result) {
-        if (!*alive) return;
-        const auto* reply = std::get_if<connection::ControlAccepted>(&result);
-        if (reply == nullptr) {
-          this->Handle(PromoteFailed{action.endpoint, action.request});
-          return;
-        }
-        this->Handle(PromoteReply{action.endpoint, action.request, action.term,
-                                  reply->accepted});
-      });
+  link->Promote(action.term, this->coordinator.Proposer(), kControlTimeout,
+                this->Reporter<PromoteReply, PromoteFailed>(action, link));
 }
 
 void FailoverTask::Perform(const SendFollow& action) {
   const auto link = this->NewLink(action.endpoint);
   const std::string primary =
       connection::ToString(this->members.at(action.primary).address);
-  link->Follow(
-      action.term, this->coordinator.Proposer(), primary, kControlTimeout,
-      [this, action, link, alive = this->alive](
-          const connection::ControlResult<connection::ControlAccepted>&
-              result) {
-        if (!*alive) return;
-        const auto* reply = std::get_if<connection::ControlAccepted>(&result);
-        if (reply == nullptr) {
-          this->Handle(FollowFailed{action.endpoint, action.request});
-          return;
-        }
-        this->Handle(FollowReply{action.endpoint, action.request, action.term,
-                                 reply->accepted});
-      });
+  link->Follow(action.term, this->coordinator.Proposer(), primary,
+               kControlTimeout,
+               this->Reporter<FollowReply, FollowFailed>(action, link));
 }
 
 void FailoverTask::Perform(const AnnouncePrimary& action) {
--- a/Source/Core/Process/failover_task.h
+++ b/Source/Core/Process/failover_task.h
@@ -1,6 +1,7 @@
 #ifndef CAMPHORFERRY_PROCESS_FAILOVER_TASK_H_
 #define CAMPHORFERRY_PROCESS_FAILOVER_TASK_H_
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -40,6 +41,8 @@
   bool MayConfirm() const;
 
  private:
+  using AcceptedResult = connection::ControlResult<connection::ControlAccepted>;
+
   struct Member {
     connection::SocketAddress address;
     /// Kept between status polls.
@@ -52,6 +55,12 @@
   void Perform(const SendPromote& action);
   void Perform(const SendFollow& action);
   void Perform(const AnnouncePrimary& action);
+  /// Callback that turns the result of a promote or follow call into the
+  /// coordinator's event; it keeps the link open until then.
+  template <typename Reply, typename Failed, typename Action>
+  std::function<void(const AcceptedResult&)> Reporter(
+      const Action& action,
+      const std::shared_ptr<connection::HttpEndpointLink>& link);
   std::shared_ptr<connection::HttpEndpointLink> NewLink(
       const common::EndpointId& endpoint);
 
