Process: Remove an unused deadline from the drain

The wait for idle connections was meant to use it, but that edit never reached StopWhenIdle, so the constant and the member were set and not read. The release of rate slots keeps a drain open for about 5 s; a daemon that holds no slot may still close an idle connection while a request is on its way.

--- a/Source/Core/Process/daemon.cc
+++ b/Source/Core/Process/daemon.cc
@@ -16,8 +16,6 @@
 /// A slot is released 5.05 s after its last use, when no loan from it can run.
 constexpr std::chrono::seconds kSlotReleaseLimit(10);
 constexpr std::chrono::milliseconds kIdleCheckInterval(20);
-/// How long a shutdown waits for clients to use or close idle connections.
-constexpr std::chrono::seconds kIdleConnectionGrace(3);
 
 std::uint64_t NewIncarnation() {
   std::random_device device;
@@ -251,7 +249,6 @@
   // The load balancer needs this time to notice that the daemon is not ready.
   this->drain_timer = this->loop.After(this->settings.shutdown_notice, [this] {
     this->clients->StopListening();
-    this->quiet_deadline = common::SteadyNow() + kIdleConnectionGrace;
     this->rates.Drain(kSlotReleaseLimit, [this] { this->FinishDrain(); });
   });
 }
--- a/Source/Core/Process/daemon.h
+++ b/Source/Core/Process/daemon.h
@@ -78,7 +78,6 @@
   /// Live daemons at the last update of ownership.
   std::set<common::HostId> live_hosts;
   common::SteadyTime drain_deadline;
-  common::SteadyTime quiet_deadline;
   std::unique_ptr<connection::Timer> drain_timer;
 };
 
