--- /dev/null
+++ b/Source/UnitTests/Platform/proxy_fixture.h
@@ -0,0 +1,194 @@
+#ifndef CAMPHORFERRY_UNIT_TESTS_PLATFORM_PROXY_FIXTURE_H_
+#define CAMPHORFERRY_UNIT_TESTS_PLATFORM_PROXY_FIXTURE_H_
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "fake_database.h"
+#include "fake_platform.h"
+#include "test_clients.h"
+#include "wire_format.h"
+
+namespace camphorferry::platform {
+
+/// Below the longest message.
+constexpr std::size_t kBigRowBytes = 900 * 1024;
+
+/// A proxy before one group of fake databases, with a fake platform.
+class ProxyTest : public testing::Test {
+ protected:
+  ProxyTest() {
+    this->p.primary = true;
+    this->p.on_commit = [this] { this->Replicate(); };
+    session::ProxySettings settings;
+    settings.place.host = common::HostId("own");
+    settings.place.domain = common::FailureDomainId("zone");
+    settings.clients = {"127.0.0.1", 0};
+    settings.readiness = {"127.0.0.1", 0};
+    settings.readiness_path = "/ready";
+    settings.peers = {"127.0.0.1", 0};
+    settings.rate_tolerance = {0.1, 20};
+    settings.stop_grace = std::chrono::seconds(4);
+    this->proxy = std::make_unique<session::Proxy>(&this->loop, &this->format,
+                                                   &this->platform, settings);
+    this->Configure(1);
+    this->PublishMembers();
+    this->Answer(session::DirectoryKind::kHosts, {});
+  }
+
+  ~ProxyTest() override { this->RunFor(std::chrono::milliseconds(1)); }
+
+  void RunFor(common::Duration time) {
+    const auto timer = this->loop.After(time, [this] { this->loop.Stop(); });
+    this->loop.Run();
+  }
+
+  /// Replicas that receive take over the primary's log.
+  void Replicate() {
+    for (FakeDatabase* replica : {&this->a, &this->b}) {
+      if (replica->held == 0) replica->position = this->p.position;
+    }
+  }
+
+  void Answer(session::DirectoryKind kind,
+              std::vector<session::DirectoryChange> changes) {
+    const std::uint64_t revision = ++this->directory_revision;
+    auto& lists = this->platform.lists[kind];
+    if (!lists.empty()) {
+      auto done = std::move(lists.front());
+      lists.pop_front();
+      done(session::DirectoryChanges{std::move(changes), revision});
+      return;
+    }
+    // A feed pauses between a watch with changes and the next.
+    while (this->platform.watches[kind].empty())
+      this->RunFor(std::chrono::milliseconds(5));
+    auto call = std::move(this->platform.watches[kind].front());
+    this->platform.watches[kind].pop_front();
+    call.done(session::DirectoryChanges{std::move(changes), revision});
+  }
+
+  static session::DatabaseRoute Route(session::ReadGuarantee guarantee) {
+    session::DatabaseRoute route;
+    route.service = common::ServiceId("svc");
+    route.guarantee = guarantee;
+    route.max_staleness = std::chrono::milliseconds(1500);
+    route.statement_timeout = std::chrono::milliseconds(300);
+    route.latency_objective = std::chrono::milliseconds(400);
+    return route;
+  }
+
+  static std::shared_ptr<const session::DirectoryConfiguration>
+  MakeConfiguration(std::uint64_t version, bool with_key,
+                    session::WorkspaceRate rate = {100000, 100000},
+                    std::uint32_t max_connections = 16) {
+    auto configuration = std::make_shared<session::DirectoryConfiguration>();
+    configuration->version = version;
+    configuration->routes["latest"] = Route(session::ReadGuarantee::kLatest);
+    configuration->routes["bounded"] =
+        Route(session::ReadGuarantee::kBoundedStaleness);
+    configuration->routes["own"] =
+        Route(session::ReadGuarantee::kReadYourWrites);
+    configuration->services[common::ServiceId("svc")].max_connections =
+        max_connections;
+    configuration->workspaces[common::WorkspaceId("tenant")] = rate;
+    if (with_key) {
+      configuration->workspace_of_key["key"] = common::WorkspaceId("tenant");
+    }
+    configuration->transaction_idle_limit = std::chrono::milliseconds(400);
+    return configuration;
+  }
+
+  void Configure(std::uint64_t version, bool with_key = true,
+                 session::WorkspaceRate rate = {100000, 100000},
+                 std::uint32_t max_connections = 16) {
+    this->Answer(
+        session::DirectoryKind::kConfiguration,
+        {{"main", ++this->directory_revision, false,
+          MakeConfiguration(version, with_key, rate, max_connections), ""}});
+  }
+
+  void PublishMembers() {
+    std::vector<session::DirectoryChange> changes;
+    for (FakeDatabase* database : {&this->p, &this->a, &this->b}) {
+      const session::GroupMember entry = database->Entry();
+      changes.push_back(
+          {entry.id.Value(), ++this->directory_revision, false, entry, ""});
+    }
+    this->Answer(session::DirectoryKind::kMembers, std::move(changes));
+  }
+
+  std::unique_ptr<TestClient> Connect(const std::string& database) {
+    auto client =
+        std::make_unique<TestClient>(&this->loop, this->proxy->ClientPort());
+    client->Ask("STARTUP " + database + " key");
+    return client;
+  }
+
+  /// Writes again after each refusal, as a client does; the last answer.
+  std::vector<std::string> WriteUntilDone(TestClient* client) {
+    std::vector<std::string> answer;
+    constexpr int kAttempts = 40;
+    for (int attempt = 0; attempt < kAttempts; ++attempt) {
+      answer =
+          client->Ask("QUERY " + std::to_string(attempt + 2) + " WRITE x z");
+      if (Has(answer, "COMPLETE")) break;
+      this->RunFor(std::chrono::milliseconds(100));
+    }
+    return answer;
+  }
+
+  std::vector<RunStatement> AllRun() const {
+    std::vector<RunStatement> all;
+    for (const FakeDatabase* database : {&this->p, &this->a, &this->b}) {
+      all.insert(all.end(), database->ran.begin(), database->ran.end());
+    }
+    return all;
+  }
+
+  /// Statements that have run; one may run again where its answer was late.
+  std::set<std::string> RunIds() const {
+    std::set<std::string> ids;
+    for (const RunStatement& statement : this->AllRun()) {
+      ids.insert(statement.id);
+    }
+    return ids;
+  }
+
+  /// Opens a session and asks for long rows without waiting for answers.
+  void SendBigReads(const SlowClient& client, std::size_t count) {
+    for (FakeDatabase* database : {&this->p, &this->a, &this->b}) {
+      database->log.push_back({"0", "big", std::string(kBigRowBytes, 'x')});
+    }
+    client.Send("STARTUP latest key");
+    this->RunFor(std::chrono::milliseconds(50));
+    for (std::size_t id = 1; id <= count; ++id) {
+      client.Send("QUERY " + std::to_string(id) + " READ big");
+    }
+  }
+
+  static bool Has(const std::vector<std::string>& lines,
+                  const std::string& start) {
+    return std::any_of(
+        lines.begin(), lines.end(),
+        [&](const std::string& line) { return line.starts_with(start); });
+  }
+
+  connection::EventLoop loop;
+  WireFormat format;
+  session::FakePlatform platform;
+  FakeDatabase p{&this->loop, "svc", "p"};
+  FakeDatabase a{&this->loop, "svc", "a"};
+  FakeDatabase b{&this->loop, "svc", "b"};
+  std::uint64_t directory_revision = 1;
+  std::unique_ptr<session::Proxy> proxy;
+};
+
+}  // namespace camphorferry::platform
+
+#endif  // CAMPHORFERRY_UNIT_TESTS_PLATFORM_PROXY_FIXTURE_H_
