Session: Histograms of channel waits, proof rounds and promotion phases

Cause: the metrics timed answers only, so a slow request could not be put down to a lack of channels, a missing proof or a promotion.

--- a/Source/Core/Session/endpoint_pool.cc
+++ b/Source/Core/Session/endpoint_pool.cc
@@ -57,12 +57,12 @@
 
 EndpointPool::EndpointPool(connection::EventLoop* loop, const WireCodec* codec,
                            GroupMember member, std::string own_name,
-                           ReachabilityObserver observer)
+                           PoolObservers observers)
     : loop(loop),
       codec(codec),
       member(std::move(member)),
       own_name(std::move(own_name)),
-      observer(std::move(observer)) {}
+      observers(std::move(observers)) {}
 
 EndpointPool::~EndpointPool() {
   *this->alive = false;
@@ -85,8 +85,12 @@
 }
 
 void EndpointPool::Cancel(DemandId id) {
-  this->waiting.remove_if(
-      [id](const Waiter& waiter) { return waiter.id == id; });
+  const auto found =
+      std::find_if(this->waiting.begin(), this->waiting.end(),
+                   [id](const Waiter& waiter) { return waiter.id == id; });
+  if (found == this->waiting.end()) return;
+  this->observers.waited(common::SteadyNow() - found->since);
+  this->waiting.erase(found);
 }
 
 void EndpointPool::Release(const std::shared_ptr<EndpointChannel>& channel) {
@@ -189,6 +193,7 @@
       std::shared_ptr<EndpointChannel> channel = this->TakeIdle(it->demand);
       if (channel != nullptr) {
         const auto done = std::move(it->demand.done);
+        this->observers.waited(common::SteadyNow() - it->since);
         this->waiting.erase(it);
         ++this->leased;
         done(channel);
@@ -252,7 +257,7 @@
                             const OpenResult& result) {
   const auto channel = TakeFrom(&this->opening, opened);
   if (std::holds_alternative<ChannelOpened>(result)) {
-    this->observer(true);
+    this->observers.reached(true);
     if (this->closed) {
       channel->Close();
       return;
@@ -270,7 +275,7 @@
   // An endpoint that is full may also close a connection it has accepted.
   const bool full = lost != nullptr && !lost->silent && lost->connected;
   if (error != nullptr || full) {
-    this->observer(true);
+    this->observers.reached(true);
     if (error != nullptr && error->code == Refusal::kWrongEndpoint) {
       this->FailAll(PoolFailure::kWrongEndpoint);
       return;
@@ -279,14 +284,16 @@
     this->RetryAfter(kFullBackoff);
     return;
   }
-  this->observer(false);
+  this->observers.reached(false);
   this->FailAll(PoolFailure::kUnreachable);
 }
 
 void EndpointPool::FailAll(PoolFailure failure) {
   const std::list<Waiter> failed = std::exchange(this->waiting, {});
   const auto still_alive = this->alive;
+  const common::SteadyTime now = common::SteadyNow();
   for (const Waiter& waiter : failed) {
+    this->observers.waited(now - waiter.since);
     waiter.demand.done(failure);
     if (!*still_alive) return;
   }
--- a/Source/Core/Session/endpoint_pool.h
+++ b/Source/Core/Session/endpoint_pool.h
@@ -51,6 +51,15 @@
 /// channel when they need it and close it soon after.
 ChannelLimits DivideChannels(std::size_t connections, std::size_t fleet);
 
+/// Hears what a pool meets.
+struct PoolObservers {
+  /// Called with true for each connection that the endpoint answers and with
+  /// false for each that it does not.
+  std::function<void(bool reached)> reached;
+  /// Called with the time that each demand has waited, granted or not.
+  std::function<void(common::Duration wait)> waited;
+};
+
 /// Identifies a waiting demand.
 using DemandId = std::uint64_t;
 
@@ -60,13 +69,9 @@
 /// shared pointer.
 class EndpointPool : public std::enable_shared_from_this<EndpointPool> {
  public:
-  /// Called with true for each answer of the endpoint and with false for each
-  /// failure to get one.
-  using ReachabilityObserver = std::function<void(bool reached)>;
-
   EndpointPool(connection::EventLoop* loop, const WireCodec* codec,
                GroupMember member, std::string own_name,
-               ReachabilityObserver observer);
+               PoolObservers observers);
   ~EndpointPool();
   EndpointPool(const EndpointPool&) = delete;
   EndpointPool& operator=(const EndpointPool&) = delete;
@@ -135,7 +140,7 @@
   const WireCodec* codec;
   GroupMember member;
   std::string own_name;
-  ReachabilityObserver observer;
+  PoolObservers observers;
   ChannelLimits limits;
   std::size_t leased = 0;
   /// Channels that are being opened, and those with a rollback under way. The
--- a/Source/Core/Session/promotion_task.cc
+++ b/Source/Core/Session/promotion_task.cc
@@ -29,6 +29,7 @@
 void PromotionTask::Start(ReplaceReason reason, common::SteadyTime now) {
   if (this->running || now < this->next_start) return;
   this->running = true;
+  this->phase_began = now;
   std::uniform_int_distribution<int> spread(0,
                                             static_cast<int>(kSpread.count()));
   this->context.loop->RunLater(
@@ -53,6 +54,7 @@
 
 void PromotionTask::Begin(ReplaceReason reason) {
   const common::SteadyTime now = common::SteadyNow();
+  this->EndPhase("duty");
   if (!this->group.still_needed()) {
     this->End({false, "not_needed"});
     return;
@@ -142,6 +144,7 @@
 }
 
 void PromotionTask::Order(const OrderPromotion& order) {
+  this->EndPhase("fence");
   this->context.duty->Confirm([this, still_alive = this->alive,
                                current = this->plan, order](
                                   const std::optional<PromotionDuty>& duty) {
@@ -165,6 +168,16 @@
   });
 }
 
+void PromotionTask::EndPhase(const std::string& phase) {
+  const common::SteadyTime now = common::SteadyNow();
+  this->context.metrics->Observe(
+      "promotion_phase_seconds",
+      "Time that a promotion of this daemon spent getting the duty, holding "
+      "the members, and until the new primary leads.",
+      "phase", phase, now - this->phase_began);
+  this->phase_began = now;
+}
+
 void PromotionTask::End(const PromotionFinished& finished) {
   common::Log(
       Subsystem::kConnection, LogLevel::kWarning, "promotion_ended",
@@ -175,6 +188,7 @@
   this->context.metrics->Count("promotions",
                                "Promotions of this daemon by how they ended.",
                                "result", finished.reason);
+  if (finished.promoted) this->EndPhase("promote");
   this->plan.reset();
   this->running = false;
   this->context.duty->Release();
--- a/Source/Core/Session/promotion_task.h
+++ b/Source/Core/Session/promotion_task.h
@@ -56,6 +56,8 @@
   void ResumeAndEnd(const std::vector<common::EndpointId>& held,
                     const PromotionFinished& finished);
   void End(const PromotionFinished& finished);
+  /// Records how long a phase took that ends now; the next one begins.
+  void EndPhase(const std::string& phase);
 
   GroupContext context;
   common::ServiceId service;
@@ -63,6 +65,7 @@
   bool running = false;
   std::shared_ptr<PromotionPlan> plan;
   common::SteadyTime next_start;
+  common::SteadyTime phase_began;
   std::mt19937_64 random;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
--- a/Source/Core/Session/proxy_metrics.cc
+++ b/Source/Core/Session/proxy_metrics.cc
@@ -27,16 +27,26 @@
   const std::string outcome =
       code.has_value() ? session::ToString(*code) : "done";
   ++this->answers[{route, outcome}];
-  Histogram& histogram = this->latencies[route];
-  const std::int64_t milliseconds = common::ToMilliseconds(age).count();
+  this->Observe("answer_seconds", "Time from a statement to its answer.",
+                "route", route, age);
+}
+
+void ProxyMetrics::Observe(const std::string& name, const std::string& help,
+                           const std::string& label, const std::string& value,
+                           common::Duration duration) {
+  Histogram& histogram = this->histograms[name];
+  histogram.help = help;
+  histogram.label = label;
+  Distribution& distribution = histogram.distributions[value];
+  const std::int64_t milliseconds = common::ToMilliseconds(duration).count();
   std::size_t bucket = 0;
   while (bucket < kBucketBounds.size() &&
          milliseconds > kBucketBounds[bucket]) {
     ++bucket;
   }
-  ++histogram.buckets[bucket];
-  ++histogram.count;
-  histogram.sum_seconds += std::chrono::duration<double>(age).count();
+  ++distribution.buckets[bucket];
+  ++distribution.count;
+  distribution.sum_seconds += std::chrono::duration<double>(duration).count();
 }
 
 void ProxyMetrics::Count(const std::string& name, const std::string& help,
@@ -52,6 +62,29 @@
   this->gauges[name] = Gauge{help, value};
 }
 
+void ProxyMetrics::Write(std::ostream& text, const std::string& name,
+                         const Histogram& histogram) {
+  constexpr double kMillisecondsPerSecond = 1000.0;
+  const std::string series = "camphorferry_" + name;
+  text << "# HELP " << series << " " << histogram.help << "\n"
+       << "# TYPE " << series << " histogram\n";
+  for (const auto& [value, distribution] : histogram.distributions) {
+    const std::string labels = histogram.label + "=\"" + value + "\"";
+    std::uint64_t below = 0;
+    for (std::size_t i = 0; i < kBucketBounds.size(); ++i) {
+      below += distribution.buckets[i];
+      text << series << "_bucket{" << labels << ",le=\""
+           << static_cast<double>(kBucketBounds[i]) / kMillisecondsPerSecond
+           << "\"} " << below << "\n";
+    }
+    text << series << "_bucket{" << labels << ",le=\"+Inf\"} "
+         << distribution.count << "\n"
+         << series << "_sum{" << labels << "} " << distribution.sum_seconds
+         << "\n"
+         << series << "_count{" << labels << "} " << distribution.count << "\n";
+  }
+}
+
 std::string ProxyMetrics::ToText() const {
   std::ostringstream text;
   text << "# HELP camphorferry_answers_total Answers to clients.\n"
@@ -60,25 +93,8 @@
     text << "camphorferry_answers_total{route=\"" << labels.first
          << "\",outcome=\"" << labels.second << "\"} " << count << "\n";
   }
-  text << "# HELP camphorferry_answer_seconds Time from a statement to its "
-          "answer.\n"
-       << "# TYPE camphorferry_answer_seconds histogram\n";
-  constexpr double kMillisecondsPerSecond = 1000.0;
-  for (const auto& [route, histogram] : this->latencies) {
-    std::uint64_t below = 0;
-    for (std::size_t i = 0; i < kBucketBounds.size(); ++i) {
-      below += histogram.buckets[i];
-      text << "camphorferry_answer_seconds_bucket{route=\"" << route
-           << "\",le=\""
-           << static_cast<double>(kBucketBounds[i]) / kMillisecondsPerSecond
-           << "\"} " << below << "\n";
-    }
-    text << "camphorferry_answer_seconds_bucket{route=\"" << route
-         << "\",le=\"+Inf\"} " << histogram.count << "\n"
-         << "camphorferry_answer_seconds_sum{route=\"" << route << "\"} "
-         << histogram.sum_seconds << "\n"
-         << "camphorferry_answer_seconds_count{route=\"" << route << "\"} "
-         << histogram.count << "\n";
+  for (const auto& [name, histogram] : this->histograms) {
+    Write(text, name, histogram);
   }
   for (const auto& [name, counter] : this->counters) {
     text << "# HELP camphorferry_" << name << "_total " << counter.help << "\n"
--- a/Source/Core/Session/proxy_metrics.h
+++ b/Source/Core/Session/proxy_metrics.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <ostream>
 #include <string>
 
 #include "Session/directory.h"
@@ -24,6 +25,11 @@
   void Count(const std::string& name, const std::string& help,
              const std::string& label, const std::string& value);
 
+  /// Records how long something took in the histogram NAME under one label.
+  void Observe(const std::string& name, const std::string& help,
+               const std::string& label, const std::string& value,
+               common::Duration duration);
+
   /// Sets a value that states the present.
   void SetGauge(const std::string& name, const std::string& help,
                 std::int64_t value);
@@ -37,12 +43,18 @@
   static constexpr std::array<std::int64_t, 10> kBucketBounds = {
       5, 10, 25, 50, 100, 250, 600, 1000, 1500, 5000};
 
-  struct Histogram {
+  struct Distribution {
     std::array<std::uint64_t, kBucketBounds.size() + 1> buckets{};
     std::uint64_t count = 0;
     double sum_seconds = 0;
   };
 
+  struct Histogram {
+    std::string help;
+    std::string label;
+    std::map<std::string, Distribution> distributions;
+  };
+
   struct Counter {
     std::string help;
     std::string label;
@@ -54,8 +66,11 @@
     std::int64_t value = 0;
   };
 
+  static void Write(std::ostream& text, const std::string& name,
+                    const Histogram& histogram);
+
   std::map<std::pair<std::string, std::string>, std::uint64_t> answers;
-  std::map<std::string, Histogram> latencies;
+  std::map<std::string, Histogram> histograms;
   std::map<std::string, Counter> counters;
   std::map<std::string, Gauge> gauges;
 };
--- a/Source/Core/Session/service_group.cc
+++ b/Source/Core/Session/service_group.cc
@@ -76,15 +76,23 @@
     if (found != this->members.end()) found->second.pool->Close();
     Member member;
     member.entry = entry;
+    PoolObservers observers;
+    observers.reached = [this, id = entry.id](bool reached) {
+      if (reached) {
+        this->OnReached(id);
+      } else {
+        this->OnUnreached(id);
+      }
+    };
+    observers.waited = [this](common::Duration wait) {
+      this->context.metrics->Observe(
+          "channel_wait_seconds",
+          "Time that statements and status questions wait for a channel.",
+          "service", this->service.Value(), wait);
+    };
     member.pool = std::make_shared<EndpointPool>(
         this->context.loop, this->context.codec, entry,
-        this->context.place.host.Value(), [this, id = entry.id](bool reached) {
-          if (reached) {
-            this->OnReached(id);
-          } else {
-            this->OnUnreached(id);
-          }
-        });
+        this->context.place.host.Value(), std::move(observers));
     member.pool->SetLimits(this->channel_limits);
     if (found != this->members.end()) {
       // Channels of the former incarnation may still call back.
@@ -427,6 +435,9 @@
   this->context.metrics->Count(
       "proof_rounds", "Rounds of questions that prove who leads a service.",
       "result", proved ? "proved" : "failed");
+  this->context.metrics->Observe(
+      "proof_round_seconds", "Length of a round that proves who leads.",
+      "result", proved ? "proved" : "failed", common::SteadyNow() - started);
   std::vector<std::function<void(bool)>> served;
   if (proved) {
     this->round_pause = kFirstRoundPause;
