Session: Send a slow read to a second member, and judge members by results

Cause: a read at a member that accepts statements and never answers waited for the whole limit of its route (0.8 to 3 s, beyond most objectives), and a member that fails reads at once was chosen again, because any answer cleared its avoidance. A single read without an answer for a third of its objective is now sent to another member; the first answer counts, and the first channel is given back once its answer has come, so nothing is broken off. RepetitionBudget bounds this to a tenth of all reads. FailureEstimate raises the expected delay of a member by its failures, so that it is avoided but never ruled out. Ruled out: a shorter limit of each attempt, which closes channels while the database is at work.

--- a/Source/Core/Session/client_session.cc
+++ b/Source/Core/Session/client_session.cc
@@ -18,6 +18,9 @@
 /// Objectives that a statement may wait if what it lacks is a free channel: the
 /// endpoints are overloaded then, and longer queues serve nobody better.
 constexpr int kObjectivesForChannel = 2;
+/// A read is sent to a second member after this part of the objective, which
+/// leaves the second one time enough to answer within it.
+constexpr int kRepeatPart = 3;
 
 }  // namespace
 
@@ -318,6 +321,7 @@
   request.caller = this->workspace.Empty() ? "-" : this->workspace.Value();
   request.priority = route->priority;
   request.statement_timeout = route->statement_timeout;
+  request.repeat_after = route->latency_objective / kRepeatPart;
   request.give_up =
       this->current_received + route->latency_objective * kObjectivesToWait;
   request.give_up_channel =
--- a/Source/Core/Session/endpoint_channel.cc
+++ b/Source/Core/Session/endpoint_channel.cc
@@ -59,6 +59,10 @@
   this->stream->Send(command);
 }
 
+void EndpointChannel::Redirect(std::function<void(ChannelResult)> receiver) {
+  if (this->pending) this->pending = std::move(receiver);
+}
+
 void EndpointChannel::Close() {
   this->ready = false;
   if (this->stream == nullptr) return;
--- a/Source/Core/Session/endpoint_channel.h
+++ b/Source/Core/Session/endpoint_channel.h
@@ -42,6 +42,9 @@
   void Send(std::string_view command, common::Duration timeout,
             std::function<void(ChannelResult)> done);
 
+  /// Has the answer of the command under way delivered to another receiver.
+  void Redirect(std::function<void(ChannelResult)> receiver);
+
   /// Closes without calling back.
   void Close();
 
--- a/Source/Core/Session/endpoint_pool.cc
+++ b/Source/Core/Session/endpoint_pool.cc
@@ -112,17 +112,29 @@
     this->Release(channel);
     return;
   }
-  this->rolling_back.push_back(channel);
+  this->ending.push_back(channel);
   channel->Send(this->codec->EncodeRollback(), kRollbackTimeout,
                 [this, still_alive = this->alive,
                  ended = channel.get()](const ChannelResult& result) {
-                  if (*still_alive) this->OnRolledBack(ended, result);
+                  if (*still_alive) this->OnLastAnswer(ended, result);
                 });
 }
 
-void EndpointPool::OnRolledBack(const EndpointChannel* ended,
+void EndpointPool::ReleaseWhenAnswered(
+    const std::shared_ptr<EndpointChannel>& channel,
+    std::function<void(const ChannelResult&)> receiver) {
+  this->ending.push_back(channel);
+  channel->Redirect(
+      [this, still_alive = this->alive, ended = channel.get(),
+       receiver = std::move(receiver)](const ChannelResult& result) {
+        if (*still_alive) this->OnLastAnswer(ended, result);
+        receiver(result);
+      });
+}
+
+void EndpointPool::OnLastAnswer(const EndpointChannel* ended,
                                 const ChannelResult& result) {
-  const auto channel = TakeFrom(&this->rolling_back, ended);
+  const auto channel = TakeFrom(&this->ending, ended);
   const auto* answer = std::get_if<EndpointAnswer>(&result);
   if (answer == nullptr || answer->phase != TransactionPhase::kIdle) {
     channel->Close();
@@ -307,6 +319,15 @@
   }
 }
 
+void GiveBackWhenAnswered(const std::shared_ptr<EndpointChannel>& channel,
+                          std::function<void(const ChannelResult&)> receiver) {
+  if (const auto pool = channel->owner.lock()) {
+    pool->ReleaseWhenAnswered(channel, std::move(receiver));
+  } else {
+    channel->Close();
+  }
+}
+
 void RollBackAndGiveBack(const std::shared_ptr<EndpointChannel>& channel) {
   if (const auto pool = channel->owner.lock()) {
     pool->RollBack(channel);
--- a/Source/Core/Session/endpoint_pool.h
+++ b/Source/Core/Session/endpoint_pool.h
@@ -91,6 +91,11 @@
   /// close would roll back too, but costs a new connection.
   void RollBack(const std::shared_ptr<EndpointChannel>& channel);
 
+  /// Takes a channel back once the command under way is answered, and hands
+  /// the answer to the receiver.
+  void ReleaseWhenAnswered(const std::shared_ptr<EndpointChannel>& channel,
+                           std::function<void(const ChannelResult&)> receiver);
+
   /// Closes idle channels that are above the limit or long unused.
   void Tidy(common::SteadyTime now);
 
@@ -132,7 +137,9 @@
   void OpenFor(Waiter* waiter);
   void OnOpened(const EndpointChannel* opened, DemandId id,
                 const OpenResult& result);
-  void OnRolledBack(const EndpointChannel* ended, const ChannelResult& result);
+  /// Takes back a channel whose last command has ended; closes it if that has
+  /// left a transaction open.
+  void OnLastAnswer(const EndpointChannel* ended, const ChannelResult& result);
   void FailAll(PoolFailure failure);
   void AddIdle(const std::shared_ptr<EndpointChannel>& channel);
 
@@ -143,10 +150,11 @@
   PoolObservers observers;
   ChannelLimits limits;
   std::size_t leased = 0;
-  /// Channels that are being opened, and those with a rollback under way. The
-  /// pool owns them; a call back that did would keep its own channel alive.
+  /// Channels that are being opened, and those whose last command is under
+  /// way. The pool owns them; a call back that did would keep its own channel
+  /// alive.
   std::vector<std::shared_ptr<EndpointChannel>> opening;
-  std::vector<std::shared_ptr<EndpointChannel>> rolling_back;
+  std::vector<std::shared_ptr<EndpointChannel>> ending;
   IdleChannels idle;
   std::list<Waiter> waiting;
   DemandId next_id = 1;
@@ -159,6 +167,11 @@
 /// Gives a channel back to the pool that it came from.
 void GiveBack(const std::shared_ptr<EndpointChannel>& channel);
 
+/// Gives a channel back once the command under way is answered, and hands the
+/// answer to the receiver; a channel without a pool is closed instead.
+void GiveBackWhenAnswered(const std::shared_ptr<EndpointChannel>& channel,
+                          std::function<void(const ChannelResult&)> receiver);
+
 /// Rolls back the transaction on a channel and gives it back.
 void RollBackAndGiveBack(const std::shared_ptr<EndpointChannel>& channel);
 
--- a/Source/Core/Session/service_group.cc
+++ b/Source/Core/Session/service_group.cc
@@ -15,6 +15,9 @@
 constexpr std::chrono::milliseconds kStatusTimeout(400);
 /// Reads avoid a member for this long after it could not be reached.
 constexpr std::chrono::milliseconds kAvoidance(300);
+/// Delay that reads expect of a member of which every statement fails: the time
+/// after which a read is sent to a second member.
+constexpr std::chrono::milliseconds kFailureDelay(400);
 /// Proofs older than every staleness bound in use are forgotten.
 constexpr std::chrono::seconds kProofMemory(10);
 /// Older proofs are of no use to other daemons; below every staleness bound in
@@ -171,6 +174,8 @@
                              kDelayPerWaiting * member.pool->Waiting();
     if (!member.pool->HasIdle(caller)) delay += kOpenDelay;
     if (member.avoid_until > now) delay += kAvoidance;
+    delay += std::chrono::duration_cast<common::Duration>(
+        kFailureDelay * member.failures.At(now));
     if (delay < best_delay) {
       best_delay = delay;
       best = id;
@@ -304,6 +309,28 @@
   if (this->primary == id) this->monitor.OnReached(common::SteadyNow());
 }
 
+bool ServiceGroup::TakeRepetition(const std::string& caller,
+                                  const common::EndpointId& waits_for) {
+  if (!this->ChooseReader(caller, {waits_for}).has_value()) return false;
+  const bool taken = this->repetitions.Take();
+  this->context.metrics->Count(
+      "slow_reads", "Reads without an answer for a third of the objective.",
+      "result", taken ? "repeated" : "over_budget");
+  return taken;
+}
+
+void ServiceGroup::OnServed(const common::EndpointId& id) {
+  const auto found = this->members.find(id);
+  if (found == this->members.end()) return;
+  found->second.failures.Record(false, common::SteadyNow());
+}
+
+void ServiceGroup::OnFailed(const common::EndpointId& id) {
+  const auto found = this->members.find(id);
+  if (found == this->members.end()) return;
+  found->second.failures.Record(true, common::SteadyNow());
+}
+
 void ServiceGroup::OnUnreached(const common::EndpointId& id) {
   const common::SteadyTime now = common::SteadyNow();
   const auto found = this->members.find(id);
--- a/Source/Core/Session/service_group.h
+++ b/Source/Core/Session/service_group.h
@@ -12,11 +12,13 @@
 
 #include "Session/directory.h"
 #include "Session/endpoint_pool.h"
+#include "Session/failure_estimate.h"
 #include "Session/group_context.h"
 #include "Session/leadership_ledger.h"
 #include "Session/primary_monitor.h"
 #include "Session/primary_view.h"
 #include "Session/promotion_task.h"
+#include "Session/repetition_budget.h"
 
 namespace camphorferry::session {
 
@@ -76,10 +78,21 @@
   /// What statements have met.
   void OnReached(const common::EndpointId& id);
   void OnUnreached(const common::EndpointId& id);
+  /// A statement was answered as asked, or had no such answer in its time.
+  void OnServed(const common::EndpointId& id);
+  void OnFailed(const common::EndpointId& id);
   void OnNotPrimary(const common::EndpointId& id);
   void OnCommitDone(const common::EndpointId& id);
   void OnCommitUnanswered(const common::EndpointId& id);
 
+  /// Counts a read that was sent to a first member.
+  void OnReadSent() { this->repetitions.OnRead(); }
+
+  /// Whether a read that waits for an answer of one member may be sent to
+  /// another one too; it is counted.
+  bool TakeRepetition(const std::string& caller,
+                      const common::EndpointId& waits_for);
+
   const common::ServiceId& Service() const { return this->service; }
 
  private:
@@ -88,6 +101,7 @@
     std::shared_ptr<EndpointPool> pool;
     /// Reads avoid the member until then.
     common::SteadyTime avoid_until;
+    FailureEstimate failures;
   };
 
   struct ProofWaiter {
@@ -147,6 +161,7 @@
   common::ServiceId service;
   std::map<common::EndpointId, Member> members;
   ChannelLimits channel_limits;
+  RepetitionBudget repetitions;
 
   PrimaryView view;
   std::optional<common::EndpointId> primary;
--- a/Source/Core/Session/statement_run.cc
+++ b/Source/Core/Session/statement_run.cc
@@ -34,6 +34,12 @@
 /// Repetitions of a busy statement inside a transaction.
 constexpr int kBusyRepetitions = 20;
 
+/// Whether an endpoint has answered with success and its own signature.
+bool IsSigned(const EndpointAnswer& answer) {
+  return !answer.error.has_value() && answer.signature.has_value() &&
+         !answer.signature->empty() && *answer.signature != "-";
+}
+
 }  // namespace
 
 StatementRun::StatementRun(connection::EventLoop* loop, const WireCodec* codec,
@@ -184,6 +190,7 @@
 
 void StatementRun::AcquireFor(const common::EndpointId& id) {
   this->endpoint = id;
+  this->statement_sent = false;
   EndpointPool* pool = this->group->PoolOf(id);
   if (pool == nullptr) {
     this->Retry(kRetryPause, "member_gone");
@@ -325,6 +332,7 @@
                 this->channel->Memory().NameOf(*this->request.shape), bound)
           : this->codec->EncodeStatement(this->request.statement, bound);
   this->offered = true;
+  this->statement_sent = true;
   this->channel->Send(
       command, this->request.statement_timeout,
       [weak = this->weak_from_this()](const ChannelResult& result) {
@@ -332,6 +340,50 @@
           run->OnAnswer(result);
         }
       });
+  if (this->request.use != TransactionUse::kNone || this->request.writes) {
+    return;
+  }
+  this->group->OnReadSent();
+  this->timer = this->loop->After(this->request.repeat_after, [this] {
+    const auto keep = this->shared_from_this();
+    this->RepeatElsewhere();
+  });
+}
+
+void StatementRun::RepeatElsewhere() {
+  this->group->OnFailed(this->endpoint);
+  if (!this->group->TakeRepetition(this->request.caller, this->endpoint)) {
+    return;
+  }
+  this->tried.insert(this->endpoint);
+  this->may_have_run = true;
+  this->last_reason = "slow_answer";
+  GiveBackWhenAnswered(
+      std::exchange(this->channel, nullptr),
+      [weak = this->weak_from_this()](const ChannelResult& result) {
+        const auto run = weak.lock();
+        if (run != nullptr && run->done) run->OnEarlierAnswer(result);
+      });
+  this->Attempt();
+}
+
+void StatementRun::OnEarlierAnswer(const ChannelResult& result) {
+  const auto* answer = std::get_if<EndpointAnswer>(&result);
+  // The present attempt goes on if the earlier one has failed.
+  if (answer == nullptr || !IsSigned(*answer)) return;
+  this->WithdrawDemand();
+  if (this->channel != nullptr) {
+    if (this->statement_sent) {
+      GiveBackWhenAnswered(std::exchange(this->channel, nullptr),
+                           [](const ChannelResult&) {});
+    } else {
+      // What the endpoint holds for the channel is unknown while a preparation
+      // is under way.
+      this->channel->Close();
+      this->ReleaseChannel();
+    }
+  }
+  this->Deliver(*answer);
 }
 
 void StatementRun::OnAnswer(const ChannelResult& result) {
@@ -361,8 +413,7 @@
     this->OnRefused(answer);
     return;
   }
-  if (!answer.signature.has_value() || answer.signature->empty() ||
-      *answer.signature == "-") {
+  if (!IsSigned(answer)) {
     // Without the endpoint's signature nothing shows that it ran.
     this->channel->Close();
     if (ends_write) {
@@ -373,12 +424,14 @@
     }
     return;
   }
+  this->group->OnServed(this->endpoint);
   if (ends_write) this->group->OnCommitDone(this->endpoint);
   this->Deliver(answer);
 }
 
 void StatementRun::OnLost(bool silent) {
   this->group->OnUnreached(this->endpoint);
+  this->group->OnFailed(this->endpoint);
   this->channel->Close();
   if (this->request.use == TransactionUse::kContinues) {
     this->Fail(Refusal::kAborted, "connection_lost");
@@ -393,6 +446,7 @@
 void StatementRun::OnRefused(const EndpointAnswer& answer) {
   const Refusal code = answer.error->code;
   if (code == Refusal::kReadOnly) this->group->OnNotPrimary(this->endpoint);
+  if (code == Refusal::kFailed) this->group->OnFailed(this->endpoint);
   if (code == Refusal::kNoSuchStatement && this->request.shape.has_value()) {
     this->channel->Memory().Forget(*this->request.shape);
   }
--- a/Source/Core/Session/statement_run.h
+++ b/Source/Core/Session/statement_run.h
@@ -46,6 +46,8 @@
   std::string caller;
   std::uint32_t priority = 0;
   common::Duration statement_timeout = std::chrono::seconds(1);
+  /// A read without an answer for so long is sent to a second member.
+  common::Duration repeat_after = std::chrono::milliseconds(400);
   /// When the client's statement, or the begin of its transaction, was read.
   common::SteadyTime received;
   /// No further attempt starts after this time.
@@ -108,6 +110,11 @@
   void Begin();
   void OnBegun(const ChannelResult& result);
   void SendStatement();
+  /// Sends a read that has waited long for its answer to a second member,
+  /// unless the budget of the group is spent.
+  void RepeatElsewhere();
+  /// An answer of a member that the read has also been sent to.
+  void OnEarlierAnswer(const ChannelResult& result);
   void OnAnswer(const ChannelResult& result);
   void OnLost(bool silent);
   void OnRefused(const EndpointAnswer& answer);
@@ -135,6 +142,8 @@
   common::SteadyTime admitted;
 
   bool offered = false;
+  /// The present attempt has sent the statement itself.
+  bool statement_sent = false;
   bool lacked_channel = false;
   /// An earlier attempt counts towards the rate already.
   bool may_have_run = false;
--- /dev/null
+++ b/Source/UnitTests/Core/Session/failure_estimate_test.cc
@@ -0,0 +1,66 @@
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "Session/session.h"
+
+namespace camphorferry::session {
+namespace {
+
+using std::chrono::milliseconds;
+
+class FailureEstimateTest : public testing::Test {
+ protected:
+  FailureEstimate estimate;
+  common::SteadyTime now{std::chrono::seconds(100)};
+};
+
+// Guards against one lost answer that turns all reads away from an endpoint.
+TEST_F(FailureEstimateTest, OneFailureOfMany_At_StaysLow) {
+  for (int i = 0; i < 20; ++i) this->estimate.Record(false, this->now);
+  this->estimate.Record(true, this->now);
+  EXPECT_LE(this->estimate.At(this->now), 0.25);
+}
+
+TEST_F(FailureEstimateTest, AllFail_At_IsNearlyCertain) {
+  for (int i = 0; i < 20; ++i) this->estimate.Record(true, this->now);
+  EXPECT_GE(this->estimate.At(this->now), 0.9);
+}
+
+// Guards against an endpoint that nothing is sent to any more, because it
+// failed once, and that is therefore never found to work again.
+TEST_F(FailureEstimateTest, NothingSent_At_FallsBackToZero) {
+  for (int i = 0; i < 20; ++i) this->estimate.Record(true, this->now);
+  EXPECT_LE(this->estimate.At(this->now + std::chrono::seconds(10)), 0.05);
+}
+
+RC_GTEST_FIXTURE_PROP(FailureEstimateTest, AnyResults_At_IsALikelihood, ()) {
+  const auto results =
+      *rc::gen::container<std::vector<bool>>(rc::gen::arbitrary<bool>());
+  for (const bool failed : results) {
+    this->now += milliseconds(*rc::gen::inRange(0, 500));
+    this->estimate.Record(failed, this->now);
+    const double likelihood = this->estimate.At(this->now);
+    RC_ASSERT(likelihood >= 0.0);
+    RC_ASSERT(likelihood <= 1.0);
+  }
+}
+
+class RepetitionBudgetTest : public testing::Test {
+ protected:
+  RepetitionBudget budget;
+};
+
+// Guards against a group that is slow as a whole and gets every read twice.
+RC_GTEST_FIXTURE_PROP(RepetitionBudgetTest,
+                      EveryReadIsSlow_Take_AllowsATenthBeyondTheFirst, ()) {
+  const int reads = *rc::gen::inRange(1, 2000);
+  int repeated = 0;
+  for (int i = 0; i < reads; ++i) {
+    this->budget.OnRead();
+    if (this->budget.Take()) ++repeated;
+  }
+  RC_ASSERT(repeated <= 10 + reads / 10 + 1);
+}
+
+}  // namespace
+}  // namespace camphorferry::session
--- a/Source/UnitTests/Platform/fake_database.cc
+++ b/Source/UnitTests/Platform/fake_database.cc
@@ -115,6 +115,10 @@
     connection->stream->Send("ERROR BUSY -\r\n" + this->Ready(*connection));
     return;
   }
+  if (treatment == Treatment::kFail) {
+    connection->stream->Send("ERROR FAILED -\r\n" + this->Ready(*connection));
+    return;
+  }
   const std::string reply = this->Execute(connection, request_id, text);
   if (treatment == Treatment::kRunAndHang || reply.empty()) return;
   if (treatment == Treatment::kRunAndClose) {
--- a/Source/UnitTests/Platform/fake_database.h
+++ b/Source/UnitTests/Platform/fake_database.h
@@ -26,7 +26,9 @@
   /// Closes before it runs.
   kClose,
   /// Refuses with BUSY.
-  kBusy
+  kBusy,
+  /// Runs it and reports a failure.
+  kFail
 };
 
 /// A statement that a fake database has run for a client.
--- a/Source/UnitTests/Platform/proxy_fixture.h
+++ b/Source/UnitTests/Platform/proxy_fixture.h
@@ -19,6 +19,9 @@
 /// Below the longest message.
 constexpr std::size_t kBigRowBytes = 900 * 1024;
 
+/// Limit of a statement unless a test needs another.
+constexpr std::chrono::milliseconds kStatementTimeout(300);
+
 /// A proxy before one group of fake databases, with a fake platform.
 class ProxyTest : public testing::Test {
  protected:
@@ -78,7 +81,6 @@
     route.service = common::ServiceId("svc");
     route.guarantee = guarantee;
     route.max_staleness = std::chrono::milliseconds(1500);
-    route.statement_timeout = std::chrono::milliseconds(300);
     route.latency_objective = std::chrono::milliseconds(400);
     return route;
   }
@@ -86,7 +88,8 @@
   static std::shared_ptr<const session::DirectoryConfiguration>
   MakeConfiguration(std::uint64_t version, bool with_key,
                     session::WorkspaceRate rate = {100000, 100000},
-                    std::uint32_t max_connections = 16) {
+                    std::uint32_t max_connections = 16,
+                    common::Duration statement_timeout = kStatementTimeout) {
     auto configuration = std::make_shared<session::DirectoryConfiguration>();
     configuration->version = version;
     configuration->routes["latest"] = Route(session::ReadGuarantee::kLatest);
@@ -100,17 +103,22 @@
     if (with_key) {
       configuration->workspace_of_key["key"] = common::WorkspaceId("tenant");
     }
+    for (auto& [name, route] : configuration->routes) {
+      route.statement_timeout = statement_timeout;
+    }
     configuration->transaction_idle_limit = std::chrono::milliseconds(400);
     return configuration;
   }
 
   void Configure(std::uint64_t version, bool with_key = true,
                  session::WorkspaceRate rate = {100000, 100000},
-                 std::uint32_t max_connections = 16) {
-    this->Answer(
-        session::DirectoryKind::kConfiguration,
-        {{"main", ++this->directory_revision, false,
-          MakeConfiguration(version, with_key, rate, max_connections), ""}});
+                 std::uint32_t max_connections = 16,
+                 common::Duration statement_timeout = kStatementTimeout) {
+    this->Answer(session::DirectoryKind::kConfiguration,
+                 {{"main", ++this->directory_revision, false,
+                   MakeConfiguration(version, with_key, rate, max_connections,
+                                     statement_timeout),
+                   ""}});
   }
 
   void PublishMembers() {
--- a/Source/UnitTests/Platform/proxy_test.cc
+++ b/Source/UnitTests/Platform/proxy_test.cc
@@ -59,6 +59,43 @@
   EXPECT_TRUE(Has(client->Ask("QUERY 1 READ item"), "ROW data"));
 }
 
+// Guards against reads that wait for the whole limit of their route at a member
+// that accepts statements and never answers.
+TEST_F(ProxyTest, MemberHangs_Reads_AreAnsweredByAnother) {
+  this->a.treat = [](const std::string& text) {
+    return text.find("READ item") != std::string::npos ? Treatment::kRunAndHang
+                                                       : Treatment::kRun;
+  };
+  this->Configure(2, true, {100000, 100000}, 16, seconds(3));
+  const auto client = this->Connect("bounded");
+  for (int id = 1; id <= 5; ++id) {
+    const common::SteadyTime asked = common::SteadyNow();
+    const auto answer =
+        client->Ask("QUERY " + std::to_string(id) + " READ item");
+    EXPECT_TRUE(Has(answer, "COMPLETE sig."));
+    EXPECT_LT(common::SteadyNow() - asked, seconds(1));
+  }
+}
+
+// Guards against reads that are sent to a failing member again and again
+// because it answers at once and is near.
+TEST_F(ProxyTest, MemberFailsReads_Reads_GoElsewhere) {
+  const auto client = this->Connect("bounded");
+  int offered = 0;
+  this->a.treat = [&offered](const std::string& text) {
+    if (text.find("READ item") == std::string::npos) return Treatment::kRun;
+    ++offered;
+    return Treatment::kFail;
+  };
+  constexpr int kReads = 20;
+  for (int id = 1; id <= kReads; ++id) {
+    const auto answer =
+        client->Ask("QUERY " + std::to_string(id) + " READ item");
+    EXPECT_TRUE(Has(answer, "COMPLETE sig."));
+  }
+  EXPECT_LE(offered, 3);
+}
+
 // Guards against a channel that its own pending command keeps alive: the
 // connection would stay open, and count at the endpoint, when nobody uses it.
 TEST_F(ProxyTest, CommandsUnderWay_Destruction_ClosesAllConnections) {
