Session: Exchange half as often in large fleets; drop only peers that had their turn

A peer's turn between regions comes after more than 12 s in a fleet above 96 daemons, so that daemons which answer every time were dropped as lost; the new test with 160 daemons was run without the change and fails. Above eight peers a daemon now exchanges with four in each interval, and a peer is lost after two turns, at least 12 s.

--- a/Source/Core/Session/fleet_roster.cc
+++ b/Source/Core/Session/fleet_roster.cc
@@ -14,9 +14,12 @@
 constexpr std::chrono::milliseconds kNearInterval(500);
 /// Interval between regions, where bytes are dear.
 constexpr std::chrono::milliseconds kFarInterval(1000);
-/// Peers that a daemon exchanges with in one interval. In a larger fleet each
-/// peer's turn comes less often, so that the cost of a daemon does not grow.
-constexpr std::size_t kPeersPerInterval = 8;
+/// Largest number of peers with which a daemon exchanges in each interval.
+constexpr std::size_t kSmallFleet = 8;
+/// Peers that a daemon exchanges with in one interval in a larger fleet. Each
+/// peer's turn comes less often there, so that the cost of a daemon does not
+/// grow.
+constexpr std::size_t kPeersPerInterval = 4;
 /// Interval for a daemon that did not answer lately.
 constexpr std::chrono::milliseconds kSilentInterval(2000);
 /// Misses in a row after which a daemon counts as silent.
@@ -30,6 +33,8 @@
 /// A daemon is dropped after this silence. It is told of again by the directory
 /// or by its own report.
 constexpr std::chrono::seconds kLostAfter(12);
+/// The same in turns, where a peer's turn comes seldom.
+constexpr int kTurnsUntilLost = 2;
 
 }  // namespace
 
@@ -102,11 +107,13 @@
 
 common::Duration FleetRoster::IntervalOf(const Peer& peer) const {
   if (IsSilent(peer)) return kSilentInterval;
-  const auto rounds = static_cast<int>(
-      (this->peers.size() + kPeersPerInterval - 1) / kPeersPerInterval);
+  const std::size_t rounds =
+      this->peers.size() <= kSmallFleet
+          ? 1
+          : (this->peers.size() + kPeersPerInterval - 1) / kPeersPerInterval;
   return (this->own.InSameRegion(peer.host.domain) ? kNearInterval
                                                    : kFarInterval) *
-         std::max(rounds, 1);
+         rounds;
 }
 
 std::vector<FleetHost> FleetRoster::TakeDue(common::SteadyTime now) {
@@ -135,7 +142,9 @@
 std::vector<FleetHost> FleetRoster::DropLost(common::SteadyTime now) {
   std::vector<FleetHost> lost;
   for (auto it = this->peers.begin(); it != this->peers.end();) {
-    if (now - it->second.heard < kLostAfter) {
+    const common::Duration limit = std::max<common::Duration>(
+        kLostAfter, this->IntervalOf(it->second) * kTurnsUntilLost);
+    if (now - it->second.heard < limit) {
       ++it;
       continue;
     }
--- a/Source/UnitTests/Core/Session/fleet_roster_test.cc
+++ b/Source/UnitTests/Core/Session/fleet_roster_test.cc
@@ -80,6 +80,21 @@
   EXPECT_LE(exchanges, 20U * 2 * 8 + 160);
 }
 
+// Guards against peers that are dropped, and fleets that look smaller than they
+// are, only because a peer's turn comes seldom.
+TEST_F(FleetRosterTest, LargeFleetAnswers_DropLost_DropsNobody) {
+  for (int count = 0; count < 160; ++count) {
+    this->roster.Add(Host("h" + std::to_string(count), "far"), kStart);
+  }
+  for (int ms = 0; ms <= 60000; ms += 100) {
+    const common::SteadyTime now = kStart + milliseconds(ms);
+    for (const FleetHost& due : this->roster.TakeDue(now)) {
+      this->roster.OnHeard(due.id, now);
+    }
+    ASSERT_TRUE(this->roster.DropLost(now).empty()) << ms;
+  }
+}
+
 // Guards against daemons that ask different keepers for one workspace.
 TEST_F(FleetRosterTest, TwoDaemons_KeeperOf_Agree) {
   HostPlace other_place = Place();
