Session: Fewer calls to the store

Registration is one call, as the conflict holds the object that an earlier process left; repeated listings of hosts and the first listing of members may lag (a tenth of the price); daemons that keep no rates watch the configuration for 25 s, since keepers, which watch more closely than before, tell them of changes through the directory that daemons pass on. The gRPC channels between daemons no longer probe their bandwidth. Ruled out: a lagging listing after a gap in the history, which could remove objects that are known already (test).

--- a/Source/Core/Session/directory.h
+++ b/Source/Core/Session/directory.h
@@ -177,7 +177,7 @@
   virtual ~Platform() = default;
 
   /// Reads all objects of a kind.
-  virtual void List(DirectoryKind kind,
+  virtual void List(DirectoryKind kind, DirectoryFreshness freshness,
                     std::function<void(DirectoryResult)> done) = 0;
 
   /// Waits until something has changed after the revision, or the time is up.
--- a/Source/Core/Session/directory_feed.cc
+++ b/Source/Core/Session/directory_feed.cc
@@ -48,10 +48,16 @@
 void DirectoryFeed::Start() { this->List(); }
 
 void DirectoryFeed::List() {
-  this->platform->List(this->settings.kind, [this, still_alive = this->alive](
-                                                const DirectoryResult& result) {
-    if (*still_alive) this->OnListed(result);
-  });
+  // After a gap in the history, a listing that lags could lack objects that are
+  // known already.
+  const DirectoryFreshness freshness = this->revision.has_value()
+                                           ? DirectoryFreshness::kLatest
+                                           : FreshnessOf(this->settings.kind);
+  this->platform->List(
+      this->settings.kind, freshness,
+      [this, still_alive = this->alive](const DirectoryResult& result) {
+        if (*still_alive) this->OnListed(result);
+      });
 }
 
 void DirectoryFeed::Watch() {
--- a/Source/Core/Session/directory_feed.h
+++ b/Source/Core/Session/directory_feed.h
@@ -41,6 +41,11 @@
   DirectoryFeed(const DirectoryFeed&) = delete;
   DirectoryFeed& operator=(const DirectoryFeed&) = delete;
 
+  /// Sets the length of later watches.
+  void SetWatchLength(common::Duration length) {
+    this->settings.watch_length = length;
+  }
+
   /// Starts to follow; to be called once.
   void Start();
 
--- a/Source/Core/Session/fleet_task.cc
+++ b/Source/Core/Session/fleet_task.cc
@@ -1,5 +1,6 @@
 #include "Session/fleet_task.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace camphorferry::session {
@@ -69,8 +70,10 @@
 }
 
 void FleetTask::Find() {
+  // Only a first listing must know all that has registered before.
   this->platform->List(
       DirectoryKind::kHosts,
+      this->settled ? DirectoryFreshness::kMayLag : DirectoryFreshness::kLatest,
       [this, still_alive = this->alive](const DirectoryResult& result) {
         if (!*still_alive) return;
         const auto* changes = std::get_if<DirectoryChanges>(&result);
@@ -133,6 +136,12 @@
               {{"peer", peer}});
 }
 
+bool FleetTask::IsKeeper() {
+  const std::vector<common::HostId>& keepers = this->roster.Keepers();
+  return std::find(keepers.begin(), keepers.end(), this->own.id) !=
+         keepers.end();
+}
+
 bool FleetTask::Keeps(const common::WorkspaceId& workspace) {
   return !this->roster.KeeperOf(workspace).has_value();
 }
--- a/Source/Core/Session/fleet_task.h
+++ b/Source/Core/Session/fleet_task.h
@@ -44,6 +44,14 @@
   /// This daemon as its peers know it.
   const FleetHost& Own() const { return this->own; }
 
+  /// Whether this daemon is one of those that keep rates.
+  bool IsKeeper();
+
+  /// Whether all daemons that are known keep rates.
+  bool AllAreKeepers() {
+    return this->roster.Keepers().size() == this->roster.Size();
+  }
+
   /// Whether this daemon keeps the rate of a workspace.
   bool Keeps(const common::WorkspaceId& workspace);
 
--- a/Source/Core/Session/grpc_fleet_transport.cc
+++ b/Source/Core/Session/grpc_fleet_transport.cc
@@ -118,6 +118,8 @@
   constexpr int kReconnectMs = 500;
   grpc::ChannelArguments arguments;
   arguments.SetInt(GRPC_ARG_ENABLE_RETRIES, 0);
+  // Messages are far below the windows, and each probe costs two frames.
+  arguments.SetInt(GRPC_ARG_HTTP2_BDP_PROBE, 0);
   arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, kReconnectMs);
   arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, kReconnectMs);
   arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, kReconnectMs);
@@ -211,6 +213,7 @@
     grpc::ServerBuilder builder;
     // Two daemons on one port would answer each other's calls.
     builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
+    builder.AddChannelArgument(GRPC_ARG_HTTP2_BDP_PROBE, 0);
     int chosen_port = 0;
     builder.AddListeningPort(connection::ToString(listen),
                              grpc::InsecureServerCredentials(), &chosen_port);
--- a/Source/Core/Session/proxy.cc
+++ b/Source/Core/Session/proxy.cc
@@ -37,6 +37,13 @@
 /// failed (1,000 ms), for listing anew, and for slow hosts.
 constexpr std::chrono::milliseconds kWatchReserve(3000);
 constexpr std::chrono::milliseconds kShortestWatch(2500);
+/// Time in which a change spreads from the daemons that follow the store
+/// closely to all others: an exchange with one that knows of it (1 s), the
+/// pause before it is asked for (1 s), and the question (0.5 s).
+constexpr std::chrono::milliseconds kRelayTime(2500);
+/// Length of a watch of a daemon that is told of changes by others; below the
+/// longest that the platform accepts (30 s).
+constexpr std::chrono::milliseconds kRelayedWatch(25000);
 
 /// A store that is down or cut off may swallow a watch without a trace, which
 /// is noticed only at its end. Changes must be in force within their bound once
@@ -219,8 +226,19 @@
                       "result", result);
 }
 
+void Proxy::UpdateWatchLength() {
+  common::Duration length = WatchLength(this->settings);
+  if (!this->fleet->AllAreKeepers()) {
+    // Keepers follow the store closely, the others hear of changes from them.
+    length = this->fleet->IsKeeper() ? length - kRelayTime : kRelayedWatch;
+  }
+  this->configuration_feed->SetWatchLength(length);
+}
+
 void Proxy::UpdateKeepers() {
-  if (this->configuration == nullptr || this->fleet == nullptr) return;
+  if (this->fleet == nullptr) return;
+  this->UpdateWatchLength();
+  if (this->configuration == nullptr) return;
   const common::SteadyTime now = common::SteadyNow();
   for (const auto& [workspace, rate] : this->configuration->workspaces) {
     this->limiter.SetKeeper(workspace, this->fleet->Keeps(workspace), now);
--- a/Source/Core/Session/proxy.h
+++ b/Source/Core/Session/proxy.h
@@ -88,6 +88,7 @@
   DirectoryFeed* FeedOf(DirectoryKind kind);
   void OnFleetSize(std::size_t size, std::size_t heard);
   void UpdateKeepers();
+  void UpdateWatchLength();
   void CountAdmission(const std::string& result);
   void UpdateChannelLimits();
   void Tick();
--- a/Source/UnitTests/Core/Session/directory_feed_test.cc
+++ b/Source/UnitTests/Core/Session/directory_feed_test.cc
@@ -98,6 +98,25 @@
   }
 }
 
+// Guards against a listing that lags behind what is known already, which would
+// remove newer objects.
+TEST_F(DirectoryFeedTest, HistoryGone_SecondListing_IsTheLatest) {
+  this->AnswerList({Change("a", 1)}, 5);
+  this->AnswerWatch(HistoryGone{});
+  EXPECT_EQ(this->platform.list_freshness[kKind],
+            (std::vector<DirectoryFreshness>{DirectoryFreshness::kMayLag,
+                                             DirectoryFreshness::kLatest}));
+}
+
+TEST_F(DirectoryFeedTest, WatchLengthChanged_NextWatch_HasIt) {
+  this->AnswerList({Change("a", 1)}, 5);
+  this->feed.SetWatchLength(std::chrono::seconds(25));
+  this->AnswerWatch(DirectoryChanges{{}, 5});
+  ASSERT_EQ(this->platform.watches[kKind].size(), 1U);
+  EXPECT_EQ(this->platform.watches[kKind].front().wait,
+            std::chrono::seconds(25));
+}
+
 // Guards against a call to the store for each of many changes that come
 // together.
 TEST_F(DirectoryFeedTest, ChangesInAGroup_Feed_PausesBeforeTheNextWatch) {
--- a/Source/UnitTests/Core/Session/fake_platform.h
+++ b/Source/UnitTests/Core/Session/fake_platform.h
@@ -20,6 +20,7 @@
 
   struct WatchCall {
     std::uint64_t after = 0;
+    common::Duration wait = common::Duration::zero();
     DirectoryCallback done;
   };
 
@@ -29,14 +30,16 @@
     std::uint64_t token = 0;
   };
 
-  void List(DirectoryKind kind, DirectoryCallback done) override {
+  void List(DirectoryKind kind, DirectoryFreshness freshness,
+            DirectoryCallback done) override {
+    this->list_freshness[kind].push_back(freshness);
     this->lists[kind].push_back(std::move(done));
   }
 
-  void Watch(DirectoryKind kind, std::uint64_t after, common::Duration /*wait*/,
+  void Watch(DirectoryKind kind, std::uint64_t after, common::Duration wait,
              DirectoryFreshness /*freshness*/,
              DirectoryCallback done) override {
-    this->watches[kind].push_back({after, std::move(done)});
+    this->watches[kind].push_back({after, wait, std::move(done)});
   }
 
   DirectoryValue Decode(DirectoryKind /*kind*/, const std::string& /*name*/,
@@ -85,6 +88,8 @@
 
   std::map<DirectoryKind, std::deque<DirectoryCallback>> lists;
   std::map<DirectoryKind, std::deque<WatchCall>> watches;
+  /// The freshness that each listing has asked for.
+  std::map<DirectoryKind, std::vector<DirectoryFreshness>> list_freshness;
   /// Values of the documents that daemons pass on.
   std::map<std::string, DirectoryValue> documents;
   std::vector<FleetHost> registered;
--- a/Source/UnitTests/Platform/fake_store.cc
+++ b/Source/UnitTests/Platform/fake_store.cc
@@ -82,6 +82,7 @@
 
 void FakeStore::OnRequest(const HttpRequest& request,
                           const Responder& responder) {
+  ++this->calls;
   switch (this->state) {
     case StoreState::kBusy:
       responder->Send(Json(kUnavailable, json::object()));
--- a/Source/UnitTests/Platform/fake_store.h
+++ b/Source/UnitTests/Platform/fake_store.h
@@ -50,6 +50,9 @@
   /// Writes an entry as a database does.
   void Put(const session::GroupMember& member);
 
+  /// Calls that have arrived.
+  std::size_t Calls() const { return this->calls; }
+
   /// Tokens of all promotion calls, in order.
   const std::vector<std::uint64_t>& PromotionTokens() const {
     return this->promotion_tokens;
@@ -98,6 +101,7 @@
   std::list<Watcher> watchers;
   /// Calls that get no answer as long as the store lives.
   std::vector<Responder> unanswered;
+  std::size_t calls = 0;
   std::vector<std::uint64_t> promotion_tokens;
   std::unique_ptr<connection::HttpServer> server;
   std::unique_ptr<connection::Timer> tick;
--- a/Source/UnitTests/Platform/store_client_test.cc
+++ b/Source/UnitTests/Platform/store_client_test.cc
@@ -59,7 +59,8 @@
 
   DirectoryResult List(StoreClient* client) {
     return this->Await<DirectoryResult>([&](auto done) {
-      client->List(DirectoryKind::kMembers, std::move(done));
+      client->List(DirectoryKind::kMembers, DirectoryFreshness::kLatest,
+                   std::move(done));
     });
   }
 
@@ -154,6 +155,32 @@
   EXPECT_EQ(std::get<PromotionDuty>(read).holder.Value(), "one");
 }
 
+// Guards against a registration that costs more calls than it needs, at the
+// first start and at every restart, and against an old address that stays.
+TEST_F(StoreClientTest, RegisterHost_AgainAndMoved_CallsOnceUnlessChanged) {
+  session::FleetHost host{common::HostId("host"), "127.0.0.1:7",
+                          common::FailureDomainId("zone")};
+  const auto register_host = [&] {
+    return this->Await<bool>(
+        [&](auto done) { this->client.RegisterHost(host, std::move(done)); });
+  };
+  EXPECT_TRUE(register_host());
+  EXPECT_EQ(this->store.Calls(), 1U);
+  EXPECT_TRUE(register_host());
+  EXPECT_EQ(this->store.Calls(), 2U);
+  host.peer_address = "127.0.0.1:8";
+  EXPECT_TRUE(register_host());
+  EXPECT_EQ(this->store.Calls(), 4U);
+  const auto listed = this->Await<DirectoryResult>([&](auto done) {
+    this->client.List(DirectoryKind::kHosts, DirectoryFreshness::kLatest,
+                      std::move(done));
+  });
+  const auto& changes = std::get<DirectoryChanges>(listed).changes;
+  ASSERT_EQ(changes.size(), 1U);
+  EXPECT_EQ(std::get<session::FleetHost>(changes[0].value).peer_address,
+            "127.0.0.1:8");
+}
+
 TEST_F(StoreClientTest, TwoPages_List_CollectsBoth) {
   const std::string entry =
       R"({"meta":{"name":"NAME","rev":1},"spec":{"service":"s",)"
