--- a/Source/UnitTests/Platform/promotion_task_test.cc
+++ b/Source/UnitTests/Platform/promotion_task_test.cc
@@ -72,6 +72,9 @@
   this->task->Tick(common::SteadyNow() + milliseconds(2500));
   EXPECT_TRUE(this->Resumed());
   EXPECT_FALSE(this->platform.duty.active);
+  EXPECT_NE(this->metrics.ToText().find(
+                "camphorferry_promotion_phase_seconds_count{phase=\"duty\"} 1"),
+            std::string::npos);
 }
 
 // Guards against a promoter that was suspended, lost the duty meanwhile, and
--- a/Source/UnitTests/Platform/proxy_fixture.h
+++ b/Source/UnitTests/Platform/proxy_fixture.h
@@ -69,8 +69,9 @@
       return;
     }
     // A feed pauses between a watch with changes and the next.
-    while (this->platform.watches[kind].empty())
+    while (this->platform.watches[kind].empty()) {
       this->RunFor(std::chrono::milliseconds(5));
+    }
     auto call = std::move(this->platform.watches[kind].front());
     this->platform.watches[kind].pop_front();
     call.done(session::DirectoryChanges{std::move(changes), revision});
