Session: Promote where no primary was ever known; no groups for undeclared services

Cause: the wait for a missing primary began only when a primary that was known got lost. Daemons that were all started again after the entry of a dead primary had lapsed never replaced it, so its service took no writes until it returned. Found by reading, while the entries of other writers were checked; the new test fails without the change (no order in 10 s). The wait now begins with the group, 3 s later than usual, as the first listing of members may lag. An entry of another writer may name a service that nobody has declared. It got a group, whose members were asked every 150 ms, and with this change it would be promoted. Groups are now made for declared services only, also for those that are declared after their members registered (test, failed first).

--- a/Source/Core/Session/proxy.cc
+++ b/Source/Core/Session/proxy.cc
@@ -282,7 +282,7 @@
                  {"workspaces", offered->workspaces.size()}});
     this->limiter.SetRates(offered->workspaces, common::SteadyNow());
     this->UpdateKeepers();
-    this->UpdateChannelLimits();
+    this->UpdateGroups();
   }
   if (this->configuration == nullptr) return;
   const auto open = this->sessions;
@@ -290,13 +290,24 @@
 }
 
 void Proxy::OnMembers(const std::map<std::string, DirectoryValue>& objects) {
-  std::map<common::ServiceId, std::vector<GroupMember>> by_service;
+  this->members.clear();
   for (const auto& [name, value] : objects) {
     if (const auto* member = std::get_if<GroupMember>(&value)) {
-      by_service[member->service].push_back(*member);
+      this->members[member->service].push_back(*member);
     }
   }
-  for (const auto& [service, members] : by_service) {
+  this->members_known = true;
+  this->UpdateGroups();
+}
+
+void Proxy::UpdateGroups() {
+  if (this->configuration == nullptr) return;
+  for (const auto& [service, present] : this->members) {
+    // Members of a service that is declared no more are still followed, for
+    // transactions that are open.
+    const bool wanted = this->configuration->services.contains(service) ||
+                        this->groups.contains(service);
+    if (!wanted) continue;
     std::shared_ptr<ServiceGroup>& group = this->groups[service];
     if (group == nullptr) {
       GroupContext context;
@@ -308,12 +319,11 @@
       context.place = this->settings.place;
       group = std::make_shared<ServiceGroup>(context, service);
     }
-    group->SetMembers(members);
+    group->SetMembers(present);
   }
   for (const auto& [service, group] : this->groups) {
-    if (!by_service.contains(service)) group->SetMembers({});
+    if (!this->members.contains(service)) group->SetMembers({});
   }
-  this->members_known = true;
   this->UpdateChannelLimits();
 }
 
--- a/Source/Core/Session/proxy.h
+++ b/Source/Core/Session/proxy.h
@@ -79,6 +79,9 @@
   void Listen();
   void OnConfigurations(const std::map<std::string, DirectoryValue>& objects);
   void OnMembers(const std::map<std::string, DirectoryValue>& objects);
+  /// Brings the groups up to the members and the configuration. Members of a
+  /// service that the configuration does not declare have no group.
+  void UpdateGroups();
   FleetReport MakeReport(bool with_proofs);
   void OnReport(const FleetReport& report, common::SteadyTime asked);
   /// Looks whether a peer follows a newer configuration.
@@ -107,6 +110,7 @@
   std::unique_ptr<connection::HttpServer> readiness;
   std::unique_ptr<connection::HttpServer> metrics_server;
   std::shared_ptr<const DirectoryConfiguration> configuration;
+  std::map<common::ServiceId, std::vector<GroupMember>> members;
   std::map<common::ServiceId, std::shared_ptr<ServiceGroup>> groups;
   std::map<ClientSession*, std::shared_ptr<ClientSession>> sessions;
   std::size_t fleet_size = 1;
--- a/Source/Core/Session/service_group.cc
+++ b/Source/Core/Session/service_group.cc
@@ -23,6 +23,9 @@
 /// Older proofs are of no use to other daemons; below every staleness bound in
 /// use.
 constexpr std::chrono::milliseconds kSharedProofAge(2000);
+/// The first listing of members may be older than this, so that a primary which
+/// it does not name may have registered meanwhile.
+constexpr std::chrono::milliseconds kFirstListingLag(3000);
 /// Pause between two probes of a primary that does not answer.
 constexpr std::chrono::milliseconds kProbeInterval(150);
 /// Pauses after a round without a proof, doubled up to the second value. Each
@@ -46,6 +49,7 @@
     : context(std::move(context)),
       service(std::move(service)),
       round_pause(kFirstRoundPause) {
+  this->monitor.OnPrimaryChanged(common::SteadyNow() + kFirstListingLag, false);
   PromotionGroup group;
   group.ask = [this](const common::EndpointId& id, const std::string& command,
                      StatusCallback done) {
--- a/Source/UnitTests/Platform/proxy_group_test.cc
+++ b/Source/UnitTests/Platform/proxy_group_test.cc
@@ -24,6 +24,70 @@
   EXPECT_TRUE(this->a.ran.empty());
 }
 
+// Guards against an entry of another writer whose service nobody has declared:
+// its primary never answers, and promotions of it would keep the duty from the
+// services that exist.
+TEST_F(ProxyTest, MemberOfUndeclaredService_Waiting_IsNotPromoted) {
+  session::GroupMember stray = this->p.Entry();
+  stray.id = common::EndpointId("stray");
+  stray.service = common::ServiceId("undeclared");
+  stray.reports_primary = false;
+  session::GroupMember witness = this->a.Entry();
+  witness.id = common::EndpointId("witness");
+  witness.service = stray.service;
+  this->Answer(DirectoryKind::kMembers,
+               {{"stray", ++this->directory_revision, false, stray, ""},
+                {"witness", ++this->directory_revision, false, witness, ""}});
+  this->RunFor(seconds(6));
+  EXPECT_EQ(this->platform.duty.revision, 0U);
+  const auto client = this->Connect("latest");
+  EXPECT_TRUE(Has(client->Ask("QUERY 1 WRITE item data"), "COMPLETE"));
+}
+
+// Guards against a service without writes for good after all daemons were
+// killed while its primary was lost: none of them has ever known a primary.
+TEST_F(ProxyTest, NoPrimaryEverKnown_Writes_AreServedAfterAPromotion) {
+  this->p.primary = false;
+  for (FakeDatabase* database : {&this->p, &this->a, &this->b}) {
+    database->held = 5;
+  }
+  session::ProxySettings settings;
+  settings.place.host = common::HostId("restarted");
+  settings.place.domain = common::FailureDomainId("zone");
+  settings.clients = {"127.0.0.1", 0};
+  settings.readiness = {"127.0.0.1", 0};
+  settings.peers = {"127.0.0.1", 0};
+  this->proxy = std::make_unique<session::Proxy>(&this->loop, &this->format,
+                                                 &this->platform, settings);
+  this->platform.watches.clear();
+  this->Configure(1);
+  this->PublishMembers();
+  const common::SteadyTime limit = common::SteadyNow() + seconds(10);
+  while (this->platform.orders.empty() && common::SteadyNow() < limit) {
+    this->RunFor(milliseconds(50));
+  }
+  EXPECT_FALSE(this->platform.orders.empty());
+}
+
+TEST_F(ProxyTest, ServiceDeclaredLater_Statement_FindsItsMembers) {
+  session::GroupMember member = this->p.Entry();
+  member.service = common::ServiceId("later");
+  member.id = common::EndpointId("of-later");
+  this->Answer(DirectoryKind::kMembers,
+               {{"of-later", ++this->directory_revision, false, member, ""}});
+  EXPECT_EQ(this->proxy->GroupOf(member.service), nullptr);
+  auto configuration = std::make_shared<session::DirectoryConfiguration>(
+      *MakeConfiguration(2, true));
+  configuration->services[member.service].max_connections = 16;
+  this->Answer(
+      DirectoryKind::kConfiguration,
+      {{"main", ++this->directory_revision, false,
+        std::shared_ptr<const session::DirectoryConfiguration>(configuration),
+        ""}});
+  ASSERT_NE(this->proxy->GroupOf(member.service), nullptr);
+  EXPECT_NE(this->proxy->GroupOf(member.service)->PoolOf(member.id), nullptr);
+}
+
 // Guards against a primary that goes on leading until it ends although it has
 // announced its shutdown.
 TEST_F(ProxyTest, LeavingPrimary_Writes_MoveToAReplica) {
