Session: Add a model of a database group that checks promotions

The existing property has one plan and one old primary and ends at the order. The model also plays the time until the promotion takes effect, several daemons with stale beliefs, the lease, restarts and expired store entries, and checks that each promoted database has all acknowledged commits and that no commit of an older term is acknowledged afterwards.

--- a/Source/UnitTests/Core/Session/promotion_model_test.cc
+++ b/Source/UnitTests/Core/Session/promotion_model_test.cc
@@ -1,4 +1,8 @@
+#include "promotion_model.h"
+
 #include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
 
 #include <chrono>
 #include <optional>
@@ -20,6 +24,8 @@
 constexpr milliseconds kLongestOrder(3000);
 /// An order that was accepted takes effect within this time.
 constexpr milliseconds kLongestPromotion(1000);
+/// Largest number of steps of a schedule.
+constexpr int kScheduleSize = 250;
 
 GroupMember Member(const std::string& id, std::uint64_t incarnation = 1) {
   GroupMember member;
@@ -123,6 +129,37 @@
   EXPECT_FALSE(this->ordered.has_value());
 }
 
+// Guards against taking a member that still leads an older term for the primary
+// to replace, while the real primary does not answer.
+TEST_F(PromotionLossTest, OlderPrimaryStepsDown_PrimarySilent_OrdersNothing) {
+  this->Answer(this->b, Primary(2, 9));
+  this->Answer(this->b, Replica(2, 9, 0));
+  this->Answer(this->a, Replica(3, 10, 4));
+  this->TickUntil(milliseconds(1900));
+  // b follows the silent p and confirms 11.
+  EXPECT_FALSE(this->ordered.has_value());
+}
+
+// Guards against choosing a replica that lacks a commit which the old primary
+// has, because all registered replicas have answered.
+TEST_F(PromotionLossTest, ReplicaEntryExpires_OldPrimaryAhead_OrdersNoReplica) {
+  this->Members({Member("p"), Member("b")});
+  this->Answer(this->p, Replica(3, 11, 4));
+  this->Answer(this->b, Replica(3, 10, 4));
+  this->TickUntil(milliseconds(1900));
+  // The expired a has confirmed 11.
+  EXPECT_NE(this->ordered, this->b);
+}
+
+// Guards against ending the hold of a replica that another daemon has held,
+// after that daemon's promotion: the replica still follows the old primary.
+TEST_F(PromotionLossTest, OtherMemberLeadsNewTerm_End_DoesNotResume) {
+  this->Answer(this->b, Replica(3, 10, 4));
+  const auto actions = this->Answer(this->a, Primary(4, 10));
+  ASSERT_NE(Find<PromotionFinished>(actions), nullptr);
+  EXPECT_EQ(Find<SendResume>(actions), nullptr);
+}
+
 // Guards against taking the empty log of a restarted primary for the end of the
 // log, so that a silent replica's commits are not waited for.
 TEST_F(PromotionLossTest, PrimaryReborn_OtherReplicaSilent_OrdersNothing) {
@@ -256,5 +293,119 @@
   EXPECT_TRUE(held);
 }
 
+rc::Gen<int> AnyDatabase() { return rc::gen::inRange(0, 4); }
+rc::Gen<int> AnyDaemon() { return rc::gen::inRange(0, 3); }
+rc::Gen<bool> MostlyUp() {
+  return rc::gen::weightedElement<bool>({{3, true}, {2, false}});
+}
+
+template <typename Step>
+rc::Gen<ModelStep> AsStep(rc::Gen<Step> step) {
+  return rc::gen::cast<ModelStep>(std::move(step));
+}
+
+/// Steps of a schedule that contains the given faults.
+rc::Gen<ModelStep> AnyStep(ModelFaults faults) {
+  const auto weight = [](bool enabled) -> std::size_t {
+    return enabled ? 2 : 0;
+  };
+  return rc::gen::weightedOneOf<ModelStep>(
+      {{30, AsStep(rc::gen::construct<CommitStep>(AnyDatabase()))},
+       {6, AsStep(rc::gen::construct<DatabaseLinkStep>(
+               AnyDatabase(), AnyDatabase(), MostlyUp()))},
+       {6, AsStep(rc::gen::construct<DaemonLinkStep>(AnyDaemon(), AnyDatabase(),
+                                                     MostlyUp()))},
+       {4, AsStep(rc::gen::construct<IsolateStep>(AnyDatabase(), MostlyUp()))},
+       {6, AsStep(rc::gen::construct<ProbeStep>(AnyDaemon(), AnyDatabase()))},
+       {6, AsStep(rc::gen::construct<ReplaceStep>(AnyDaemon()))},
+       {weight(faults.crashes),
+        AsStep(rc::gen::construct<CrashStep>(AnyDatabase()))},
+       {weight(faults.rebirths),
+        AsStep(rc::gen::construct<RebirthStep>(AnyDatabase()))},
+       {weight(faults.lapses),
+        AsStep(rc::gen::construct<LapseStep>(AnyDatabase()))},
+       {weight(faults.joins), rc::gen::just(ModelStep(JoinStep{}))},
+       {weight(faults.store_cuts),
+        AsStep(rc::gen::construct<StoreLinkStep>(AnyDaemon(), MostlyUp()))}});
+}
+
+/// Plays any schedule with the given faults, and reports the first guarantee
+/// that is broken with the events before it.
+void CheckAnySchedule(ModelFaults faults) {
+  const auto timed = rc::gen::build<TimedStep>(
+      rc::gen::set(&TimedStep::pause,
+                   rc::gen::map(rc::gen::inRange(0, 150),
+                                [](int ms) { return milliseconds(ms); })),
+      rc::gen::set(&TimedStep::step, AnyStep(faults)));
+  const auto steps = *rc::gen::resize(
+      kScheduleSize, rc::gen::container<std::vector<TimedStep>>(timed));
+  const int daemons = *rc::gen::inRange(2, 4);
+  const bool checks_fence = *rc::gen::arbitrary<bool>();
+  const auto seed = *rc::gen::noShrink(rc::gen::arbitrary<std::uint32_t>());
+  PromotionModel model(faults, daemons, checks_fence, seed);
+  const std::string report = model.Play(steps);
+  if (!report.empty()) RC_FAIL(report);
+}
+
+// Guards against promotions that lose a commit after cut links, lost commands
+// and lost answers.
+RC_GTEST_PROP(PromotionModelTest, AnyCutLinks_Promoted_HoldsAllCommits, ()) {
+  CheckAnySchedule({});
+}
+
+// Guards against holds that end, or begin, by a command that was on its way.
+RC_GTEST_PROP(PromotionModelTest, AnyLateCommands_Promoted_HoldsAllCommits,
+              ()) {
+  CheckAnySchedule({.late_commands = true});
+}
+
+// Guards against orders that the platform executes after their plan has ended.
+RC_GTEST_PROP(PromotionModelTest, AnyLateOrders_Promoted_HoldsAllCommits, ()) {
+  CheckAnySchedule({.late_orders = true});
+}
+
+// Guards against relying on a database that has crashed in the meantime.
+RC_GTEST_PROP(PromotionModelTest, AnyCrashes_Promoted_HoldsAllCommits, ()) {
+  CheckAnySchedule({.crashes = true});
+}
+
+// Guards against relying on the log of a database that has started again.
+RC_GTEST_PROP(PromotionModelTest, AnyRebirths_Promoted_HoldsAllCommits, ()) {
+  CheckAnySchedule({.rebirths = true});
+}
+
+// Guards against forgetting a database whose store entry has expired.
+RC_GTEST_PROP(PromotionModelTest, AnyLapses_Promoted_HoldsAllCommits, ()) {
+  CheckAnySchedule({.lapses = true});
+}
+
+// Guards against forgetting a database that has joined the group.
+RC_GTEST_PROP(PromotionModelTest, AnyJoins_Promoted_HoldsAllCommits, ()) {
+  CheckAnySchedule({.joins = true});
+}
+
+// Guards against orders of a daemon from which the lease was taken over.
+RC_GTEST_PROP(PromotionModelTest, AnyStoreCuts_Promoted_HoldsAllCommits, ()) {
+  CheckAnySchedule({.store_cuts = true});
+}
+
+// Guards against holds that do not stop a primary whose term the replica has
+// not heard of.
+RC_GTEST_PROP(PromotionModelTest, AnyOwnTermHolds_Promoted_HoldsAllCommits,
+              ()) {
+  CheckAnySchedule({.holds_compare_own_term = true});
+}
+
+// Guards against combinations of all faults.
+RC_GTEST_PROP(PromotionModelTest, AnyFaults_Promoted_HoldsAllCommits, ()) {
+  CheckAnySchedule({.late_commands = true,
+                    .late_orders = true,
+                    .crashes = true,
+                    .rebirths = true,
+                    .lapses = true,
+                    .joins = true,
+                    .store_cuts = true});
+}
+
 }  // namespace
 }  // namespace camphorferry::session
