Session: Check lost commits and old primaries in separate properties

A schedule ended at the first broken guarantee, so commits that an old primary still acknowledged hid schedules that lose commits. Both checks are as strict as before.

--- a/Source/UnitTests/Core/Session/promotion_model.cc
+++ b/Source/UnitTests/Core/Session/promotion_model.cc
@@ -285,22 +285,29 @@
   for (std::size_t place = 0; place < length; ++place) {
     const LogEntry& entry = database.log[place];
     if (database.unacknowledged.erase(entry.number) == 0) continue;
-    this->acknowledged.push_back(entry);
     const std::string name = "commit #" + std::to_string(entry.number);
     this->context->Trace(name + " acknowledged by " + NameOf(index));
     const bool kept = std::any_of(
         promoted.begin(), promoted.end(),
         [&](const LogEntry& other) { return other.number == entry.number; });
-    if (entry.term < this->newest_term && !kept &&
-        this->context->violation.empty()) {
-      this->context->violation =
-          "ONE: " + name + " of term " + std::to_string(entry.term) +
-          " is acknowledged although " + this->Describe(this->leader) +
-          " was promoted without it";
+    if (kept || entry.term == this->newest_term) {
+      this->acknowledged.push_back(entry);
+      continue;
     }
+    this->Report(ModelGuarantee::kOnePrimary,
+                 name + " of term " + std::to_string(entry.term) +
+                     " is acknowledged although " +
+                     this->Describe(this->leader) + " was promoted without it");
   }
 }
 
+void DatabaseGroupModel::Report(ModelGuarantee broken, const std::string& how) {
+  if (broken != this->context->guarantee || !this->context->violation.empty()) {
+    return;
+  }
+  this->context->violation = how;
+}
+
 std::optional<EndpointStatus> DatabaseGroupModel::Execute(int index,
                                                           ModelCommand command,
                                                           common::Term term) {
@@ -367,10 +374,10 @@
     const bool kept = std::any_of(
         promoted.log.begin(), promoted.log.end(),
         [&](const LogEntry& other) { return other.number == entry.number; });
-    if (kept || !this->context->violation.empty()) continue;
-    this->context->violation =
-        "LOST: acknowledged commit #" + std::to_string(entry.number) +
-        " is missing at the promoted " + this->Describe(index);
+    if (kept) continue;
+    this->Report(ModelGuarantee::kNoneLost,
+                 "acknowledged commit #" + std::to_string(entry.number) +
+                     " is missing at the promoted " + this->Describe(index));
   }
   for (int target = 0; target < this->Size(); ++target) {
     if (target == index || !this->databases[target].alive) continue;
@@ -783,9 +790,10 @@
   return true;
 }
 
-PromotionModel::PromotionModel(ModelFaults faults, int daemon_count,
-                               bool checks_fence, std::uint32_t seed)
-    : context(seed), group(&this->context, faults, checks_fence) {
+PromotionModel::PromotionModel(ModelGuarantee guarantee, ModelFaults faults,
+                               int daemon_count, bool checks_fence,
+                               std::uint32_t seed)
+    : context(guarantee, seed), group(&this->context, faults, checks_fence) {
   for (int number = 0; number < daemon_count; ++number) {
     this->daemons.push_back(std::make_unique<DaemonModel>(
         &this->context, &this->group, &this->lease, faults, number));
--- a/Source/UnitTests/Core/Session/promotion_model.h
+++ b/Source/UnitTests/Core/Session/promotion_model.h
@@ -107,6 +107,14 @@
 
 std::ostream& operator<<(std::ostream& out, const TimedStep& timed);
 
+/// What a model checks.
+enum class ModelGuarantee {
+  /// A promoted database has every commit that was acknowledged before.
+  kNoneLost,
+  /// After a promotion no other commit of an older term is acknowledged.
+  kOnePrimary
+};
+
 /// Virtual time with tasks that run later.
 class VirtualTime {
  public:
@@ -124,7 +132,8 @@
 
 /// What the parts of a model share: time, randomness and the trace.
 struct ModelContext {
-  explicit ModelContext(std::uint32_t seed) : random(seed) {}
+  ModelContext(ModelGuarantee guarantee, std::uint32_t seed)
+      : random(seed), guarantee(guarantee) {}
 
   /// A random time between two bounds.
   std::chrono::milliseconds Between(int shortest, int longest);
@@ -134,7 +143,8 @@
   VirtualTime time;
   std::mt19937 random;
   std::vector<std::string> trace;
-  /// The first broken guarantee; none so far if empty.
+  ModelGuarantee guarantee;
+  /// How the guarantee was broken first; it holds so far if empty.
   std::string violation;
 };
 
@@ -209,6 +219,7 @@
   void OnReplicated(int from, int target, common::Term term,
                     const std::vector<LogEntry>& log, bool promotes);
   void OnConfirmed(int index, std::size_t length);
+  void Report(ModelGuarantee broken, const std::string& how);
   void OnReached(int index);
   void TakeEffect(int index);
   void StartWhenNoOrder(int index, std::uint64_t process,
@@ -303,11 +314,11 @@
 /// A group and its daemons.
 class PromotionModel {
  public:
-  PromotionModel(ModelFaults faults, int daemon_count, bool checks_fence,
-                 std::uint32_t seed);
+  PromotionModel(ModelGuarantee guarantee, ModelFaults faults, int daemon_count,
+                 bool checks_fence, std::uint32_t seed);
 
-  /// Plays a schedule until it ends or a guarantee is broken. Returns the
-  /// broken guarantee with the trace before it, or an empty text.
+  /// Plays a schedule until it ends or the guarantee is broken. Returns how it
+  /// was broken with the trace before, or an empty text.
   std::string Play(const std::vector<TimedStep>& steps);
 
  private:
--- a/Source/UnitTests/Core/Session/promotion_model_test.cc
+++ b/Source/UnitTests/Core/Session/promotion_model_test.cc
@@ -329,9 +329,9 @@
         AsStep(rc::gen::construct<StoreLinkStep>(AnyDaemon(), MostlyUp()))}});
 }
 
-/// Plays any schedule with the given faults, and reports the first guarantee
-/// that is broken with the events before it.
-void CheckAnySchedule(ModelFaults faults) {
+/// Plays any schedule with the given faults, and reports how the guarantee is
+/// broken with the events before it.
+void CheckAnySchedule(ModelGuarantee guarantee, ModelFaults faults) {
   const auto timed = rc::gen::build<TimedStep>(
       rc::gen::set(&TimedStep::pause,
                    rc::gen::map(rc::gen::inRange(0, 150),
@@ -342,69 +342,83 @@
   const int daemons = *rc::gen::inRange(2, 4);
   const bool checks_fence = *rc::gen::arbitrary<bool>();
   const auto seed = *rc::gen::noShrink(rc::gen::arbitrary<std::uint32_t>());
-  PromotionModel model(faults, daemons, checks_fence, seed);
+  PromotionModel model(guarantee, faults, daemons, checks_fence, seed);
   const std::string report = model.Play(steps);
   if (!report.empty()) RC_FAIL(report);
 }
 
+constexpr ModelFaults kAllFaults{.late_commands = true,
+                                 .late_orders = true,
+                                 .crashes = true,
+                                 .rebirths = true,
+                                 .lapses = true,
+                                 .joins = true,
+                                 .store_cuts = true};
+
 // Guards against promotions that lose a commit after cut links, lost commands
 // and lost answers.
 RC_GTEST_PROP(PromotionModelTest, AnyCutLinks_Promoted_HoldsAllCommits, ()) {
-  CheckAnySchedule({});
+  CheckAnySchedule(ModelGuarantee::kNoneLost, {});
 }
 
 // Guards against holds that end, or begin, by a command that was on its way.
 RC_GTEST_PROP(PromotionModelTest, AnyLateCommands_Promoted_HoldsAllCommits,
               ()) {
-  CheckAnySchedule({.late_commands = true});
+  CheckAnySchedule(ModelGuarantee::kNoneLost, {.late_commands = true});
 }
 
 // Guards against orders that the platform executes after their plan has ended.
 RC_GTEST_PROP(PromotionModelTest, AnyLateOrders_Promoted_HoldsAllCommits, ()) {
-  CheckAnySchedule({.late_orders = true});
+  CheckAnySchedule(ModelGuarantee::kNoneLost, {.late_orders = true});
 }
 
 // Guards against relying on a database that has crashed in the meantime.
 RC_GTEST_PROP(PromotionModelTest, AnyCrashes_Promoted_HoldsAllCommits, ()) {
-  CheckAnySchedule({.crashes = true});
+  CheckAnySchedule(ModelGuarantee::kNoneLost, {.crashes = true});
 }
 
 // Guards against relying on the log of a database that has started again.
 RC_GTEST_PROP(PromotionModelTest, AnyRebirths_Promoted_HoldsAllCommits, ()) {
-  CheckAnySchedule({.rebirths = true});
+  CheckAnySchedule(ModelGuarantee::kNoneLost, {.rebirths = true});
 }
 
 // Guards against forgetting a database whose store entry has expired.
 RC_GTEST_PROP(PromotionModelTest, AnyLapses_Promoted_HoldsAllCommits, ()) {
-  CheckAnySchedule({.lapses = true});
+  CheckAnySchedule(ModelGuarantee::kNoneLost, {.lapses = true});
 }
 
 // Guards against forgetting a database that has joined the group.
 RC_GTEST_PROP(PromotionModelTest, AnyJoins_Promoted_HoldsAllCommits, ()) {
-  CheckAnySchedule({.joins = true});
+  CheckAnySchedule(ModelGuarantee::kNoneLost, {.joins = true});
 }
 
 // Guards against orders of a daemon from which the lease was taken over.
 RC_GTEST_PROP(PromotionModelTest, AnyStoreCuts_Promoted_HoldsAllCommits, ()) {
-  CheckAnySchedule({.store_cuts = true});
+  CheckAnySchedule(ModelGuarantee::kNoneLost, {.store_cuts = true});
 }
 
 // Guards against holds that do not stop a primary whose term the replica has
 // not heard of.
 RC_GTEST_PROP(PromotionModelTest, AnyOwnTermHolds_Promoted_HoldsAllCommits,
               ()) {
-  CheckAnySchedule({.holds_compare_own_term = true});
+  CheckAnySchedule(ModelGuarantee::kNoneLost, {.holds_compare_own_term = true});
 }
 
 // Guards against combinations of all faults.
 RC_GTEST_PROP(PromotionModelTest, AnyFaults_Promoted_HoldsAllCommits, ()) {
-  CheckAnySchedule({.late_commands = true,
-                    .late_orders = true,
-                    .crashes = true,
-                    .rebirths = true,
-                    .lapses = true,
-                    .joins = true,
-                    .store_cuts = true});
+  CheckAnySchedule(ModelGuarantee::kNoneLost, kAllFaults);
+}
+
+// Guards against an old primary that gets commits confirmed after a promotion,
+// because a plan has resumed a replica that does not follow the new one.
+RC_GTEST_PROP(PromotionModelTest, AnyCutLinks_Promoted_OldPrimaryIsStopped,
+              ()) {
+  CheckAnySchedule(ModelGuarantee::kOnePrimary, {});
+}
+
+// Guards against the same after combinations of all faults.
+RC_GTEST_PROP(PromotionModelTest, AnyFaults_Promoted_OldPrimaryIsStopped, ()) {
+  CheckAnySchedule(ModelGuarantee::kOnePrimary, kAllFaults);
 }
 
 }  // namespace
