Session: Log what each member answers to the commands of a promotion

The log named the start, the order and the end of a promotion, but not which member counted as fenced, by which command and at which log position.

--- a/Source/Core/Session/promotion_task.cc
+++ b/Source/Core/Session/promotion_task.cc
@@ -87,13 +87,15 @@
   // An action may end this plan and a new one may start.
   const std::shared_ptr<PromotionPlan> current = this->plan;
   const auto send_command = [this, &current](const common::EndpointId& id,
-                                             const std::string& command) {
+                                             const std::string& command,
+                                             const char* purpose) {
     this->callbacks.send_command(
         id, command,
-        [this, still_alive = this->alive, current,
-         id](const std::optional<EndpointStatus>& status) {
+        [this, still_alive = this->alive, current, id,
+         purpose](const std::optional<EndpointStatus>& status) {
           if (!*still_alive || !status.has_value()) return;
           if (this->plan != current) return;
+          this->LogStatus(id, purpose, *status);
           this->Perform(current->OnStatus(id, *status, common::SteadyNow()));
         });
   };
@@ -103,14 +105,15 @@
     std::visit(
         common::Overloaded{
             [&](const SendStepDown& send) {
-              send_command(send.endpoint, codec->EncodeStepDown(send.term));
+              send_command(send.endpoint, codec->EncodeStepDown(send.term),
+                           "step_down");
             },
             [&](const SendHold& send) {
-              send_command(send.endpoint, codec->EncodeHold(send.term));
+              send_command(send.endpoint, codec->EncodeHold(send.term), "hold");
             },
             [&](const SendResume& send) { held.push_back(send.endpoint); },
             [&](const SendStatus& send) {
-              send_command(send.endpoint, codec->EncodeStatus());
+              send_command(send.endpoint, codec->EncodeStatus(), "status");
             },
             [&](const OrderPromotion& order) { this->SendOrder(order); },
             [&](const PromotionFinished& finished) {
@@ -121,6 +124,19 @@
   }
 }
 
+void PromotionTask::LogStatus(const common::EndpointId& id, const char* purpose,
+                              const EndpointStatus& status) const {
+  common::Log(Subsystem::kConnection, LogLevel::kInfo, "promotion_member",
+              {{"service", this->service},
+               {"endpoint", id},
+               {"command", purpose},
+               {"leads", status.role == GroupRole::kPrimary ? "yes" : "no"},
+               {"term", status.term},
+               {"received_term", status.received.term},
+               {"received_index", status.received.index},
+               {"held", status.held}});
+}
+
 void PromotionTask::ResumeAndEnd(const std::vector<common::EndpointId>& held,
                                  const PromotionFinished& finished) {
   if (held.empty()) {
--- a/Source/Core/Session/promotion_task.h
+++ b/Source/Core/Session/promotion_task.h
@@ -58,6 +58,9 @@
   void ResumeAndEnd(const std::vector<common::EndpointId>& held,
                     const PromotionFinished& finished);
   void End(const PromotionFinished& finished);
+  /// Logs a member's answer to a command of the plan.
+  void LogStatus(const common::EndpointId& id, const char* purpose,
+                 const EndpointStatus& status) const;
   /// Records the duration of the phase that ends now and starts the next one.
   void RecordPhase(const std::string& phase);
 
