--- a/Source/UnitTests/Core/Session/promotion_plan_test.cc
+++ b/Source/UnitTests/Core/Session/promotion_plan_test.cc
@@ -145,6 +145,40 @@
   EXPECT_EQ(Find<OrderPromotion>(actions), nullptr);
 }
 
+// Guards against an assumed primary that had been replaced before: after its
+// step-down it follows the actual primary and confirms commits that the
+// promoted replica lacks.
+TEST_F(PromotionPlanTest,
+       SteppedDownMemberStillReceives_Order_WaitsForItsHold) {
+  const common::SteadyTime early = kStart + milliseconds(100);
+  this->plan.OnStatus(this->p, {GroupRole::kReplica, 2, {2, 50}, 0}, early);
+  this->plan.OnStatus(this->b, Held(3, 60, 4), early);
+  const auto redirected =
+      this->plan.OnStatus(this->a, {GroupRole::kPrimary, 3, {3, 61}, 0}, early);
+  const auto* step_down = Find<SendStepDown>(redirected);
+  ASSERT_NE(step_down, nullptr);
+  EXPECT_EQ(step_down->endpoint, this->a);
+  const common::SteadyTime later = kStart + milliseconds(200);
+  const auto too_early =
+      this->plan.OnStatus(this->a, {GroupRole::kReplica, 3, {3, 62}, 0}, later);
+  EXPECT_EQ(Find<OrderPromotion>(too_early), nullptr);
+  this->plan.OnStatus(this->a, Held(3, 62, 4), later);
+  const auto held = this->plan.OnStatus(this->p, Held(3, 62, 4), later);
+  const auto* order = Find<OrderPromotion>(held);
+  ASSERT_NE(order, nullptr);
+  EXPECT_EQ(order->endpoint, this->p);
+}
+
+// Guards against taking the position of a member of an earlier term for the end
+// of the log, while the actual primary has not answered and still commits.
+TEST_F(PromotionPlanTest,
+       SteppedDownMemberHasEarlierTerm_Order_WaitsForItsHold) {
+  const common::SteadyTime late = kStart + milliseconds(400);
+  this->plan.OnStatus(this->p, {GroupRole::kReplica, 2, {2, 50}, 0}, late);
+  const auto actions = this->plan.OnStatus(this->b, Held(3, 60, 4), late);
+  EXPECT_EQ(Find<OrderPromotion>(actions), nullptr);
+}
+
 /// Model of a replicated group in virtual time. The primary acknowledges a
 /// commit once one replica that receives has it.
 class ModelGroup {
