Session: Hold every member before a promotion, also one that stepped down

Cause: PromotionPlan took the first answer of the assumed primary to its step-down for the end of the log. If that member had been replaced before without this daemon's knowledge, it follows the actual primary as soon as it has stepped down and confirms its commits, and its position says nothing about them. The plan counted it as fenced even after another member had answered that it leads.

A member now counts only once it is held; a member that leads steps down first. All members but at most one must be held. Since each acknowledged commit is on two members, one of the two is then held and no other commit can be confirmed, whoever leads. The assumption about the primary only decides which command is sent first and who is preferred.

Two tests fed a step-down's answer and expected an order at once; they now also feed the answer to the hold that the plan asks for, and expect the same orders.

--- a/Source/Core/Session/promotion_plan.cc
+++ b/Source/Core/Session/promotion_plan.cc
@@ -80,15 +80,17 @@
     return this->FenceUnanswered();
   }
   if (status.role == GroupRole::kPrimary) {
-    if (this->primary != id) {
-      // A member other than the assumed primary leads.
-      this->primary = id;
-      return {SendStepDown{id, this->term}};
-    }
-    return {};
+    // A hold has no effect on a primary.
+    found->second.fenced.reset();
+    this->primary = id;
+    return {SendStepDown{id, this->term}};
+  }
+  if (status.held < this->term) {
+    // A primary that has stepped down follows any other primary and confirms
+    // its commits, so it is held as well.
+    found->second.fenced.reset();
+    return {SendHold{id, this->term}};
   }
-  const bool is_fenced = this->primary == id || status.held >= this->term;
-  if (!is_fenced) return {};
   found->second.fenced = status;
   return this->OrderIfPossible(now);
 }
@@ -112,21 +114,12 @@
   return this->OrderIfPossible(now);
 }
 
-std::optional<common::EndpointId> PromotionPlan::ChooseCandidate(
-    common::SteadyTime now) const {
+std::optional<common::EndpointId> PromotionPlan::MostAdvanced(
+    const std::optional<common::EndpointId>& without) const {
   const Member* best = nullptr;
   std::optional<common::EndpointId> best_id;
-  bool all_replicas = true;
-  const Member* old_primary = nullptr;
   for (const auto& [id, member] : this->members) {
-    if (this->primary == id) {
-      if (member.fenced.has_value()) old_primary = &member;
-      continue;
-    }
-    if (!member.fenced.has_value()) {
-      all_replicas = false;
-      continue;
-    }
+    if (without == id || !member.fenced.has_value()) continue;
     const bool better = best == nullptr ||
                         member.fenced->received > best->fenced->received ||
                         (member.fenced->received == best->fenced->received &&
@@ -136,23 +129,41 @@
       best_id = id;
     }
   }
-  const bool old_pending = this->primary.has_value() &&
-                           this->members.contains(*this->primary) &&
-                           old_primary == nullptr;
+  return best_id;
+}
+
+std::optional<common::EndpointId> PromotionPlan::ChooseCandidate(
+    common::SteadyTime now) const {
+  std::size_t missing = 0;
+  bool primary_missing = false;
+  for (const auto& [id, member] : this->members) {
+    if (member.fenced.has_value()) continue;
+    ++missing;
+    primary_missing = primary_missing || this->primary == id;
+  }
+  // Every acknowledged commit is on two members. With at most one member
+  // missing, one of the two is held, and no commit can be confirmed any more.
+  if (missing > 1) return std::nullopt;
+  const common::Duration age = now - this->started;
   // A reachable primary steps down first, so that clients of other daemons
   // learn of the change from its refusals.
-  if (old_pending && now - this->started < kFenceReplyWait) return std::nullopt;
-  if (all_replicas && best != nullptr) return best_id;
-  if (old_primary == nullptr) return std::nullopt;
-  if (now - this->started < kFenceReplyWait) return std::nullopt;
-  if (best != nullptr &&
-      best->fenced->received >= old_primary->fenced->received) {
-    return best_id;
+  if (primary_missing) {
+    return age < kFenceReplyWait ? std::nullopt : this->MostAdvanced({});
+  }
+  const std::optional<common::EndpointId> replica =
+      this->MostAdvanced(this->primary);
+  if (missing == 0) {
+    return replica.has_value() ? replica : this->MostAdvanced({});
   }
-  // No other member is known to have everything that the old primary has
-  // acknowledged.
-  if (now - this->started < kReinstateAfter) return std::nullopt;
-  return this->primary;
+  if (age < kFenceReplyWait) return std::nullopt;
+  const std::optional<common::EndpointId> best = this->MostAdvanced({});
+  const bool has_all = replica.has_value() && best.has_value() &&
+                       this->members.at(*replica).fenced->received >=
+                           this->members.at(*best).fenced->received;
+  if (has_all) return replica;
+  // The missing member may be the one that confirmed the latest commits of the
+  // old primary.
+  return age < kReinstateAfter ? std::nullopt : best;
 }
 
 std::vector<PromotionAction> PromotionPlan::OrderIfPossible(
--- a/Source/Core/Session/promotion_plan.h
+++ b/Source/Core/Session/promotion_plan.h
@@ -54,11 +54,13 @@
 /// I/O: it takes events and returns the actions to perform.
 ///
 /// A commit is acknowledged once the primary and one replica have it. The plan
-/// therefore fences all registered replicas and chooses the one with the most
-/// advanced log, which has every acknowledged commit whichever replica
-/// confirmed it. If the old primary answers and has stepped down, its final log
-/// position can stand in for replicas that do not answer. Until one of the two
-/// conditions holds, no member is promoted.
+/// therefore holds all registered members but at most one, after a member that
+/// leads has stepped down. Then at least one member of each such pair is held,
+/// no commit can be acknowledged any more, and the held member with the most
+/// advanced log has every acknowledged commit, whichever members had it. The
+/// plan relies on no assumption about which member leads: a member that has
+/// been replaced without the knowledge of this daemon follows the actual
+/// primary once it has stepped down, and counts only when it is held.
 class PromotionPlan {
  public:
   PromotionPlan(const std::vector<GroupMember>& members,
@@ -90,8 +92,8 @@
   struct Member {
     bool leaving = false;
     std::uint64_t incarnation = 0;
-    /// The member's answer to a hold or step-down for the term of this plan;
-    /// none while the member is not fenced.
+    /// The member's answer to a hold for the term of this plan; none while the
+    /// member is not held.
     std::optional<EndpointStatus> fenced;
   };
 
@@ -99,6 +101,9 @@
   std::vector<PromotionAction> OrderIfPossible(common::SteadyTime now);
   std::optional<common::EndpointId> ChooseCandidate(
       common::SteadyTime now) const;
+  /// The held member with the most advanced log, apart from the named one.
+  std::optional<common::EndpointId> MostAdvanced(
+      const std::optional<common::EndpointId>& without) const;
   std::vector<PromotionAction> Finish(bool promoted, const char* reason,
                                       common::SteadyTime now);
 
--- a/Source/UnitTests/Core/Session/promotion_plan_test.cc
+++ b/Source/UnitTests/Core/Session/promotion_plan_test.cc
@@ -80,7 +80,9 @@
 // reported the end of its log.
 TEST_F(PromotionPlanTest, PrimarySteppedDown_Order_AcceptsOneReplica) {
   const common::SteadyTime late = kStart + milliseconds(400);
-  this->plan.OnStatus(this->p, Held(3, 10, 0), late);
+  const auto hold = this->plan.OnStatus(this->p, Held(3, 10, 0), late);
+  ASSERT_NE(Find<SendHold>(hold), nullptr);
+  this->plan.OnStatus(this->p, Held(3, 10, 4), late);
   const auto actions = this->plan.OnStatus(this->a, Held(3, 10, 4), late);
   const auto* order = Find<OrderPromotion>(actions);
   ASSERT_NE(order, nullptr);
@@ -93,6 +95,7 @@
        ReplicaBehindSteppedDown_Order_ReinstatesTheOldPrimary) {
   const common::SteadyTime late = kStart + milliseconds(400);
   this->plan.OnStatus(this->p, Held(3, 11, 0), late);
+  this->plan.OnStatus(this->p, Held(3, 11, 4), late);
   EXPECT_EQ(
       Find<OrderPromotion>(this->plan.OnStatus(this->a, Held(3, 10, 4), late)),
       nullptr);
