Session: Count members that have disappeared as not held in a promotion

Callers could lose acknowledged writes when a store entry expired during a failover.

Cause: the plan dropped a member as soon as its entry was gone, and took a restarted member for the same one. A restarted database has lost what it had confirmed.

Processes that have disappeared without announcing it count as not held for 10 s, so that a silent primary is not replaced without them; with the primary held, the promotion goes on.

--- a/Source/Core/Session/promotion_plan.cc
+++ b/Source/Core/Session/promotion_plan.cc
@@ -28,13 +28,28 @@
 
 }  // namespace
 
+void UpdateFormerMembers(const std::vector<GroupMember>& before,
+                         const std::vector<GroupMember>& now,
+                         FormerMembers* former) {
+  for (const GroupMember& member : before) {
+    if (member.state == MemberState::kLeaving) continue;
+    former->emplace(member.id, member.incarnation);
+  }
+  for (const GroupMember& member : now) {
+    former->erase({member.id, member.incarnation});
+  }
+}
+
 PromotionPlan::PromotionPlan(const std::vector<GroupMember>& group,
+                             FormerMembers former,
                              const std::optional<common::EndpointId>& primary,
                              common::Term highest_term, common::SteadyTime now)
-    : primary(primary), term(highest_term + 1), started(now) {
+    : former(std::move(former)),
+      primary(primary),
+      term(highest_term + 1),
+      started(now) {
   for (const GroupMember& member : group) {
-    this->members[member.id] =
-        Member{member.state == MemberState::kLeaving, member.incarnation, {}};
+    this->members[member.id] = Member{member, {}};
   }
 }
 
@@ -97,23 +112,27 @@
 
 std::vector<PromotionAction> PromotionPlan::OnMembers(
     const std::vector<GroupMember>& group, common::SteadyTime now) {
+  std::vector<GroupMember> before;
+  for (const auto& [id, member] : this->members) before.push_back(member.entry);
+  UpdateFormerMembers(before, group, &this->former);
   std::map<common::EndpointId, Member> present;
   for (const GroupMember& member : group) {
     const auto known = this->members.find(member.id);
-    Member entry;
-    if (known != this->members.end() &&
-        known->second.incarnation == member.incarnation) {
-      entry = known->second;
-    }
-    entry.leaving = member.state == MemberState::kLeaving;
-    entry.incarnation = member.incarnation;
-    present[member.id] = entry;
+    const bool same_process =
+        known != this->members.end() &&
+        known->second.entry.incarnation == member.incarnation;
+    present[member.id] =
+        Member{member, same_process ? known->second.fenced : std::nullopt};
   }
   this->members = std::move(present);
   if (this->phase != Phase::kFencing) return {};
   return this->OrderIfPossible(now);
 }
 
+bool PromotionPlan::IsLeaving(const Member& member) {
+  return member.entry.state == MemberState::kLeaving;
+}
+
 std::optional<common::EndpointId> PromotionPlan::MostAdvanced(
     const std::optional<common::EndpointId>& without) const {
   const Member* best = nullptr;
@@ -123,7 +142,7 @@
     const bool better = best == nullptr ||
                         member.fenced->received > best->fenced->received ||
                         (member.fenced->received == best->fenced->received &&
-                         best->leaving && !member.leaving);
+                         IsLeaving(*best) && !IsLeaving(member));
     if (better) {
       best = &member;
       best_id = id;
@@ -134,25 +153,25 @@
 
 std::optional<common::EndpointId> PromotionPlan::ChooseCandidate(
     common::SteadyTime now) const {
-  std::size_t missing = 0;
-  bool primary_missing = false;
+  // Processes of one member never run at the same time, so each member counts
+  // once.
+  std::set<common::EndpointId> missing;
+  for (const auto& [id, incarnation] : this->former) missing.insert(id);
   for (const auto& [id, member] : this->members) {
-    if (member.fenced.has_value()) continue;
-    ++missing;
-    primary_missing = primary_missing || this->primary == id;
+    if (!member.fenced.has_value()) missing.insert(id);
   }
   // Every acknowledged commit is on two members. With at most one member
-  // missing, one of the two is held, and no commit can be confirmed any more.
-  if (missing > 1) return std::nullopt;
+  // missing, the other one is held, and no commit can be confirmed any more.
+  if (missing.size() > 1) return std::nullopt;
   const common::Duration age = now - this->started;
   // A reachable primary steps down first, so that clients of other daemons
   // learn of the change from its refusals.
-  if (primary_missing) {
+  if (this->primary.has_value() && missing.contains(*this->primary)) {
     return age < kFenceReplyWait ? std::nullopt : this->MostAdvanced({});
   }
   const std::optional<common::EndpointId> replica =
       this->MostAdvanced(this->primary);
-  if (missing == 0) {
+  if (missing.empty()) {
     return replica.has_value() ? replica : this->MostAdvanced({});
   }
   if (age < kFenceReplyWait) return std::nullopt;
--- a/Source/Core/Session/promotion_plan.h
+++ b/Source/Core/Session/promotion_plan.h
@@ -1,9 +1,11 @@
 #ifndef CAMPHORFERRY_SESSION_PROMOTION_PLAN_H_
 #define CAMPHORFERRY_SESSION_PROMOTION_PLAN_H_
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -46,6 +48,16 @@
   const char* reason = "";
 };
 
+/// Processes of members, by identifier and incarnation, that have disappeared.
+using FormerMembers = std::set<std::pair<common::EndpointId, std::uint64_t>>;
+
+/// Adds the processes that are members no longer to the former members, apart
+/// from those that had announced their shutdown, and removes those that have
+/// returned.
+void UpdateFormerMembers(const std::vector<GroupMember>& before,
+                         const std::vector<GroupMember>& now,
+                         FormerMembers* former);
+
 using PromotionAction =
     std::variant<SendStepDown, SendHold, SendResume, SendStatus, OrderPromotion,
                  PromotionFinished>;
@@ -61,9 +73,14 @@
 /// plan relies on no assumption about which member leads: a member that has
 /// been replaced without the knowledge of this daemon follows the actual
 /// primary once it has stepped down, and counts only when it is held.
+///
+/// Members that have disappeared from the directory without having announced
+/// it may still run and confirm commits, and a member that has started again
+/// has lost what it had confirmed. Both count as members that are not held.
 class PromotionPlan {
  public:
-  PromotionPlan(const std::vector<GroupMember>& members,
+  /// The former members are those that have disappeared recently.
+  PromotionPlan(const std::vector<GroupMember>& members, FormerMembers former,
                 const std::optional<common::EndpointId>& primary,
                 common::Term highest_term, common::SteadyTime now);
 
@@ -90,13 +107,13 @@
   enum class Phase { kFencing, kOrdered, kFinished };
 
   struct Member {
-    bool leaving = false;
-    std::uint64_t incarnation = 0;
+    GroupMember entry;
     /// The member's answer to a hold for the term of this plan; none while the
     /// member is not held.
     std::optional<EndpointStatus> fenced;
   };
 
+  static bool IsLeaving(const Member& member);
   std::vector<PromotionAction> FenceUnanswered();
   std::vector<PromotionAction> OrderIfPossible(common::SteadyTime now);
   std::optional<common::EndpointId> ChooseCandidate(
@@ -108,6 +125,7 @@
                                       common::SteadyTime now);
 
   std::map<common::EndpointId, Member> members;
+  FormerMembers former;
   std::optional<common::EndpointId> primary;
   common::Term term;
   common::SteadyTime started;
--- a/Source/Core/Session/promotion_task.cc
+++ b/Source/Core/Session/promotion_task.cc
@@ -62,15 +62,17 @@
     return;
   }
   const std::vector<GroupMember> members = this->callbacks.members();
+  const FormerMembers former = this->callbacks.former_members();
   const std::optional<common::EndpointId> primary = this->callbacks.primary();
   common::Log(Subsystem::kConnection, LogLevel::kWarning, "promotion_started",
               {{"service", this->service},
                {"reason", ToString(reason)},
                {"old_primary", primary.value_or(common::EndpointId())},
                {"term", this->callbacks.highest_term()},
-               {"members", members.size()}});
+               {"members", members.size()},
+               {"former_members", former.size()}});
   this->plan = std::make_shared<PromotionPlan>(
-      members, primary, this->callbacks.highest_term(), now);
+      members, former, primary, this->callbacks.highest_term(), now);
   this->Perform(this->plan->Begin(now));
 }
 
--- a/Source/Core/Session/promotion_task.h
+++ b/Source/Core/Session/promotion_task.h
@@ -22,6 +22,7 @@
                      std::function<void(std::optional<EndpointStatus>)>)>
       send_command;
   std::function<std::vector<GroupMember>()> members;
+  std::function<FormerMembers()> former_members;
   std::function<std::optional<common::EndpointId>()> primary;
   std::function<common::Term()> highest_term;
   /// Whether the primary still needs to be replaced.
--- a/Source/Core/Session/service_group.cc
+++ b/Source/Core/Session/service_group.cc
@@ -29,6 +29,10 @@
 /// members may lag by this much, so a primary that it does not name may have
 /// registered meanwhile.
 constexpr std::chrono::milliseconds kMaxFirstListingAge(3000);
+/// A member that has disappeared from the directory without having announced it
+/// may still run and confirm commits, for example while it does not reach the
+/// store. Longer than such faults usually last.
+constexpr std::chrono::seconds kFormerMemberRetention(10);
 /// Minimum interval between two probes.
 constexpr std::chrono::milliseconds kProbeInterval(150);
 /// Backoff after a proof round without a proof, doubled up to the maximum. Each
@@ -61,6 +65,13 @@
     this->SendCommand(id, command, kStatusTimeout, std::move(done));
   };
   callbacks.members = [this] { return this->Entries(); };
+  callbacks.former_members = [this] {
+    FormerMembers former;
+    for (const auto& [process, until] : this->former_members) {
+      former.insert(process);
+    }
+    return former;
+  };
   callbacks.primary = [this] { return this->primary; };
   callbacks.highest_term = [this] { return this->view.HighestTerm(); };
   callbacks.still_needed = [this] {
@@ -72,7 +83,22 @@
 
 ServiceGroup::~ServiceGroup() { *this->alive = false; }
 
+void ServiceGroup::UpdateFormer(const std::vector<GroupMember>& present,
+                                common::SteadyTime now) {
+  FormerMembers former;
+  for (const auto& [process, until] : this->former_members) {
+    former.insert(process);
+  }
+  UpdateFormerMembers(this->Entries(), present, &former);
+  std::erase_if(this->former_members,
+                [&](const auto& item) { return !former.contains(item.first); });
+  for (const auto& process : former) {
+    this->former_members.try_emplace(process, now + kFormerMemberRetention);
+  }
+}
+
 void ServiceGroup::SetMembers(const std::vector<GroupMember>& present) {
+  this->UpdateFormer(present, common::SteadyNow());
   std::set<common::EndpointId> ids;
   for (const GroupMember& entry : present) {
     ids.insert(entry.id);
@@ -135,6 +161,8 @@
 void ServiceGroup::Tick(common::SteadyTime now) {
   for (auto& [id, member] : this->members) member.pool->CloseExcessIdle(now);
   this->leadership_proofs.DropOlderThan(now - kProofRetention);
+  std::erase_if(this->former_members,
+                [now](const auto& item) { return item.second <= now; });
   std::vector<std::function<void(bool)>> expired;
   for (auto it = this->waiters.begin(); it != this->waiters.end();) {
     if (it->until > now) {
--- a/Source/Core/Session/service_group.h
+++ b/Source/Core/Session/service_group.h
@@ -150,6 +150,9 @@
   void EndCommand(std::uint64_t number,
                   const std::optional<EndpointStatus>& status);
   std::vector<GroupMember> Entries() const;
+  /// Updates the former members for a new set of members.
+  void UpdateFormer(const std::vector<GroupMember>& present,
+                    common::SteadyTime now);
   void UpdatePrimary();
   /// Tells the monitor whether the primary is about to shut down.
   void UpdateLeaving();
@@ -169,6 +172,9 @@
   GroupContext context;
   common::ServiceId service;
   std::map<common::EndpointId, Member> members;
+  /// Processes of members that have disappeared, and until when a promotion
+  /// takes them into account.
+  std::map<FormerMembers::value_type, common::SteadyTime> former_members;
   ChannelLimits channel_limits;
   HedgeBudget hedge_budget;
 
--- a/Source/UnitTests/Core/Session/promotion_plan_test.cc
+++ b/Source/UnitTests/Core/Session/promotion_plan_test.cc
@@ -38,7 +38,7 @@
 class PromotionPlanTest : public testing::Test {
  protected:
   PromotionPlanTest()
-      : plan({Member("p"), Member("a"), Member("b")}, this->p, 3, kStart) {
+      : plan({Member("p"), Member("a"), Member("b")}, {}, this->p, 3, kStart) {
     this->plan.Begin(kStart);
   }
 
@@ -129,14 +129,41 @@
   EXPECT_EQ(Find<SendResume>(actions), nullptr);
 }
 
-// Guards against waiting for a replica that is no longer registered.
+// Guards against waiting for a replica that had announced its shutdown and has
+// ended.
 TEST_F(PromotionPlanTest, SilentReplicaLeaves_OnMembers_Orders) {
   const common::SteadyTime late = kStart + milliseconds(400);
-  this->plan.OnStatus(this->a, Held(3, 10, 4), late);
+  this->plan.OnMembers({Member("p"), Member("a"), Member("b", true)}, late);
+  EXPECT_EQ(
+      Find<OrderPromotion>(this->plan.OnStatus(this->a, Held(3, 10, 4), late)),
+      nullptr);
   const auto actions = this->plan.OnMembers({Member("p"), Member("a")}, late);
   EXPECT_NE(Find<OrderPromotion>(actions), nullptr);
 }
 
+// Guards against a promotion without a replica whose entry had expired shortly
+// before: it may still confirm commits of a primary that does not answer.
+TEST_F(PromotionPlanTest, ReplicaExpiredBefore_PrimarySilent_OrdersNothing) {
+  PromotionPlan later({Member("p"), Member("a")}, {{this->b, 1}}, this->p, 3,
+                      kStart);
+  const common::SteadyTime late = kStart + milliseconds(400);
+  EXPECT_EQ(Find<OrderPromotion>(later.OnStatus(this->a, Held(3, 10, 4), late)),
+            nullptr);
+  // With the primary held, its log has everything that it has acknowledged.
+  EXPECT_NE(Find<OrderPromotion>(later.OnStatus(this->p, Held(3, 10, 4), late)),
+            nullptr);
+}
+
+// Guards against not promoting for long because of an entry that has returned.
+TEST_F(PromotionPlanTest, ExpiredReplicaReturns_OnMembers_CountsItAgain) {
+  const common::SteadyTime late = kStart + milliseconds(400);
+  this->plan.OnMembers({Member("p"), Member("a")}, late);
+  this->plan.OnMembers({Member("p"), Member("a"), Member("b")}, late);
+  this->plan.OnStatus(this->a, Held(3, 10, 4), late);
+  const auto actions = this->plan.OnStatus(this->b, Held(3, 9, 4), late);
+  EXPECT_NE(Find<OrderPromotion>(actions), nullptr);
+}
+
 // Guards against using the answer of a replica that has been restarted since.
 TEST_F(PromotionPlanTest, ReplicaRestarted_OnMembers_FencesItAgain) {
   const common::SteadyTime late = kStart + milliseconds(400);
@@ -258,7 +285,7 @@
     group.databases["b"].reachable_for_primary = *rc::gen::arbitrary<bool>();
     group.Commit(*rc::gen::arbitrary<bool>());
   }
-  PromotionPlan plan({Member("p"), Member("a"), Member("b")},
+  PromotionPlan plan({Member("p"), Member("a"), Member("b")}, {},
                      common::EndpointId("p"), 1, kStart);
   std::vector<PromotionAction> open = plan.Begin(kStart);
   common::SteadyTime now = kStart;
--- a/Source/UnitTests/Platform/promotion_task_test.cc
+++ b/Source/UnitTests/Platform/promotion_task_test.cc
@@ -38,6 +38,7 @@
       members[2].id = common::EndpointId("b");
       return members;
     };
+    callbacks.former_members = [] { return session::FormerMembers(); };
     callbacks.primary = [] { return common::EndpointId("p"); };
     callbacks.highest_term = [] { return 1; };
     callbacks.still_needed = [] { return true; };
