Session: Keep members held until a promotion takes effect

Callers could lose writes that were acknowledged between a promotion's order and its effect, which takes up to a second.

Cause: the plan checked a hold once. A restart of the member, or a delayed resume of another daemon, ends a hold; a member that registers after the order was never held. A repeated order relied on the positions that were read before the first one.

Until the promotion takes effect every tick asks the held members for their status and fences the others, and an order is repeated only while the chosen member is still the one to choose. An order that was given can't be recalled; what remains is the time between the end of a hold and the next tick.

--- a/Source/Core/Session/promotion_plan.cc
+++ b/Source/Core/Session/promotion_plan.cc
@@ -71,6 +71,14 @@
   return actions;
 }
 
+std::vector<PromotionAction> PromotionPlan::CheckMembers() {
+  std::vector<PromotionAction> actions = this->FenceUnanswered();
+  for (const auto& [id, member] : this->members) {
+    if (member.fenced.has_value()) actions.emplace_back(SendStatus{id});
+  }
+  return actions;
+}
+
 std::vector<PromotionAction> PromotionPlan::OnStatus(
     const common::EndpointId& id, const EndpointStatus& status,
     common::SteadyTime now) {
@@ -82,7 +90,8 @@
     if (status.role == GroupRole::kPrimary && status.term >= this->term) {
       return this->Finish(true, "leads", now);
     }
-    return {};
+    if (status.term >= this->term) return {};
+    return this->TakeStatus(id, status);
   }
   if (status.term >= this->term) {
     // Another daemon has promoted a member in the meantime, or the term was out
@@ -94,20 +103,25 @@
     for (auto& [other, member] : this->members) member.fenced.reset();
     return this->FenceUnanswered();
   }
+  std::vector<PromotionAction> actions = this->TakeStatus(id, status);
+  if (!actions.empty()) return actions;
+  return this->OrderIfPossible(now);
+}
+
+std::vector<PromotionAction> PromotionPlan::TakeStatus(
+    const common::EndpointId& id, const EndpointStatus& status) {
+  Member& member = this->members.at(id);
+  member.fenced.reset();
   if (status.role == GroupRole::kPrimary) {
     // A hold has no effect on a primary.
-    found->second.fenced.reset();
     this->primary = id;
     return {SendStepDown{id, this->term}};
   }
-  if (status.held < this->term) {
-    // A primary that has stepped down follows any other primary and confirms
-    // its commits, so it is held as well.
-    found->second.fenced.reset();
-    return {SendHold{id, this->term}};
-  }
-  found->second.fenced = status;
-  return this->OrderIfPossible(now);
+  // A primary that has stepped down follows any other primary and confirms its
+  // commits, so it is held as well.
+  if (status.held < this->term) return {SendHold{id, this->term}};
+  member.fenced = status;
+  return {};
 }
 
 std::vector<PromotionAction> PromotionPlan::OnMembers(
@@ -125,8 +139,12 @@
         Member{member, same_process ? known->second.fenced : std::nullopt};
   }
   this->members = std::move(present);
-  if (this->phase != Phase::kFencing) return {};
-  return this->OrderIfPossible(now);
+  if (this->phase == Phase::kFinished) return {};
+  if (this->phase == Phase::kFencing) {
+    std::vector<PromotionAction> actions = this->OrderIfPossible(now);
+    if (!actions.empty()) return actions;
+  }
+  return this->FenceUnanswered();
 }
 
 bool PromotionPlan::IsLeaving(const Member& member) {
@@ -217,19 +235,20 @@
       }
       std::vector<PromotionAction> actions = this->OrderIfPossible(now);
       if (!actions.empty()) return actions;
-      return this->FenceUnanswered();
+      return this->CheckMembers();
     }
     case Phase::kOrdered: {
       if (now - this->started >= kPlanTimeout) {
         return this->Finish(false, "no_effect", now);
       }
-      std::vector<PromotionAction> actions;
-      if (now - *this->last_order >= kOrderRetryInterval) {
+      std::vector<PromotionAction> actions = this->CheckMembers();
+      // The holds may have ended since the first order.
+      if (now - *this->last_order >= kOrderRetryInterval &&
+          this->ChooseCandidate(now) == this->chosen) {
         this->last_order = now;
         this->order_pending = true;
         actions.emplace_back(OrderPromotion{*this->chosen});
       }
-      actions.emplace_back(SendStatus{*this->chosen});
       return actions;
     }
     case Phase::kFinished:
--- a/Source/Core/Session/promotion_plan.h
+++ b/Source/Core/Session/promotion_plan.h
@@ -114,7 +114,14 @@
   };
 
   static bool IsLeaving(const Member& member);
+  /// Fences the members that are not held.
   std::vector<PromotionAction> FenceUnanswered();
+  /// Fences the members that are not held and asks the others for their status:
+  /// a restart, or a delayed command of another daemon, may have ended a hold.
+  std::vector<PromotionAction> CheckMembers();
+  /// Records whether a member is held; fences it if it is not.
+  std::vector<PromotionAction> TakeStatus(const common::EndpointId& id,
+                                          const EndpointStatus& status);
   std::vector<PromotionAction> OrderIfPossible(common::SteadyTime now);
   std::optional<common::EndpointId> ChooseCandidate(
       common::SteadyTime now) const;
--- a/Source/UnitTests/Core/Session/promotion_plan_test.cc
+++ b/Source/UnitTests/Core/Session/promotion_plan_test.cc
@@ -209,6 +209,24 @@
   EXPECT_EQ(Find<OrderPromotion>(actions), nullptr);
 }
 
+// Guards against repeating an order after a hold has ended: the other replica
+// may have confirmed commits since, which the chosen one lacks.
+TEST_F(PromotionPlanTest, HoldEndsAfterOrder_Retry_IsNotSent) {
+  const common::SteadyTime late = kStart + milliseconds(400);
+  this->plan.OnStatus(this->a, Held(3, 10, 4), late);
+  this->plan.OnStatus(this->b, Held(3, 12, 4), late);
+  const auto actions =
+      this->plan.OnStatus(this->a, Held(3, 13, 0), kStart + milliseconds(1500));
+  const auto* hold = Find<SendHold>(actions);
+  ASSERT_NE(hold, nullptr);
+  EXPECT_EQ(hold->endpoint, this->a);
+  this->plan.OnStatus(this->a, Held(3, 13, 4), kStart + milliseconds(1600));
+  for (int ms = 2200; ms < 6000; ms += 100) {
+    const auto ticked = this->plan.OnTick(kStart + milliseconds(ms));
+    EXPECT_EQ(Find<OrderPromotion>(ticked), nullptr);
+  }
+}
+
 /// Model of a replicated group in virtual time. The primary acknowledges a
 /// commit once one replica that receives has it.
 class ModelGroup {
