Session: End a promotion whose chosen member follows another primary

Callers could lose writes of a primary that another daemon had promoted: the plan repeated its order for a member that had already become a replica of the new term.

Cause: a status of the newest term without leadership was ignored once an order was given.

The member's term shows that another promotion has taken effect, so this one is over.

--- a/Source/Core/Session/promotion_plan.cc
+++ b/Source/Core/Session/promotion_plan.cc
@@ -90,8 +90,10 @@
     if (status.role == GroupRole::kPrimary && status.term >= this->term) {
       return this->Finish(true, "leads", now);
     }
-    if (status.term >= this->term) return {};
-    return this->TakeStatus(id, status);
+    if (status.term < this->term) return this->TakeStatus(id, status);
+    // The chosen member follows another one that has been promoted instead.
+    if (this->chosen == id) return this->Finish(false, "other_primary", now);
+    return {};
   }
   if (status.term >= this->term) {
     // Another daemon has promoted a member in the meantime, or the term was out
