Session: Count orders whose answer is outstanding when a promotion ends

Callers could lose writes that were acknowledged after a promotion had been given up and before its order took effect.

Cause: one flag stood for all orders of a plan. An accepted order, or the rejection of a repeated one, cleared it although an order could still be executed; and orders were repeated until just before the plan ended.

Orders without an answer are counted, an accepted one counts for the longest time until it takes effect, and the last order is given that time before the plan ends. Replicas are resumed only if no order can take effect any more.

--- a/Source/Core/Session/promotion_plan.cc
+++ b/Source/Core/Session/promotion_plan.cc
@@ -22,8 +22,8 @@
 /// Limit of the whole plan: a promotion that was ordered but has not taken
 /// effect by then is abandoned.
 constexpr std::chrono::milliseconds kPlanTimeout(6000);
-/// The platform may still execute an unanswered order within this time, so the
-/// replicas stay held for as long.
+/// An accepted order takes effect within this time, so the replicas stay held
+/// for as long.
 constexpr std::chrono::milliseconds kMaxOrderDelay(3000);
 
 }  // namespace
@@ -212,20 +212,31 @@
   if (!candidate.has_value()) return {};
   this->phase = Phase::kOrdered;
   this->chosen = candidate;
-  this->fenced_at = now;
+  return {this->Order(now)};
+}
+
+OrderPromotion PromotionPlan::Order(common::SteadyTime now) {
   this->last_order = now;
-  this->order_pending = true;
-  return {OrderPromotion{*candidate}};
+  ++this->unanswered_orders;
+  return OrderPromotion{*this->chosen};
+}
+
+bool PromotionPlan::OrderMayExecute(common::SteadyTime now) const {
+  if (this->unanswered_orders > 0) return true;
+  return this->accepted_at.has_value() &&
+         now - *this->accepted_at < kMaxOrderDelay;
 }
 
 std::vector<PromotionAction> PromotionPlan::OnOrderAnswer(
     PromotionAnswer answer, common::SteadyTime now) {
   if (this->phase != Phase::kOrdered) return {};
+  // The order counts as unanswered, so that it may still be executed.
   if (answer == PromotionAnswer::kNoAnswer) return {};
-  this->order_pending = false;
+  --this->unanswered_orders;
   if (answer == PromotionAnswer::kRejected) {
     return this->Finish(false, "rejected", now);
   }
+  this->accepted_at = now;
   return {SendStatus{*this->chosen}};
 }
 
@@ -245,11 +256,10 @@
       }
       std::vector<PromotionAction> actions = this->CheckMembers();
       // The holds may have ended since the first order.
-      if (now - *this->last_order >= kOrderRetryInterval &&
+      if (now - this->last_order >= kOrderRetryInterval &&
+          now - this->started < kPlanTimeout - kMaxOrderDelay &&
           this->ChooseCandidate(now) == this->chosen) {
-        this->last_order = now;
-        this->order_pending = true;
-        actions.emplace_back(OrderPromotion{*this->chosen});
+        actions.push_back(this->Order(now));
       }
       return actions;
     }
@@ -262,19 +272,17 @@
 std::vector<PromotionAction> PromotionPlan::Finish(bool promoted,
                                                    const char* reason,
                                                    common::SteadyTime now) {
-  this->phase = Phase::kFinished;
+  const bool open = !promoted && this->OrderMayExecute(now);
   std::vector<PromotionAction> actions;
   // An order that may still be executed must not meet replicas that have
   // confirmed commits since their positions were read.
-  const bool order_may_execute = !promoted && this->order_pending &&
-                                 this->last_order.has_value() &&
-                                 now - *this->last_order < kMaxOrderDelay;
-  if (!promoted && !order_may_execute) {
+  if (!promoted && !open) {
     for (const auto& [id, member] : this->members) {
       if (this->primary != id) actions.emplace_back(SendResume{id});
     }
   }
-  actions.emplace_back(PromotionFinished{promoted, reason});
+  this->phase = Phase::kFinished;
+  actions.emplace_back(PromotionFinished{promoted, reason, open});
   return actions;
 }
 
--- a/Source/Core/Session/promotion_plan.h
+++ b/Source/Core/Session/promotion_plan.h
@@ -46,6 +46,8 @@
 struct PromotionFinished {
   bool promoted = false;
   const char* reason = "";
+  /// An order of the plan may still be executed.
+  bool order_may_execute = false;
 };
 
 /// Processes of members, by identifier and incarnation, that have disappeared.
@@ -128,6 +130,9 @@
   /// The held member with the most advanced log, apart from the named one.
   std::optional<common::EndpointId> MostAdvanced(
       const std::optional<common::EndpointId>& without) const;
+  OrderPromotion Order(common::SteadyTime now);
+  /// Whether an order that was given may still take effect.
+  bool OrderMayExecute(common::SteadyTime now) const;
   std::vector<PromotionAction> Finish(bool promoted, const char* reason,
                                       common::SteadyTime now);
 
@@ -138,9 +143,10 @@
   common::SteadyTime started;
   Phase phase = Phase::kFencing;
   std::optional<common::EndpointId> chosen;
-  std::optional<common::SteadyTime> fenced_at;
-  std::optional<common::SteadyTime> last_order;
-  bool order_pending = false;
+  common::SteadyTime last_order;
+  /// Orders that have been neither accepted nor rejected.
+  int unanswered_orders = 0;
+  std::optional<common::SteadyTime> accepted_at;
 };
 
 /// Interval between two calls of PromotionPlan::OnTick. Short compared with a
