--- a/Source/Core/Session/promotion_plan.cc
+++ b/Source/Core/Session/promotion_plan.cc
@@ -22,19 +22,34 @@
 /// Limit of the whole plan: a promotion that was ordered but has not taken
 /// effect by then is abandoned.
 constexpr std::chrono::milliseconds kPlanTimeout(6000);
-/// The platform may still execute an unanswered order within this time, so the
-/// replicas stay held for as long.
+/// An accepted order takes effect within this time, so the replicas stay held
+/// for as long.
 constexpr std::chrono::milliseconds kMaxOrderDelay(3000);
 
 }  // namespace
 
+void UpdateFormerMembers(const std::vector<GroupMember>& before,
+                         const std::vector<GroupMember>& now,
+                         FormerMembers* former) {
+  for (const GroupMember& member : before) {
+    if (member.state == MemberState::kLeaving) continue;
+    former->emplace(member.id, member.incarnation);
+  }
+  for (const GroupMember& member : now) {
+    former->erase({member.id, member.incarnation});
+  }
+}
+
 PromotionPlan::PromotionPlan(const std::vector<GroupMember>& group,
+                             FormerMembers former,
                              const std::optional<common::EndpointId>& primary,
                              common::Term highest_term, common::SteadyTime now)
-    : primary(primary), term(highest_term + 1), started(now) {
+    : former(std::move(former)),
+      primary(primary),
+      term(highest_term + 1),
+      started(now) {
   for (const GroupMember& member : group) {
-    this->members[member.id] =
-        Member{member.state == MemberState::kLeaving, member.incarnation, {}};
+    this->members[member.id] = Member{member, {}};
   }
 }
 
@@ -56,6 +71,14 @@
   return actions;
 }
 
+std::vector<PromotionAction> PromotionPlan::CheckMembers() {
+  std::vector<PromotionAction> actions = this->FenceUnanswered();
+  for (const auto& [id, member] : this->members) {
+    if (member.fenced.has_value()) actions.emplace_back(SendStatus{id});
+  }
+  return actions;
+}
+
 std::vector<PromotionAction> PromotionPlan::OnStatus(
     const common::EndpointId& id, const EndpointStatus& status,
     common::SteadyTime now) {
@@ -67,6 +90,9 @@
     if (status.role == GroupRole::kPrimary && status.term >= this->term) {
       return this->Finish(true, "leads", now);
     }
+    if (status.term < this->term) return this->TakeStatus(id, status);
+    // The chosen member follows another one that has been promoted instead.
+    if (this->chosen == id) return this->Finish(false, "other_primary", now);
     return {};
   }
   if (status.term >= this->term) {
@@ -79,80 +105,104 @@
     for (auto& [other, member] : this->members) member.fenced.reset();
     return this->FenceUnanswered();
   }
+  std::vector<PromotionAction> actions = this->TakeStatus(id, status);
+  if (!actions.empty()) return actions;
+  return this->OrderIfPossible(now);
+}
+
+std::vector<PromotionAction> PromotionPlan::TakeStatus(
+    const common::EndpointId& id, const EndpointStatus& status) {
+  Member& member = this->members.at(id);
+  member.fenced.reset();
   if (status.role == GroupRole::kPrimary) {
-    if (this->primary != id) {
-      // A member other than the assumed primary leads.
-      this->primary = id;
-      return {SendStepDown{id, this->term}};
-    }
-    return {};
+    // A hold has no effect on a primary.
+    this->primary = id;
+    return {SendStepDown{id, this->term}};
   }
-  const bool is_fenced = this->primary == id || status.held >= this->term;
-  if (!is_fenced) return {};
-  found->second.fenced = status;
-  return this->OrderIfPossible(now);
+  // A primary that has stepped down follows any other primary and confirms its
+  // commits, so it is held as well.
+  if (status.held < this->term) return {SendHold{id, this->term}};
+  member.fenced = status;
+  return {};
 }
 
 std::vector<PromotionAction> PromotionPlan::OnMembers(
     const std::vector<GroupMember>& group, common::SteadyTime now) {
+  std::vector<GroupMember> before;
+  for (const auto& [id, member] : this->members) before.push_back(member.entry);
+  UpdateFormerMembers(before, group, &this->former);
   std::map<common::EndpointId, Member> present;
   for (const GroupMember& member : group) {
     const auto known = this->members.find(member.id);
-    Member entry;
-    if (known != this->members.end() &&
-        known->second.incarnation == member.incarnation) {
-      entry = known->second;
-    }
-    entry.leaving = member.state == MemberState::kLeaving;
-    entry.incarnation = member.incarnation;
-    present[member.id] = entry;
+    const bool same_process =
+        known != this->members.end() &&
+        known->second.entry.incarnation == member.incarnation;
+    present[member.id] =
+        Member{member, same_process ? known->second.fenced : std::nullopt};
   }
   this->members = std::move(present);
-  if (this->phase != Phase::kFencing) return {};
-  return this->OrderIfPossible(now);
+  if (this->phase == Phase::kFinished) return {};
+  if (this->phase == Phase::kFencing) {
+    std::vector<PromotionAction> actions = this->OrderIfPossible(now);
+    if (!actions.empty()) return actions;
+  }
+  return this->FenceUnanswered();
 }
 
-std::optional<common::EndpointId> PromotionPlan::ChooseCandidate(
-    common::SteadyTime now) const {
+bool PromotionPlan::IsLeaving(const Member& member) {
+  return member.entry.state == MemberState::kLeaving;
+}
+
+std::optional<common::EndpointId> PromotionPlan::MostAdvanced(
+    const std::optional<common::EndpointId>& without) const {
   const Member* best = nullptr;
   std::optional<common::EndpointId> best_id;
-  bool all_replicas = true;
-  const Member* old_primary = nullptr;
   for (const auto& [id, member] : this->members) {
-    if (this->primary == id) {
-      if (member.fenced.has_value()) old_primary = &member;
-      continue;
-    }
-    if (!member.fenced.has_value()) {
-      all_replicas = false;
-      continue;
-    }
+    if (without == id || !member.fenced.has_value()) continue;
     const bool better = best == nullptr ||
                         member.fenced->received > best->fenced->received ||
                         (member.fenced->received == best->fenced->received &&
-                         best->leaving && !member.leaving);
+                         IsLeaving(*best) && !IsLeaving(member));
     if (better) {
       best = &member;
       best_id = id;
     }
   }
-  const bool old_pending = this->primary.has_value() &&
-                           this->members.contains(*this->primary) &&
-                           old_primary == nullptr;
+  return best_id;
+}
+
+std::optional<common::EndpointId> PromotionPlan::ChooseCandidate(
+    common::SteadyTime now) const {
+  // Processes of one member never run at the same time, so each member counts
+  // once.
+  std::set<common::EndpointId> missing;
+  for (const auto& [id, incarnation] : this->former) missing.insert(id);
+  for (const auto& [id, member] : this->members) {
+    if (!member.fenced.has_value()) missing.insert(id);
+  }
+  // Every acknowledged commit is on two members. With at most one member
+  // missing, the other one is held, and no commit can be confirmed any more.
+  if (missing.size() > 1) return std::nullopt;
+  const common::Duration age = now - this->started;
   // A reachable primary steps down first, so that clients of other daemons
   // learn of the change from its refusals.
-  if (old_pending && now - this->started < kFenceReplyWait) return std::nullopt;
-  if (all_replicas && best != nullptr) return best_id;
-  if (old_primary == nullptr) return std::nullopt;
-  if (now - this->started < kFenceReplyWait) return std::nullopt;
-  if (best != nullptr &&
-      best->fenced->received >= old_primary->fenced->received) {
-    return best_id;
+  if (this->primary.has_value() && missing.contains(*this->primary)) {
+    return age < kFenceReplyWait ? std::nullopt : this->MostAdvanced({});
   }
-  // No other member is known to have everything that the old primary has
-  // acknowledged.
-  if (now - this->started < kReinstateAfter) return std::nullopt;
-  return this->primary;
+  const std::optional<common::EndpointId> replica =
+      this->MostAdvanced(this->primary);
+  if (missing.empty()) {
+    return replica.has_value() ? replica : this->MostAdvanced({});
+  }
+  if (age < kFenceReplyWait) return std::nullopt;
+  const std::optional<common::EndpointId> best = this->MostAdvanced({});
+  const bool has_all = replica.has_value() && best.has_value() &&
+                       this->members.at(*replica).fenced->received >=
+                           this->members.at(*best).fenced->received;
+  if (has_all) return replica;
+  // The missing member may be the one that confirmed the latest commits of the
+  // old primary.
+  return age < kReinstateAfter ? std::nullopt : best;
 }
 
 std::vector<PromotionAction> PromotionPlan::OrderIfPossible(
@@ -162,20 +212,31 @@
   if (!candidate.has_value()) return {};
   this->phase = Phase::kOrdered;
   this->chosen = candidate;
-  this->fenced_at = now;
+  return {this->Order(now)};
+}
+
+OrderPromotion PromotionPlan::Order(common::SteadyTime now) {
   this->last_order = now;
-  this->order_pending = true;
-  return {OrderPromotion{*candidate}};
+  ++this->unanswered_orders;
+  return OrderPromotion{*this->chosen};
+}
+
+bool PromotionPlan::OrderMayExecute(common::SteadyTime now) const {
+  if (this->unanswered_orders > 0) return true;
+  return this->accepted_at.has_value() &&
+         now - *this->accepted_at < kMaxOrderDelay;
 }
 
 std::vector<PromotionAction> PromotionPlan::OnOrderAnswer(
     PromotionAnswer answer, common::SteadyTime now) {
   if (this->phase != Phase::kOrdered) return {};
+  // The order counts as unanswered, so that it may still be executed.
   if (answer == PromotionAnswer::kNoAnswer) return {};
-  this->order_pending = false;
+  --this->unanswered_orders;
   if (answer == PromotionAnswer::kRejected) {
     return this->Finish(false, "rejected", now);
   }
+  this->accepted_at = now;
   return {SendStatus{*this->chosen}};
 }
 
@@ -187,19 +248,19 @@
       }
       std::vector<PromotionAction> actions = this->OrderIfPossible(now);
       if (!actions.empty()) return actions;
-      return this->FenceUnanswered();
+      return this->CheckMembers();
     }
     case Phase::kOrdered: {
       if (now - this->started >= kPlanTimeout) {
         return this->Finish(false, "no_effect", now);
       }
-      std::vector<PromotionAction> actions;
-      if (now - *this->last_order >= kOrderRetryInterval) {
-        this->last_order = now;
-        this->order_pending = true;
-        actions.emplace_back(OrderPromotion{*this->chosen});
+      std::vector<PromotionAction> actions = this->CheckMembers();
+      // The holds may have ended since the first order.
+      if (now - this->last_order >= kOrderRetryInterval &&
+          now - this->started < kPlanTimeout - kMaxOrderDelay &&
+          this->ChooseCandidate(now) == this->chosen) {
+        actions.push_back(this->Order(now));
       }
-      actions.emplace_back(SendStatus{*this->chosen});
       return actions;
     }
     case Phase::kFinished:
@@ -211,19 +272,17 @@
 std::vector<PromotionAction> PromotionPlan::Finish(bool promoted,
                                                    const char* reason,
                                                    common::SteadyTime now) {
-  this->phase = Phase::kFinished;
+  const bool open = !promoted && this->OrderMayExecute(now);
   std::vector<PromotionAction> actions;
   // An order that may still be executed must not meet replicas that have
   // confirmed commits since their positions were read.
-  const bool order_may_execute = !promoted && this->order_pending &&
-                                 this->last_order.has_value() &&
-                                 now - *this->last_order < kMaxOrderDelay;
-  if (!promoted && !order_may_execute) {
+  if (!promoted && !open) {
     for (const auto& [id, member] : this->members) {
       if (this->primary != id) actions.emplace_back(SendResume{id});
     }
   }
-  actions.emplace_back(PromotionFinished{promoted, reason});
+  this->phase = Phase::kFinished;
+  actions.emplace_back(PromotionFinished{promoted, reason, open});
   return actions;
 }
 
--- a/Source/Core/Session/promotion_plan.h
+++ b/Source/Core/Session/promotion_plan.h
@@ -1,9 +1,11 @@
 #ifndef CAMPHORFERRY_SESSION_PROMOTION_PLAN_H_
 #define CAMPHORFERRY_SESSION_PROMOTION_PLAN_H_
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -44,8 +46,20 @@
 struct PromotionFinished {
   bool promoted = false;
   const char* reason = "";
+  /// An order of the plan may still be executed.
+  bool order_may_execute = false;
 };
 
+/// Processes of members, by identifier and incarnation, that have disappeared.
+using FormerMembers = std::set<std::pair<common::EndpointId, std::uint64_t>>;
+
+/// Adds the processes that are members no longer to the former members, apart
+/// from those that had announced their shutdown, and removes those that have
+/// returned.
+void UpdateFormerMembers(const std::vector<GroupMember>& before,
+                         const std::vector<GroupMember>& now,
+                         FormerMembers* former);
+
 using PromotionAction =
     std::variant<SendStepDown, SendHold, SendResume, SendStatus, OrderPromotion,
                  PromotionFinished>;
@@ -54,14 +68,21 @@
 /// I/O: it takes events and returns the actions to perform.
 ///
 /// A commit is acknowledged once the primary and one replica have it. The plan
-/// therefore fences all registered replicas and chooses the one with the most
-/// advanced log, which has every acknowledged commit whichever replica
-/// confirmed it. If the old primary answers and has stepped down, its final log
-/// position can stand in for replicas that do not answer. Until one of the two
-/// conditions holds, no member is promoted.
+/// therefore holds all registered members but at most one, after a member that
+/// leads has stepped down. Then at least one member of each such pair is held,
+/// no commit can be acknowledged any more, and the held member with the most
+/// advanced log has every acknowledged commit, whichever members had it. The
+/// plan relies on no assumption about which member leads: a member that has
+/// been replaced without the knowledge of this daemon follows the actual
+/// primary once it has stepped down, and counts only when it is held.
+///
+/// Members that have disappeared from the directory without having announced
+/// it may still run and confirm commits, and a member that has started again
+/// has lost what it had confirmed. Both count as members that are not held.
 class PromotionPlan {
  public:
-  PromotionPlan(const std::vector<GroupMember>& members,
+  /// The former members are those that have disappeared recently.
+  PromotionPlan(const std::vector<GroupMember>& members, FormerMembers former,
                 const std::optional<common::EndpointId>& primary,
                 common::Term highest_term, common::SteadyTime now);
 
@@ -88,29 +109,44 @@
   enum class Phase { kFencing, kOrdered, kFinished };
 
   struct Member {
-    bool leaving = false;
-    std::uint64_t incarnation = 0;
-    /// The member's answer to a hold or step-down for the term of this plan;
-    /// none while the member is not fenced.
+    GroupMember entry;
+    /// The member's answer to a hold for the term of this plan; none while the
+    /// member is not held.
     std::optional<EndpointStatus> fenced;
   };
 
+  static bool IsLeaving(const Member& member);
+  /// Fences the members that are not held.
   std::vector<PromotionAction> FenceUnanswered();
+  /// Fences the members that are not held and asks the others for their status:
+  /// a restart, or a delayed command of another daemon, may have ended a hold.
+  std::vector<PromotionAction> CheckMembers();
+  /// Records whether a member is held; fences it if it is not.
+  std::vector<PromotionAction> TakeStatus(const common::EndpointId& id,
+                                          const EndpointStatus& status);
   std::vector<PromotionAction> OrderIfPossible(common::SteadyTime now);
   std::optional<common::EndpointId> ChooseCandidate(
       common::SteadyTime now) const;
+  /// The held member with the most advanced log, apart from the named one.
+  std::optional<common::EndpointId> MostAdvanced(
+      const std::optional<common::EndpointId>& without) const;
+  OrderPromotion Order(common::SteadyTime now);
+  /// Whether an order that was given may still take effect.
+  bool OrderMayExecute(common::SteadyTime now) const;
   std::vector<PromotionAction> Finish(bool promoted, const char* reason,
                                       common::SteadyTime now);
 
   std::map<common::EndpointId, Member> members;
+  FormerMembers former;
   std::optional<common::EndpointId> primary;
   common::Term term;
   common::SteadyTime started;
   Phase phase = Phase::kFencing;
   std::optional<common::EndpointId> chosen;
-  std::optional<common::SteadyTime> fenced_at;
-  std::optional<common::SteadyTime> last_order;
-  bool order_pending = false;
+  common::SteadyTime last_order;
+  /// Orders that have been neither accepted nor rejected.
+  int unanswered_orders = 0;
+  std::optional<common::SteadyTime> accepted_at;
 };
 
 /// Interval between two calls of PromotionPlan::OnTick. Short compared with a
--- a/Source/Core/Session/promotion_task.h
+++ b/Source/Core/Session/promotion_task.h
@@ -22,6 +22,7 @@
                      std::function<void(std::optional<EndpointStatus>)>)>
       send_command;
   std::function<std::vector<GroupMember>()> members;
+  std::function<FormerMembers()> former_members;
   std::function<std::optional<common::EndpointId>()> primary;
   std::function<common::Term()> highest_term;
   /// Whether the primary still needs to be replaced.
@@ -58,6 +59,9 @@
   void ResumeAndEnd(const std::vector<common::EndpointId>& held,
                     const PromotionFinished& finished);
   void End(const PromotionFinished& finished);
+  /// Logs a member's answer to a command of the plan.
+  void LogStatus(const common::EndpointId& id, const char* purpose,
+                 const EndpointStatus& status) const;
   /// Records the duration of the phase that ends now and starts the next one.
   void RecordPhase(const std::string& phase);
 
--- a/Source/UnitTests/Core/Session/promotion_model.cc
+++ b/Source/UnitTests/Core/Session/promotion_model.cc
@@ -16,6 +16,9 @@
 /// A daemon starts no promotion for this long after one has ended.
 constexpr milliseconds kRestartDelay(400);
 constexpr int kMaxStartJitter = 150;
+/// As in ServiceGroup.
+constexpr milliseconds kFormerMemberRetention(10000);
+/// As in PromotionLease.
 constexpr milliseconds kOrderWindow(600);
 constexpr milliseconds kTakeoverDelay(3000);
 /// How long a daemon's monitor demands another primary.
@@ -544,6 +547,14 @@
 void DaemonModel::UpdateMembers() {
   std::vector<GroupMember> present = this->group->Entries();
   if (present == this->members) return;
+  FormerMembers former = this->Former();
+  UpdateFormerMembers(this->members, present, &former);
+  std::erase_if(this->former_members,
+                [&](const auto& item) { return !former.contains(item.first); });
+  for (const auto& process : former) {
+    this->former_members.try_emplace(
+        process, this->context->time.Now() + kFormerMemberRetention);
+  }
   this->members = std::move(present);
   std::string line = this->Name() + " sees the members";
   for (const GroupMember& member : this->members) {
@@ -558,6 +569,14 @@
   }
 }
 
+FormerMembers DaemonModel::Former() const {
+  FormerMembers former;
+  for (const auto& [process, until] : this->former_members) {
+    former.insert(process);
+  }
+  return former;
+}
+
 void DaemonModel::Probe(int database) {
   if (database >= this->group->Size()) return;
   this->Send(common::EndpointId(DatabaseGroupModel::NameOf(database)),
@@ -608,6 +627,8 @@
 
 void DaemonModel::Tick() {
   const common::SteadyTime now = this->context->time.Now();
+  std::erase_if(this->former_members,
+                [now](const auto& item) { return item.second <= now; });
   if (this->store_reachable) this->UpdateMembers();
   if (this->plan != nullptr) this->Perform(this->plan->OnTick(now));
   if (this->running || now < this->next_start || now > this->wanted_until) {
@@ -632,8 +653,8 @@
       this->Name() + " begins a plan, primary " +
       (primary.has_value() ? primary->Value() : std::string("unknown")) +
       ", highest term " + std::to_string(this->view.HighestTerm()));
-  this->plan = std::make_shared<PromotionPlan>(this->members, primary,
-                                               this->view.HighestTerm(), now);
+  this->plan = std::make_shared<PromotionPlan>(
+      this->members, this->Former(), primary, this->view.HighestTerm(), now);
   this->Perform(this->plan->Begin(now));
 }
 
--- a/Source/UnitTests/Core/Session/promotion_model.h
+++ b/Source/UnitTests/Core/Session/promotion_model.h
@@ -268,6 +268,7 @@
   using StatusCallback = std::function<void(const EndpointStatus&)>;
 
   void UpdateMembers();
+  FormerMembers Former() const;
   void Send(const common::EndpointId& id, ModelCommand command,
             common::Term term, StatusCallback done);
 
@@ -297,6 +298,9 @@
   bool store_reachable = true;
 
   std::vector<GroupMember> members;
+  /// Processes that have disappeared, and until when they count.
+  std::map<std::pair<common::EndpointId, std::uint64_t>, common::SteadyTime>
+      former_members;
   PrimaryView view;
 
   bool running = false;
--- a/Source/UnitTests/Core/Session/promotion_plan_test.cc
+++ b/Source/UnitTests/Core/Session/promotion_plan_test.cc
@@ -38,7 +38,7 @@
 class PromotionPlanTest : public testing::Test {
  protected:
   PromotionPlanTest()
-      : plan({Member("p"), Member("a"), Member("b")}, this->p, 3, kStart) {
+      : plan({Member("p"), Member("a"), Member("b")}, {}, this->p, 3, kStart) {
     this->plan.Begin(kStart);
   }
 
@@ -80,7 +80,9 @@
 // reported the end of its log.
 TEST_F(PromotionPlanTest, PrimarySteppedDown_Order_AcceptsOneReplica) {
   const common::SteadyTime late = kStart + milliseconds(400);
-  this->plan.OnStatus(this->p, Held(3, 10, 0), late);
+  const auto hold = this->plan.OnStatus(this->p, Held(3, 10, 0), late);
+  ASSERT_NE(Find<SendHold>(hold), nullptr);
+  this->plan.OnStatus(this->p, Held(3, 10, 4), late);
   const auto actions = this->plan.OnStatus(this->a, Held(3, 10, 4), late);
   const auto* order = Find<OrderPromotion>(actions);
   ASSERT_NE(order, nullptr);
@@ -93,6 +95,7 @@
        ReplicaBehindSteppedDown_Order_ReinstatesTheOldPrimary) {
   const common::SteadyTime late = kStart + milliseconds(400);
   this->plan.OnStatus(this->p, Held(3, 11, 0), late);
+  this->plan.OnStatus(this->p, Held(3, 11, 4), late);
   EXPECT_EQ(
       Find<OrderPromotion>(this->plan.OnStatus(this->a, Held(3, 10, 4), late)),
       nullptr);
@@ -126,14 +129,41 @@
   EXPECT_EQ(Find<SendResume>(actions), nullptr);
 }
 
-// Guards against waiting for a replica that is no longer registered.
+// Guards against waiting for a replica that had announced its shutdown and has
+// ended.
 TEST_F(PromotionPlanTest, SilentReplicaLeaves_OnMembers_Orders) {
   const common::SteadyTime late = kStart + milliseconds(400);
-  this->plan.OnStatus(this->a, Held(3, 10, 4), late);
+  this->plan.OnMembers({Member("p"), Member("a"), Member("b", true)}, late);
+  EXPECT_EQ(
+      Find<OrderPromotion>(this->plan.OnStatus(this->a, Held(3, 10, 4), late)),
+      nullptr);
   const auto actions = this->plan.OnMembers({Member("p"), Member("a")}, late);
   EXPECT_NE(Find<OrderPromotion>(actions), nullptr);
 }
 
+// Guards against a promotion without a replica whose entry had expired shortly
+// before: it may still confirm commits of a primary that does not answer.
+TEST_F(PromotionPlanTest, ReplicaExpiredBefore_PrimarySilent_OrdersNothing) {
+  PromotionPlan later({Member("p"), Member("a")}, {{this->b, 1}}, this->p, 3,
+                      kStart);
+  const common::SteadyTime late = kStart + milliseconds(400);
+  EXPECT_EQ(Find<OrderPromotion>(later.OnStatus(this->a, Held(3, 10, 4), late)),
+            nullptr);
+  // With the primary held, its log has everything that it has acknowledged.
+  EXPECT_NE(Find<OrderPromotion>(later.OnStatus(this->p, Held(3, 10, 4), late)),
+            nullptr);
+}
+
+// Guards against not promoting for long because of an entry that has returned.
+TEST_F(PromotionPlanTest, ExpiredReplicaReturns_OnMembers_CountsItAgain) {
+  const common::SteadyTime late = kStart + milliseconds(400);
+  this->plan.OnMembers({Member("p"), Member("a")}, late);
+  this->plan.OnMembers({Member("p"), Member("a"), Member("b")}, late);
+  this->plan.OnStatus(this->a, Held(3, 10, 4), late);
+  const auto actions = this->plan.OnStatus(this->b, Held(3, 9, 4), late);
+  EXPECT_NE(Find<OrderPromotion>(actions), nullptr);
+}
+
 // Guards against using the answer of a replica that has been restarted since.
 TEST_F(PromotionPlanTest, ReplicaRestarted_OnMembers_FencesItAgain) {
   const common::SteadyTime late = kStart + milliseconds(400);
@@ -145,6 +175,58 @@
   EXPECT_EQ(Find<OrderPromotion>(actions), nullptr);
 }
 
+// Guards against an assumed primary that had been replaced before: after its
+// step-down it follows the actual primary and confirms commits that the
+// promoted replica lacks.
+TEST_F(PromotionPlanTest,
+       SteppedDownMemberStillReceives_Order_WaitsForItsHold) {
+  const common::SteadyTime early = kStart + milliseconds(100);
+  this->plan.OnStatus(this->p, {GroupRole::kReplica, 2, {2, 50}, 0}, early);
+  this->plan.OnStatus(this->b, Held(3, 60, 4), early);
+  const auto redirected =
+      this->plan.OnStatus(this->a, {GroupRole::kPrimary, 3, {3, 61}, 0}, early);
+  const auto* step_down = Find<SendStepDown>(redirected);
+  ASSERT_NE(step_down, nullptr);
+  EXPECT_EQ(step_down->endpoint, this->a);
+  const common::SteadyTime later = kStart + milliseconds(200);
+  const auto too_early =
+      this->plan.OnStatus(this->a, {GroupRole::kReplica, 3, {3, 62}, 0}, later);
+  EXPECT_EQ(Find<OrderPromotion>(too_early), nullptr);
+  this->plan.OnStatus(this->a, Held(3, 62, 4), later);
+  const auto held = this->plan.OnStatus(this->p, Held(3, 62, 4), later);
+  const auto* order = Find<OrderPromotion>(held);
+  ASSERT_NE(order, nullptr);
+  EXPECT_EQ(order->endpoint, this->p);
+}
+
+// Guards against taking the position of a member of an earlier term for the end
+// of the log, while the actual primary has not answered and still commits.
+TEST_F(PromotionPlanTest,
+       SteppedDownMemberHasEarlierTerm_Order_WaitsForItsHold) {
+  const common::SteadyTime late = kStart + milliseconds(400);
+  this->plan.OnStatus(this->p, {GroupRole::kReplica, 2, {2, 50}, 0}, late);
+  const auto actions = this->plan.OnStatus(this->b, Held(3, 60, 4), late);
+  EXPECT_EQ(Find<OrderPromotion>(actions), nullptr);
+}
+
+// Guards against repeating an order after a hold has ended: the other replica
+// may have confirmed commits since, which the chosen one lacks.
+TEST_F(PromotionPlanTest, HoldEndsAfterOrder_Retry_IsNotSent) {
+  const common::SteadyTime late = kStart + milliseconds(400);
+  this->plan.OnStatus(this->a, Held(3, 10, 4), late);
+  this->plan.OnStatus(this->b, Held(3, 12, 4), late);
+  const auto actions =
+      this->plan.OnStatus(this->a, Held(3, 13, 0), kStart + milliseconds(1500));
+  const auto* hold = Find<SendHold>(actions);
+  ASSERT_NE(hold, nullptr);
+  EXPECT_EQ(hold->endpoint, this->a);
+  this->plan.OnStatus(this->a, Held(3, 13, 4), kStart + milliseconds(1600));
+  for (int ms = 2200; ms < 6000; ms += 100) {
+    const auto ticked = this->plan.OnTick(kStart + milliseconds(ms));
+    EXPECT_EQ(Find<OrderPromotion>(ticked), nullptr);
+  }
+}
+
 /// Model of a replicated group in virtual time. The primary acknowledges a
 /// commit once one replica that receives has it.
 class ModelGroup {
@@ -221,7 +303,7 @@
     group.databases["b"].reachable_for_primary = *rc::gen::arbitrary<bool>();
     group.Commit(*rc::gen::arbitrary<bool>());
   }
-  PromotionPlan plan({Member("p"), Member("a"), Member("b")},
+  PromotionPlan plan({Member("p"), Member("a"), Member("b")}, {},
                      common::EndpointId("p"), 1, kStart);
   std::vector<PromotionAction> open = plan.Begin(kStart);
   common::SteadyTime now = kStart;
