Session: Leave holds in place when another member has been promoted

An old primary could acknowledge a write after its successor led: a plan that found another leader resumed its members, among them one that the new leader did not reach yet, and which then confirmed commits of the old primary.

Found by PromotionModelTest (cut links).

A promotion ends all holds by itself where it arrives. Where it has not arrived, the hold is what stops the old primary.

--- a/Source/Core/Session/promotion_plan.cc
+++ b/Source/Core/Session/promotion_plan.cc
@@ -92,14 +92,14 @@
     }
     if (status.term < this->term) return this->TakeStatus(id, status);
     // The chosen member follows another one that has been promoted instead.
-    if (this->chosen == id) return this->Finish(false, "other_primary", now);
+    if (this->chosen == id) return this->FinishSuperseded(now);
     return {};
   }
   if (status.term >= this->term) {
     // Another daemon has promoted a member in the meantime, or the term was out
     // of date.
     if (status.role == GroupRole::kPrimary) {
-      return this->Finish(false, "other_primary", now);
+      return this->FinishSuperseded(now);
     }
     this->term = status.term + 1;
     for (auto& [other, member] : this->members) member.fenced.reset();
@@ -286,4 +286,11 @@
   return actions;
 }
 
+std::vector<PromotionAction> PromotionPlan::FinishSuperseded(
+    common::SteadyTime now) {
+  this->phase = Phase::kFinished;
+  return {
+      PromotionFinished{false, "other_primary", this->OrderMayExecute(now)}};
+}
+
 }  // namespace camphorferry::session
--- a/Source/Core/Session/promotion_plan.h
+++ b/Source/Core/Session/promotion_plan.h
@@ -133,6 +133,9 @@
   OrderPromotion Order(common::SteadyTime now);
   /// Whether an order that was given may still take effect.
   bool OrderMayExecute(common::SteadyTime now) const;
+  /// Ends the plan because another member has been promoted. The holds end with
+  /// that promotion; where it has not arrived yet, they stop the old primary.
+  std::vector<PromotionAction> FinishSuperseded(common::SteadyTime now);
   std::vector<PromotionAction> Finish(bool promoted, const char* reason,
                                       common::SteadyTime now);
 
