Session: Keep the promotion lease while a command may still be executed

Cause: a promotion that gave up sent its resumes and released the lease at once. The next holder held the same replica before the old resume arrived, and ordered a promotion while that replica confirmed commits. The same with an order whose answer was outstanding.

The lease is released once every resume is answered or was never sent. Otherwise, and after an order that may still be executed, the record stays active, so that no daemon, this one included, acquires the lease before the takeover delay.

--- a/Source/Core/Session/promotion_lease.cc
+++ b/Source/Core/Session/promotion_lease.cc
@@ -28,6 +28,10 @@
     done(true);
     return;
   }
+  if (this->WasAbandoned(common::SteadyNow())) {
+    done(false);
+    return;
+  }
   this->platform->ReadPromotionLease(
       [this, still_alive = this->alive,
        done = std::move(done)](const PromotionLeaseResult& result) {
@@ -70,13 +74,24 @@
   });
 }
 
+void PromotionLease::Abandon() {
+  this->abandoned_at = common::SteadyNow();
+  this->Release();
+}
+
 void PromotionLease::Release() {
   if (--this->users > 0) return;
   this->confirmed_at.reset();
   if (std::exchange(this->lost, false)) return;
+  if (this->WasAbandoned(common::SteadyNow())) return;
   this->Write(false, [this](bool /*written*/) { this->confirmed_at.reset(); });
 }
 
+bool PromotionLease::WasAbandoned(common::SteadyTime now) const {
+  return this->abandoned_at.has_value() &&
+         now - *this->abandoned_at < kTakeoverDelay;
+}
+
 bool PromotionLease::MayOrder(common::SteadyTime now) const {
   return this->users > 0 && this->confirmed_at.has_value() &&
          now - *this->confirmed_at < kOrderWindow;
--- a/Source/Core/Session/promotion_lease.h
+++ b/Source/Core/Session/promotion_lease.h
@@ -33,10 +33,17 @@
   /// Ends one use that was granted by Acquire. The last one releases the lease.
   void Release();
 
+  /// Ends one use like Release, but leaves the record active, so that this and
+  /// any other daemon acquires the lease only after the takeover delay. For a
+  /// use of which a command may still be executed.
+  void Abandon();
+
   /// Whether the lease was confirmed recently enough to give an order.
   bool MayOrder(common::SteadyTime now) const;
 
  private:
+  /// Whether a use was abandoned less than the takeover delay ago.
+  bool WasAbandoned(common::SteadyTime now) const;
   void Write(bool active, std::function<void(bool written)> done);
 
   Platform* platform;
@@ -48,6 +55,8 @@
   /// When the last successful change of the record was sent.
   std::optional<common::SteadyTime> confirmed_at;
   int users = 0;
+  /// When a use was last abandoned.
+  std::optional<common::SteadyTime> abandoned_at;
   /// Another daemon has changed the record while this one held the lease.
   bool lost = false;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
--- a/Source/Core/Session/promotion_plan.h
+++ b/Source/Core/Session/promotion_plan.h
@@ -46,8 +46,8 @@
 struct PromotionFinished {
   bool promoted = false;
   const char* reason = "";
-  /// An order of the plan may still be executed.
-  bool order_may_execute = false;
+  /// An order or another command of the plan may still be executed.
+  bool command_may_execute = false;
 };
 
 /// Processes of members, by identifier and incarnation, that have disappeared.
--- a/Source/Core/Session/promotion_task.cc
+++ b/Source/Core/Session/promotion_task.cc
@@ -94,11 +94,12 @@
     this->callbacks.send_command(
         id, command,
         [this, still_alive = this->alive, current, id,
-         purpose](const std::optional<EndpointStatus>& status) {
-          if (!*still_alive || !status.has_value()) return;
+         purpose](const CommandResult& result) {
+          if (!*still_alive || !result.status.has_value()) return;
           if (this->plan != current) return;
-          this->LogStatus(id, purpose, *status);
-          this->Perform(current->OnStatus(id, *status, common::SteadyNow()));
+          this->LogStatus(id, purpose, *result.status);
+          this->Perform(
+              current->OnStatus(id, *result.status, common::SteadyNow()));
         });
   };
   const WireCodec* codec = this->context.codec;
@@ -151,20 +152,41 @@
       [this, still_alive = this->alive, held,
        finished](const std::optional<PromotionLeaseRecord>& record) {
         if (!*still_alive) return;
-        if (record.has_value()) {
-          for (const common::EndpointId& id : held) {
-            this->callbacks.send_command(
-                id, this->context.codec->EncodeResume(),
-                [](const std::optional<EndpointStatus>&) {});
-          }
-        } else {
+        if (!record.has_value()) {
           common::Log(Subsystem::kConnection, LogLevel::kWarning,
                       "replicas_left_held", {{"service", this->service}});
+          this->End(finished);
+          return;
         }
-        this->End(finished);
+        this->Resume(held, finished);
       });
 }
 
+void PromotionTask::Resume(const std::vector<common::EndpointId>& held,
+                           const PromotionFinished& finished) {
+  struct Progress {
+    std::size_t pending = 0;
+    bool unanswered = false;
+  };
+  const auto progress = std::make_shared<Progress>();
+  progress->pending = held.size();
+  for (const common::EndpointId& id : held) {
+    this->callbacks.send_command(
+        id, this->context.codec->EncodeResume(),
+        [this, still_alive = this->alive, progress,
+         finished](const CommandResult& result) {
+          if (!*still_alive) return;
+          if (result.sent && !result.status.has_value()) {
+            progress->unanswered = true;
+          }
+          if (--progress->pending > 0) return;
+          PromotionFinished ended = finished;
+          ended.command_may_execute |= progress->unanswered;
+          this->End(ended);
+        });
+  }
+}
+
 void PromotionTask::SendOrder(const OrderPromotion& order) {
   this->RecordPhase("fence");
   this->context.promotion_lease->Confirm(
@@ -216,7 +238,12 @@
   if (finished.promoted) this->RecordPhase("promote");
   this->plan.reset();
   this->running = false;
-  this->context.promotion_lease->Release();
+  // The next holder's promotion must not meet a command of this one.
+  if (finished.command_may_execute) {
+    this->context.promotion_lease->Abandon();
+  } else {
+    this->context.promotion_lease->Release();
+  }
   this->next_start = common::SteadyNow() + kRestartDelay;
 }
 
--- a/Source/Core/Session/promotion_task.h
+++ b/Source/Core/Session/promotion_task.h
@@ -14,12 +14,21 @@
 
 namespace camphorferry::session {
 
+/// How a command to a member has ended.
+struct CommandResult {
+  /// The member's answer; none if it did not answer in time.
+  std::optional<EndpointStatus> status;
+  /// The command was sent. Without an answer, it may be executed later.
+  bool sent = false;
+};
+
+using CommandCallback = std::function<void(const CommandResult&)>;
+
 /// Callbacks through which a promotion uses its group.
 struct PromotionCallbacks {
-  /// Sends an encoded command to a member. Calls back with the member's status,
-  /// or with nothing if it did not answer in time.
+  /// Sends an encoded command to a member.
   std::function<void(const common::EndpointId&, const std::string& command,
-                     std::function<void(std::optional<EndpointStatus>)>)>
+                     CommandCallback)>
       send_command;
   std::function<std::vector<GroupMember>()> members;
   std::function<FormerMembers()> former_members;
@@ -58,6 +67,11 @@
   /// the promotion.
   void ResumeAndEnd(const std::vector<common::EndpointId>& held,
                     const PromotionFinished& finished);
+  /// Resumes the held replicas and ends the promotion once all have answered or
+  /// can answer no more.
+  void Resume(const std::vector<common::EndpointId>& held,
+              const PromotionFinished& finished);
+  /// Ends the promotion and the use of the lease.
   void End(const PromotionFinished& finished);
   /// Logs a member's answer to a command of the plan.
   void LogStatus(const common::EndpointId& id, const char* purpose,
--- a/Source/Core/Session/service_group.cc
+++ b/Source/Core/Session/service_group.cc
@@ -61,7 +61,7 @@
   PromotionCallbacks callbacks;
   callbacks.send_command = [this](const common::EndpointId& id,
                                   const std::string& command,
-                                  StatusCallback done) {
+                                  CommandCallback done) {
     this->SendCommand(id, command, kStatusTimeout, std::move(done));
   };
   callbacks.members = [this] { return this->Entries(); };
@@ -224,10 +224,11 @@
 
 void ServiceGroup::SendCommand(const common::EndpointId& id,
                                const std::string& command,
-                               common::Duration timeout, StatusCallback done) {
+                               common::Duration timeout, CommandCallback done) {
   EndpointPool* pool = this->PoolOf(id);
   if (pool == nullptr) {
-    this->context.loop->Post([done = std::move(done)] { done(std::nullopt); });
+    this->context.loop->Post(
+        [done = std::move(done)] { done(CommandResult()); });
     return;
   }
   const std::uint64_t number = this->next_command++;
@@ -253,7 +254,7 @@
   if (EndpointPool* pool = this->PoolOf(pending.endpoint)) {
     pool->Cancel(pending.request_id);
   }
-  this->EndCommand(number, std::nullopt);
+  this->EndCommand(number, {});
 }
 
 void ServiceGroup::OnCommandChannel(std::uint64_t number,
@@ -267,7 +268,7 @@
   PendingCommand& pending = found->second;
   pending.timer.reset();
   if (channel == nullptr) {
-    this->EndCommand(number, std::nullopt);
+    this->EndCommand(number, {});
     return;
   }
   pending.channel = *channel;
@@ -291,15 +292,15 @@
     this->OnUnresponsive(id);
   }
   if (status.has_value()) this->OnStatus(id, *status);
-  this->EndCommand(number, status);
+  this->EndCommand(number, {status, true});
 }
 
 void ServiceGroup::EndCommand(std::uint64_t number,
-                              const std::optional<EndpointStatus>& status) {
+                              const CommandResult& result) {
   auto ended = this->commands.extract(number);
   const PendingCommand& pending = ended.mapped();
   if (pending.channel != nullptr) ReturnToPool(pending.channel);
-  pending.done(status);
+  pending.done(result);
 }
 
 std::vector<GroupMember> ServiceGroup::Entries() const {
@@ -461,17 +462,15 @@
   this->round = started;
   const std::string command = this->context.codec->EncodeStatus();
   const std::uint64_t number = started.number;
-  this->SendCommand(
-      *this->primary, command, kStatusTimeout,
-      [this, number](const std::optional<EndpointStatus>& status) {
-        this->OnRoundAnswer(number, true, status);
-      });
+  this->SendCommand(*this->primary, command, kStatusTimeout,
+                    [this, number](const CommandResult& result) {
+                      this->OnRoundAnswer(number, true, result.status);
+                    });
   if (replica.has_value()) {
-    this->SendCommand(
-        *replica, command, kStatusTimeout,
-        [this, number](const std::optional<EndpointStatus>& status) {
-          this->OnRoundAnswer(number, false, status);
-        });
+    this->SendCommand(*replica, command, kStatusTimeout,
+                      [this, number](const CommandResult& result) {
+                        this->OnRoundAnswer(number, false, result.status);
+                      });
   }
 }
 
@@ -539,7 +538,7 @@
 
 void ServiceGroup::Probe(const common::EndpointId& id) {
   this->SendCommand(id, this->context.codec->EncodeStatus(), kStatusTimeout,
-                    [](const std::optional<EndpointStatus>& /*status*/) {});
+                    [](const CommandResult& /*result*/) {});
 }
 
 void ServiceGroup::RunMonitor(common::SteadyTime now) {
--- a/Source/Core/Session/service_group.h
+++ b/Source/Core/Session/service_group.h
@@ -128,14 +128,12 @@
     common::EndpointId replica_id;
   };
 
-  using StatusCallback = std::function<void(std::optional<EndpointStatus>)>;
-
   /// A command to a member that waits for a channel or for its answer.
   struct PendingCommand {
     common::EndpointId endpoint;
     std::string command;
     common::Duration timeout;
-    StatusCallback done;
+    CommandCallback done;
     ChannelRequestId request_id = 0;
     std::shared_ptr<EndpointChannel> channel;
     /// Limits the wait for a channel.
@@ -143,12 +141,11 @@
   };
 
   void SendCommand(const common::EndpointId& id, const std::string& command,
-                   common::Duration timeout, StatusCallback done);
+                   common::Duration timeout, CommandCallback done);
   void OnChannelTimeout(std::uint64_t number);
   void OnCommandChannel(std::uint64_t number, const ChannelGrant& grant);
   void OnCommandResult(std::uint64_t number, const ChannelResult& result);
-  void EndCommand(std::uint64_t number,
-                  const std::optional<EndpointStatus>& status);
+  void EndCommand(std::uint64_t number, const CommandResult& result);
   std::vector<GroupMember> Entries() const;
   /// Updates the former members for a new set of members.
   void UpdateFormer(const std::vector<GroupMember>& present,
--- a/Source/UnitTests/Platform/promotion_task_test.cc
+++ b/Source/UnitTests/Platform/promotion_task_test.cc
@@ -23,14 +23,18 @@
     context.promotion_lease = &this->promotion_lease;
     context.metrics = &this->metrics;
     session::PromotionCallbacks callbacks;
-    callbacks.send_command =
-        [this](const common::EndpointId& id, const std::string& command,
-               const std::function<void(std::optional<EndpointStatus>)>& done) {
-          this->commands.push_back(id.Value() + " " + command);
-          if (id.Value() == "a" && command.find("PAUSE") != std::string::npos) {
-            done(EndpointStatus{session::GroupRole::kReplica, 1, {1, 5}, 2});
-          }
-        };
+    callbacks.send_command = [this](const common::EndpointId& id,
+                                    const std::string& command,
+                                    const session::CommandCallback& done) {
+      this->commands.push_back(id.Value() + " " + command);
+      if (command.find("RESUME") != std::string::npos) {
+        this->resumes.push_back(done);
+      } else if (id.Value() == "a" &&
+                 command.find("PAUSE") != std::string::npos) {
+        done(
+            {EndpointStatus{session::GroupRole::kReplica, 1, {1, 5}, 2}, true});
+      }
+    };
     callbacks.members = [] {
       std::vector<session::GroupMember> members(3);
       members[0].id = common::EndpointId("p");
@@ -67,6 +71,8 @@
   session::PromotionLease promotion_lease{&this->platform,
                                           common::HostId("own")};
   std::vector<std::string> commands;
+  /// Callbacks of the resumes that the test has to answer.
+  std::vector<session::CommandCallback> resumes;
   std::unique_ptr<session::PromotionTask> task;
 };
 
@@ -74,12 +80,27 @@
 TEST_F(PromotionTaskTest, Promotion_MembersUnresponsive_ResumesReplicas) {
   this->task->Tick(common::SteadyNow() + milliseconds(2500));
   EXPECT_TRUE(this->Resumed());
+  for (const auto& done : this->resumes) done({EndpointStatus(), true});
   EXPECT_FALSE(this->platform.lease_record.active);
   EXPECT_NE(this->metrics.ToText().find(
                 "camphorferry_promotion_phase_seconds_count{phase=\"duty\"} 1"),
             std::string::npos);
 }
 
+// Guards against a resume that arrives after the next holder of the lease has
+// held the same replica.
+TEST_F(PromotionTaskTest, Promotion_ResumeOutstanding_KeepsTheLease) {
+  this->task->Tick(common::SteadyNow() + milliseconds(2500));
+  ASSERT_EQ(this->resumes.size(), 2U);
+  this->resumes.front()({EndpointStatus(), true});
+  EXPECT_TRUE(this->platform.lease_record.active);
+  this->resumes.back()({std::nullopt, true});
+  EXPECT_TRUE(this->platform.lease_record.active);
+  bool acquired = true;
+  this->promotion_lease.Acquire([&](bool held) { acquired = held; });
+  EXPECT_FALSE(acquired);
+}
+
 // Guards against a daemon that was suspended, lost the promotion lease
 // meanwhile, and resumes replicas while its successor promotes one of them.
 TEST_F(PromotionTaskTest, Promotion_LeaseTakenOver_LeavesReplicasPaused) {
