Session: Add failing tests for a lease that is released too early

A plan that ends sends its resumes and releases the promotion lease at once, so a late resume can end a hold of the next plan. A plan that ends because another member leads doesn't say that its accepted order is still to take effect. The fixture of PromotionTaskTest now answers resumes, as databases do, except in the new test.

--- a/Source/UnitTests/Core/Session/promotion_model_test.cc
+++ b/Source/UnitTests/Core/Session/promotion_model_test.cc
@@ -254,6 +254,25 @@
   EXPECT_GE(*ended, this->ordered_at + kLongestOrder);
 }
 
+// Guards against releasing the lease when another promotion has taken effect,
+// while an accepted order of this plan has not.
+TEST_F(PromotionLossTest, OtherMemberLeads_OrderAccepted_EndNamesTheOrder) {
+  this->Answer(this->a, Replica(3, 10, 4));
+  this->Answer(this->b, Replica(3, 10, 4));
+  ASSERT_TRUE(this->ordered.has_value());
+  this->OrderAnswer(PromotionAnswer::kAccepted, milliseconds(450));
+  const common::EndpointId other =
+      *this->ordered == this->a ? this->b : this->a;
+  auto actions = this->Answer(other, Primary(4, 11), milliseconds(600));
+  const auto chosen =
+      this->Answer(*this->ordered, Replica(4, 11, 0), milliseconds(600));
+  actions.insert(actions.end(), chosen.begin(), chosen.end());
+  const auto* finished = Find<PromotionFinished>(actions);
+  if (finished != nullptr) {
+    EXPECT_TRUE(finished->order_may_execute);
+  }
+}
+
 // Guards against repeating an order after another member was promoted: the
 // chosen replica may lack commits of the new primary.
 TEST_F(PromotionLossTest, ChosenFollowsNewPrimary_RetryInterval_OrdersNothing) {
--- a/Source/UnitTests/Platform/promotion_task_test.cc
+++ b/Source/UnitTests/Platform/promotion_task_test.cc
@@ -30,6 +30,10 @@
           if (id.Value() == "a" && command.find("PAUSE") != std::string::npos) {
             done(EndpointStatus{session::GroupRole::kReplica, 1, {1, 5}, 2});
           }
+          if (this->answers_resumes &&
+              command.find("RESUME") != std::string::npos) {
+            done(EndpointStatus{session::GroupRole::kReplica, 1, {1, 5}, 0});
+          }
         };
     callbacks.members = [] {
       std::vector<session::GroupMember> members(3);
@@ -67,6 +71,7 @@
   session::PromotionLease promotion_lease{&this->platform,
                                           common::HostId("own")};
   std::vector<std::string> commands;
+  bool answers_resumes = true;
   std::unique_ptr<session::PromotionTask> task;
 };
 
@@ -91,5 +96,15 @@
   EXPECT_EQ(this->platform.lease_record.holder.Value(), "other");
 }
 
+// Guards against a resume that arrives late and ends a hold of the next holder
+// of the lease, whose promotion then loses the commits that are confirmed
+// meanwhile.
+TEST_F(PromotionTaskTest, ResumesUnanswered_End_KeepsTheLease) {
+  this->answers_resumes = false;
+  this->task->Tick(common::SteadyNow() + milliseconds(2500));
+  ASSERT_TRUE(this->Resumed());
+  EXPECT_TRUE(this->platform.lease_record.active);
+}
+
 }  // namespace
 }  // namespace camphorferry::platform
