Session: Ask members for their status before they are held

Callers could lose acknowledged writes when a daemon that did not know of a promotion started another one (W17 of PromotionModelTest, cut links).

Cause: a hold of the earlier promotion, for the same term, looked like the answer to this plan's hold. It does not stop the primary that the earlier promotion has made.

Evidence: PromotionPlanTest.HeldForTheSameTermBefore_Fence_HoldsForAHigherTerm fails without this change. This costs a round trip per promotion.

The first answer of a member shows an earlier hold; the plan then holds all members for a higher term. Whether another member has been promoted is decided by the newest term that had a primary, no longer by the term of the holds. The model's daemon keeps its lease as PromotionTask does. The fixtures answer the status question first; the older property answers it too.

--- a/Source/Core/Session/promotion_plan.cc
+++ b/Source/Core/Session/promotion_plan.cc
@@ -46,10 +46,11 @@
                              common::Term highest_term, common::SteadyTime now)
     : former(std::move(former)),
       primary(primary),
+      newest_term(highest_term),
       term(highest_term + 1),
       started(now) {
   for (const GroupMember& member : group) {
-    this->members[member.id] = Member{member, {}};
+    this->members[member.id].entry = member;
   }
 }
 
@@ -64,8 +65,10 @@
     if (member.fenced.has_value()) continue;
     if (this->primary == id) {
       actions.emplace_back(SendStepDown{id, this->term});
-    } else {
+    } else if (member.has_answered || this->phase == Phase::kOrdered) {
       actions.emplace_back(SendHold{id, this->term});
+    } else {
+      actions.emplace_back(SendStatus{id});
     }
   }
   return actions;
@@ -87,22 +90,24 @@
     return {};
   }
   if (this->phase == Phase::kOrdered) {
-    if (status.role == GroupRole::kPrimary && status.term >= this->term) {
+    if (status.term <= this->newest_term) return this->TakeStatus(id, status);
+    if (this->chosen == id && status.role == GroupRole::kPrimary) {
       return this->Finish(true, "leads", now);
     }
-    if (status.term < this->term) return this->TakeStatus(id, status);
-    // The chosen member follows another one that has been promoted instead.
-    if (this->chosen == id) return this->FinishSuperseded(now);
+    // Another member has been promoted instead, or the chosen one follows it.
+    if (this->chosen == id || status.role == GroupRole::kPrimary) {
+      return this->FinishSuperseded(now);
+    }
     return {};
   }
-  if (status.term >= this->term) {
+  if (status.term > this->newest_term) {
     // Another daemon has promoted a member in the meantime, or the term was out
     // of date.
     if (status.role == GroupRole::kPrimary) {
       return this->FinishSuperseded(now);
     }
-    this->term = status.term + 1;
-    for (auto& [other, member] : this->members) member.fenced.reset();
+    this->newest_term = status.term;
+    if (this->newest_term >= this->term) this->RaiseTerm(status.term + 1);
     return this->FenceUnanswered();
   }
   std::vector<PromotionAction> actions = this->TakeStatus(id, status);
@@ -110,10 +115,21 @@
   return this->OrderIfPossible(now);
 }
 
+void PromotionPlan::RaiseTerm(common::Term raised) {
+  this->term = raised;
+  for (auto& [id, member] : this->members) member.fenced.reset();
+}
+
 std::vector<PromotionAction> PromotionPlan::TakeStatus(
     const common::EndpointId& id, const EndpointStatus& status) {
   Member& member = this->members.at(id);
   member.fenced.reset();
+  if (!std::exchange(member.has_answered, true) && status.held >= this->term) {
+    // An earlier promotion has held the member for the same term and may have
+    // taken effect without this daemon's knowledge.
+    this->RaiseTerm(status.held + 1);
+    return this->FenceUnanswered();
+  }
   if (status.role == GroupRole::kPrimary) {
     // A hold has no effect on a primary.
     this->primary = id;
@@ -137,8 +153,8 @@
     const bool same_process =
         known != this->members.end() &&
         known->second.entry.incarnation == member.incarnation;
-    present[member.id] =
-        Member{member, same_process ? known->second.fenced : std::nullopt};
+    present[member.id] = same_process ? known->second : Member{};
+    present[member.id].entry = member;
   }
   this->members = std::move(present);
   if (this->phase == Phase::kFinished) return {};
--- a/Source/Core/Session/promotion_plan.h
+++ b/Source/Core/Session/promotion_plan.h
@@ -110,17 +110,22 @@
 
   struct Member {
     GroupMember entry;
+    /// The member has answered this plan.
+    bool has_answered = false;
     /// The member's answer to a hold for the term of this plan; none while the
     /// member is not held.
     std::optional<EndpointStatus> fenced;
   };
 
   static bool IsLeaving(const Member& member);
-  /// Fences the members that are not held.
+  /// Fences the members that are not held. A member is asked for its status
+  /// before its hold, whose answer would not show an earlier hold.
   std::vector<PromotionAction> FenceUnanswered();
   /// Fences the members that are not held and asks the others for their status:
   /// a restart, or a delayed command of another daemon, may have ended a hold.
   std::vector<PromotionAction> CheckMembers();
+  /// Fences all members anew for a higher term.
+  void RaiseTerm(common::Term raised);
   /// Records whether a member is held; fences it if it is not.
   std::vector<PromotionAction> TakeStatus(const common::EndpointId& id,
                                           const EndpointStatus& status);
@@ -142,6 +147,9 @@
   std::map<common::EndpointId, Member> members;
   FormerMembers former;
   std::optional<common::EndpointId> primary;
+  /// Highest term known to have a primary before this promotion.
+  common::Term newest_term;
+  /// Term for which the members are held.
   common::Term term;
   common::SteadyTime started;
   Phase phase = Phase::kFencing;
--- a/Source/UnitTests/Core/Session/promotion_model.cc
+++ b/Source/UnitTests/Core/Session/promotion_model.cc
@@ -738,25 +738,42 @@
 
 void DaemonModel::ResumeAndEnd(const std::vector<common::EndpointId>& held,
                                const PromotionFinished& finished) {
-  if (!held.empty() && this->Confirm()) {
-    for (const common::EndpointId& id : held) {
-      this->Send(id, ModelCommand::kResume, 0, [](const EndpointStatus&) {});
-    }
+  if (held.empty() || !this->Confirm()) {
+    this->End(finished);
+    return;
   }
-  this->End(finished);
+  const auto answered = std::make_shared<std::size_t>(0);
+  for (const common::EndpointId& id : held) {
+    this->Send(id, ModelCommand::kResume, 0,
+               [answered](const EndpointStatus&) { ++*answered; });
+  }
+  this->context->time.RunLater(kCommandTimeout,
+                               [this, answered, count = held.size(), finished] {
+                                 PromotionFinished ended = finished;
+                                 ended.command_may_execute |= *answered < count;
+                                 this->End(ended);
+                               });
 }
 
 void DaemonModel::End(const PromotionFinished& finished) {
   this->context->Trace(this->Name() + " ends its plan: " + finished.reason);
   this->plan.reset();
   this->running = false;
+  if (finished.command_may_execute) {
+    this->abandoned_at = this->context->time.Now();
+  }
   this->Release();
   if (finished.promoted) this->wanted_until = this->context->time.Now();
   this->next_start = this->context->time.Now() + kRestartDelay;
 }
 
+bool DaemonModel::WasAbandoned() const {
+  return this->abandoned_at.has_value() &&
+         this->context->time.Now() - *this->abandoned_at < kTakeoverDelay;
+}
+
 bool DaemonModel::Acquire() {
-  if (!this->store_reachable) return false;
+  if (!this->store_reachable || this->WasAbandoned()) return false;
   const common::SteadyTime now = this->context->time.Now();
   if (!this->record_seen_at.has_value() ||
       this->store->revision != this->record.revision) {
@@ -782,6 +799,7 @@
   this->holds_lease = false;
   this->confirmed_at.reset();
   if (std::exchange(this->lost_lease, false)) return;
+  if (this->WasAbandoned()) return;
   this->WriteLease(false);
   this->confirmed_at.reset();
 }
--- a/Source/UnitTests/Core/Session/promotion_model.h
+++ b/Source/UnitTests/Core/Session/promotion_model.h
@@ -281,6 +281,8 @@
   void End(const PromotionFinished& finished);
 
   // The promotion lease.
+  /// Whether a use of the lease was abandoned less than the takeover delay ago.
+  bool WasAbandoned() const;
   bool Acquire();
   bool Confirm();
   void Release();
@@ -312,6 +314,7 @@
   std::optional<common::SteadyTime> record_seen_at;
   std::optional<common::SteadyTime> confirmed_at;
   bool holds_lease = false;
+  std::optional<common::SteadyTime> abandoned_at;
   bool lost_lease = false;
 };
 
--- a/Source/UnitTests/Core/Session/promotion_model_test.cc
+++ b/Source/UnitTests/Core/Session/promotion_model_test.cc
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -64,11 +65,20 @@
   std::vector<PromotionAction> Answer(const common::EndpointId& id,
                                       const EndpointStatus& status,
                                       milliseconds age = kFencePause) {
+    // A member is asked for its status before it is held.
+    if (this->introduced.insert(id).second && status.held > 0) {
+      EndpointStatus before = status;
+      before.held = 0;
+      this->plan.OnStatus(id, before, kStart + age);
+    }
     return this->Record(this->plan.OnStatus(id, status, kStart + age), age);
   }
 
   std::vector<PromotionAction> Members(const std::vector<GroupMember>& members,
                                        milliseconds age = kFencePause) {
+    for (const GroupMember& member : members) {
+      if (member.incarnation != 1) this->introduced.erase(member.id);
+    }
     return this->Record(this->plan.OnMembers(members, kStart + age), age);
   }
 
@@ -105,6 +115,8 @@
   std::optional<common::EndpointId> ordered;
   milliseconds ordered_at{0};
   milliseconds ticked{0};
+  /// Members that have answered the plan.
+  std::set<common::EndpointId> introduced;
   PromotionPlan plan;
 };
 
--- a/Source/UnitTests/Core/Session/promotion_plan_test.cc
+++ b/Source/UnitTests/Core/Session/promotion_plan_test.cc
@@ -40,6 +40,9 @@
   PromotionPlanTest()
       : plan({Member("p"), Member("a"), Member("b")}, {}, this->p, 3, kStart) {
     this->plan.Begin(kStart);
+    // Each replica is asked for its status before it is held.
+    this->plan.OnStatus(this->a, Held(3, 1, 0), kStart);
+    this->plan.OnStatus(this->b, Held(3, 1, 0), kStart);
   }
 
   common::EndpointId p{"p"};
@@ -146,6 +149,8 @@
 TEST_F(PromotionPlanTest, ReplicaExpiredBefore_PrimarySilent_OrdersNothing) {
   PromotionPlan later({Member("p"), Member("a")}, {{this->b, 1}}, this->p, 3,
                       kStart);
+  later.OnStatus(this->p, Held(3, 10, 0), kStart);
+  later.OnStatus(this->a, Held(3, 10, 0), kStart);
   const common::SteadyTime late = kStart + milliseconds(400);
   EXPECT_EQ(Find<OrderPromotion>(later.OnStatus(this->a, Held(3, 10, 4), late)),
             nullptr);
@@ -160,6 +165,7 @@
   this->plan.OnMembers({Member("p"), Member("a")}, late);
   this->plan.OnMembers({Member("p"), Member("a"), Member("b")}, late);
   this->plan.OnStatus(this->a, Held(3, 10, 4), late);
+  this->plan.OnStatus(this->b, Held(3, 9, 0), late);
   const auto actions = this->plan.OnStatus(this->b, Held(3, 9, 4), late);
   EXPECT_NE(Find<OrderPromotion>(actions), nullptr);
 }
@@ -227,6 +233,32 @@
   }
 }
 
+// Guards against taking the hold of an earlier promotion, which may have taken
+// effect without this daemon's knowledge, for the hold of this one: it does not
+// stop a primary of the earlier promotion's term.
+TEST_F(PromotionPlanTest, HeldForTheSameTermBefore_Fence_HoldsForAHigherTerm) {
+  PromotionPlan later({Member("p"), Member("a"), Member("b")}, {}, this->p, 3,
+                      kStart);
+  later.Begin(kStart);
+  const common::SteadyTime late = kStart + milliseconds(400);
+  later.OnStatus(this->b, Held(3, 10, 0), late);
+  later.OnStatus(this->b, Held(3, 10, 4), late);
+  const auto actions = later.OnStatus(this->a, Held(3, 10, 4), late);
+  EXPECT_EQ(Find<OrderPromotion>(actions), nullptr);
+  const auto* hold = Find<SendHold>(actions);
+  ASSERT_NE(hold, nullptr);
+  EXPECT_EQ(hold->term, 5U);
+  later.OnStatus(this->a, Held(3, 10, 5), late);
+  const auto held = later.OnStatus(this->b, Held(3, 10, 5), late);
+  EXPECT_NE(Find<OrderPromotion>(held), nullptr);
+  // The promoted member leads the term after the newest one.
+  const auto leads =
+      later.OnStatus(this->a, {GroupRole::kPrimary, 4, {4, 10}, 0}, late);
+  const auto* finished = Find<PromotionFinished>(leads);
+  ASSERT_NE(finished, nullptr);
+  EXPECT_TRUE(finished->promoted);
+}
+
 /// Model of a replicated group in virtual time. The primary acknowledges a
 /// commit once one replica that receives has it.
 class ModelGroup {
@@ -278,6 +310,12 @@
       database.held = std::max(database.held, hold->term);
       return this->StatusOf(database);
     }
+    if (const auto* status = std::get_if<SendStatus>(&action)) {
+      *target = status->endpoint;
+      const Database& database = this->databases[status->endpoint.Value()];
+      if (!database.reachable_for_plan) return std::nullopt;
+      return this->StatusOf(database);
+    }
     return std::nullopt;
   }
 
