Session: Keep the lease when a repeated order outlives a promotion

Callers could lose acknowledged writes after two promotions in a row: a promotion ended with its member leading and released the lease, while its repeated order was unanswered and took effect in the middle of the next promotion (W20 of PromotionModelTest, late orders).

--- a/Source/Core/Session/promotion_plan.cc
+++ b/Source/Core/Session/promotion_plan.cc
@@ -288,7 +288,8 @@
 std::vector<PromotionAction> PromotionPlan::Finish(bool promoted,
                                                    const char* reason,
                                                    common::SteadyTime now) {
-  const bool open = !promoted && this->OrderMayExecute(now);
+  const bool open =
+      promoted ? this->unanswered_orders > 0 : this->OrderMayExecute(now);
   std::vector<PromotionAction> actions;
   // An order that may still be executed must not meet replicas that have
   // confirmed commits since their positions were read.
