Session: Add a failing test for a repeated order that outlives its plan

A plan ends as soon as the chosen member leads, although a repeated order that the platform accepted before is still to take effect. If the next holder of the lease replaces the new primary, that order promotes it again, and commits of the meantime are lost (AnyLateOrders).

--- a/Source/UnitTests/Core/Session/promotion_model_test.cc
+++ b/Source/UnitTests/Core/Session/promotion_model_test.cc
@@ -273,6 +273,33 @@
   }
 }
 
+// Guards against releasing the lease when the first order has taken effect,
+// while a repeated one, accepted before, is still to take effect: it would
+// promote the same member again after the next holder has replaced it.
+TEST_F(PromotionLossTest, ChosenLeads_RepeatedOrderAccepted_EndNamesTheOrder) {
+  this->Answer(this->a, Replica(3, 10, 4));
+  this->Answer(this->b, Replica(3, 10, 4));
+  ASSERT_TRUE(this->ordered.has_value());
+  const milliseconds first = this->ordered_at;
+  this->OrderAnswer(PromotionAnswer::kNoAnswer, milliseconds(1400));
+  for (milliseconds age(500);
+       age <= milliseconds(2500) && this->ordered_at == first;
+       age += kPromotionTickInterval) {
+    this->Answer(this->a, Replica(3, 10, 4), age);
+    this->Answer(this->b, Replica(3, 10, 4), age);
+    this->TickUntil(age);
+  }
+  if (this->ordered_at == first) return;
+  this->OrderAnswer(PromotionAnswer::kAccepted,
+                    this->ordered_at + milliseconds(20));
+  const auto actions = this->Answer(*this->ordered, Primary(4, 10),
+                                    this->ordered_at + milliseconds(100));
+  const auto* finished = Find<PromotionFinished>(actions);
+  if (finished != nullptr) {
+    EXPECT_TRUE(finished->command_may_execute);
+  }
+}
+
 // Guards against repeating an order after another member was promoted: the
 // chosen replica may lack commits of the new primary.
 TEST_F(PromotionLossTest, ChosenFollowsNewPrimary_RetryInterval_OrdersNothing) {
