Session: Repeat a hold without effect once per tick

A member that answered a hold without being held was sent the next hold at once, so the two followed each other as fast as the link allowed while the plan ran.

Evidence: PromotionPlanTest.HoldWithoutEffect_OnStatus_RepeatsItOncePerTick fails without this change.

--- a/Source/Core/Session/promotion_plan.cc
+++ b/Source/Core/Session/promotion_plan.cc
@@ -61,11 +61,13 @@
 
 std::vector<PromotionAction> PromotionPlan::FenceUnanswered() {
   std::vector<PromotionAction> actions;
-  for (const auto& [id, member] : this->members) {
+  for (auto& [id, member] : this->members) {
     if (member.fenced.has_value()) continue;
     if (this->primary == id) {
+      member.step_down_sent = true;
       actions.emplace_back(SendStepDown{id, this->term});
     } else if (member.has_answered || this->phase == Phase::kOrdered) {
+      member.hold_sent = true;
       actions.emplace_back(SendHold{id, this->term});
     } else {
       actions.emplace_back(SendStatus{id});
@@ -75,6 +77,10 @@
 }
 
 std::vector<PromotionAction> PromotionPlan::CheckMembers() {
+  for (auto& [id, member] : this->members) {
+    member.step_down_sent = false;
+    member.hold_sent = false;
+  }
   std::vector<PromotionAction> actions = this->FenceUnanswered();
   for (const auto& [id, member] : this->members) {
     if (member.fenced.has_value()) actions.emplace_back(SendStatus{id});
@@ -117,7 +123,11 @@
 
 void PromotionPlan::RaiseTerm(common::Term raised) {
   this->term = raised;
-  for (auto& [id, member] : this->members) member.fenced.reset();
+  for (auto& [id, member] : this->members) {
+    member.fenced.reset();
+    member.step_down_sent = false;
+    member.hold_sent = false;
+  }
 }
 
 std::vector<PromotionAction> PromotionPlan::TakeStatus(
@@ -133,12 +143,17 @@
   if (status.role == GroupRole::kPrimary) {
     // A hold has no effect on a primary.
     this->primary = id;
+    if (std::exchange(member.step_down_sent, true)) return {};
     return {SendStepDown{id, this->term}};
   }
-  // A primary that has stepped down follows any other primary and confirms its
-  // commits, so it is held as well.
-  if (status.held < this->term) return {SendHold{id, this->term}};
+  if (status.held < this->term) {
+    // A primary that has stepped down follows any other primary and confirms
+    // its commits, so it is held as well.
+    if (std::exchange(member.hold_sent, true)) return {};
+    return {SendHold{id, this->term}};
+  }
   member.fenced = status;
+  member.hold_sent = false;
   return {};
 }
 
--- a/Source/Core/Session/promotion_plan.h
+++ b/Source/Core/Session/promotion_plan.h
@@ -112,6 +112,10 @@
     GroupMember entry;
     /// The member has answered this plan.
     bool has_answered = false;
+    /// Commands sent since the last tick. A command without effect is repeated
+    /// by the next tick, not by each answer.
+    bool step_down_sent = false;
+    bool hold_sent = false;
     /// The member's answer to a hold for the term of this plan; none while the
     /// member is not held.
     std::optional<EndpointStatus> fenced;
--- a/Source/UnitTests/Core/Session/promotion_plan_test.cc
+++ b/Source/UnitTests/Core/Session/promotion_plan_test.cc
@@ -259,6 +259,19 @@
   EXPECT_TRUE(finished->promoted);
 }
 
+// Guards against holds and answers that follow each other without a pause when
+// a hold has no effect.
+TEST_F(PromotionPlanTest, HoldWithoutEffect_OnStatus_RepeatsItOncePerTick) {
+  EXPECT_EQ(
+      Find<SendHold>(this->plan.OnStatus(this->a, Held(3, 10, 0), kStart)),
+      nullptr);
+  const auto ticked = this->plan.OnTick(kStart + milliseconds(100));
+  EXPECT_NE(Find<SendHold>(ticked), nullptr);
+  EXPECT_EQ(Find<SendHold>(this->plan.OnStatus(this->a, Held(3, 10, 0),
+                                               kStart + milliseconds(150))),
+            nullptr);
+}
+
 /// Model of a replicated group in virtual time. The primary acknowledges a
 /// commit once one replica that receives has it.
 class ModelGroup {
