Session: Resume only members that this promotion has held

An old primary could acknowledge a write after its successor led: a promotion that gave up ended the hold of an earlier one, which had taken effect without its knowledge.

A member that was held when it first answered stays held; a member that never answered was never held.

--- a/Source/Core/Session/promotion_plan.cc
+++ b/Source/Core/Session/promotion_plan.cc
@@ -68,6 +68,7 @@
       actions.emplace_back(SendStepDown{id, this->term});
     } else if (member.has_answered || this->phase == Phase::kOrdered) {
       member.hold_sent = true;
+      member.held_by_plan = true;
       actions.emplace_back(SendHold{id, this->term});
     } else {
       actions.emplace_back(SendStatus{id});
@@ -134,7 +135,9 @@
     const common::EndpointId& id, const EndpointStatus& status) {
   Member& member = this->members.at(id);
   member.fenced.reset();
-  if (!std::exchange(member.has_answered, true) && status.held >= this->term) {
+  const bool is_first = !std::exchange(member.has_answered, true);
+  if (is_first) member.held_before = status.held > this->newest_term;
+  if (is_first && this->phase == Phase::kFencing && status.held >= this->term) {
     // An earlier promotion has held the member for the same term and may have
     // taken effect without this daemon's knowledge.
     this->RaiseTerm(status.held + 1);
@@ -150,6 +153,7 @@
     // A primary that has stepped down follows any other primary and confirms
     // its commits, so it is held as well.
     if (std::exchange(member.hold_sent, true)) return {};
+    member.held_by_plan = true;
     return {SendHold{id, this->term}};
   }
   member.fenced = status;
@@ -310,7 +314,9 @@
   // confirmed commits since their positions were read.
   if (!promoted && !open) {
     for (const auto& [id, member] : this->members) {
-      if (this->primary != id) actions.emplace_back(SendResume{id});
+      // The hold of an earlier promotion may be what stops an old primary.
+      if (!member.held_by_plan || member.held_before) continue;
+      actions.emplace_back(SendResume{id});
     }
   }
   this->phase = Phase::kFinished;
--- a/Source/Core/Session/promotion_plan.h
+++ b/Source/Core/Session/promotion_plan.h
@@ -112,6 +112,10 @@
     GroupMember entry;
     /// The member has answered this plan.
     bool has_answered = false;
+    /// The member was held when it first answered.
+    bool held_before = false;
+    /// The plan has sent a hold to the member.
+    bool held_by_plan = false;
     /// Commands sent since the last tick. A command without effect is repeated
     /// by the next tick, not by each answer.
     bool step_down_sent = false;
--- a/Source/UnitTests/Core/Session/promotion_plan_test.cc
+++ b/Source/UnitTests/Core/Session/promotion_plan_test.cc
@@ -272,6 +272,20 @@
             nullptr);
 }
 
+// Guards against ending the hold of an earlier promotion that may have taken
+// effect: a replica that the new primary does not reach yet would confirm
+// commits of the old one.
+TEST_F(PromotionPlanTest, HeldBefore_FencingTimeout_IsNotResumed) {
+  PromotionPlan later({Member("p"), Member("a"), Member("b")}, {}, this->p, 3,
+                      kStart);
+  later.Begin(kStart);
+  later.OnStatus(this->a, Held(3, 10, 4), kStart);
+  later.OnStatus(this->a, Held(3, 10, 5), kStart);
+  const auto actions = later.OnTick(kStart + milliseconds(2000));
+  EXPECT_NE(Find<PromotionFinished>(actions), nullptr);
+  EXPECT_EQ(Find<SendResume>(actions), nullptr);
+}
+
 /// Model of a replicated group in virtual time. The primary acknowledges a
 /// commit once one replica that receives has it.
 class ModelGroup {
