Session: Pause between listings while the store keeps lacking history

Cause: a watch that gets 410 led to a listing at once, and the listing to a watch at once. If the store lacks the history of that watch too, list and watch follow each other without pause, since neither counts as a failure.

The first 410 still leads to a listing at once, as one drop of the history is ordinary. Until a watch has succeeded, further listings wait for 150 ms, doubled up to 2 s, which is below the bound of a change (4 s).

DirectoryWatcherTest.HistoryGoneRepeatedly_Listings_ArePaused failed before: the second 410 had a listing pending at once (directory_watcher_test.cc:150, lists not empty).

--- a/Source/Core/Session/directory_watcher.cc
+++ b/Source/Core/Session/directory_watcher.cc
@@ -18,6 +18,10 @@
 /// has a cost, even while the store is down.
 constexpr std::chrono::milliseconds kInitialBackoff(150);
 constexpr std::chrono::milliseconds kMaxBackoff(600);
+/// Longest pause between listings while no watch succeeds because the store
+/// lacks its history. Below the bound within which a change must be in force
+/// (4,000 ms), since changes are then learned from the listings alone.
+constexpr std::chrono::milliseconds kMaxRelistPause(2000);
 
 /// A watcher that has been behind for this long queries other daemons. Above
 /// the pause between two watches plus a slow answer of the store, so that a
@@ -60,6 +64,17 @@
       });
 }
 
+void DirectoryWatcher::Relist() {
+  const common::Duration pause = this->relist_pause;
+  this->relist_pause =
+      std::clamp<common::Duration>(pause * 2, kInitialBackoff, kMaxRelistPause);
+  if (pause == common::Duration::zero()) {
+    this->List();
+    return;
+  }
+  this->timer = this->loop->After(pause, [this] { this->List(); });
+}
+
 void DirectoryWatcher::Watch() {
   this->platform->Watch(
       this->settings.kind, *this->revision, this->settings.watch_length,
@@ -112,6 +127,7 @@
   std::visit(common::Overloaded{
                  [this](const DirectoryChanges& changes) {
                    this->OnAvailable();
+                   this->relist_pause = common::Duration::zero();
                    for (const DirectoryChange& change : changes.changes) {
                      this->Apply(change);
                    }
@@ -129,7 +145,7 @@
                                "store_history_gone",
                                {{"kind", ToString(this->settings.kind)},
                                 {"revision", *this->revision}});
-                   this->List();
+                   this->Relist();
                  },
                  [this](const StoreUnavailable& failure) {
                    this->OnUnavailable(failure);
--- a/Source/Core/Session/directory_watcher.h
+++ b/Source/Core/Session/directory_watcher.h
@@ -75,6 +75,9 @@
   };
 
   void List();
+  /// Lists again because the store lacks the history of the last watch; at once
+  /// the first time, after a growing pause if no watch has succeeded since.
+  void Relist();
   void Watch();
   void OnListed(const DirectoryResult& result);
   void OnWatched(const DirectoryResult& result);
@@ -100,6 +103,8 @@
   std::optional<common::SteadyTime> unavailable_since;
   std::optional<common::SteadyTime> behind_since;
   common::Duration backoff = common::Duration::zero();
+  /// Pause before the next listing that Relist starts.
+  common::Duration relist_pause = common::Duration::zero();
   std::unique_ptr<connection::Timer> timer;
   std::unique_ptr<connection::Timer> expiry_timer;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
--- a/Source/UnitTests/Core/Session/directory_watcher_test.cc
+++ b/Source/UnitTests/Core/Session/directory_watcher_test.cc
@@ -140,6 +140,23 @@
   EXPECT_EQ(this->platform.watches[kKind].front().after, 10U);
 }
 
+// Guards against listings and watches without pause when the store lacks the
+// history of each watch, as after it was restored from a backup.
+TEST_F(DirectoryWatcherTest, HistoryGoneRepeatedly_Listings_ArePaused) {
+  this->AnswerList({Change("a", 1)}, 5);
+  this->AnswerWatch(HistoryGone{});
+  this->AnswerList({Change("a", 1)}, 5);
+  this->AnswerWatch(HistoryGone{});
+  EXPECT_TRUE(this->platform.lists[kKind].empty());
+  this->RunFor(milliseconds(400));
+  ASSERT_EQ(this->platform.lists[kKind].size(), 1U);
+  // A watch that succeeds ends the series.
+  this->AnswerList({Change("a", 1)}, 5);
+  this->AnswerWatch(DirectoryChanges{{}, 5});
+  this->AnswerWatch(HistoryGone{});
+  EXPECT_EQ(this->platform.lists[kKind].size(), 1U);
+}
+
 // Guards against an older state that replaces a newer one.
 TEST_F(DirectoryWatcherTest, OlderRevision_Apply_IsIgnored) {
   this->AnswerList({Change("a", 8)}, 8);
