Session: Let the configuration's version decide in the relay between daemons

Callers of a daemon that starts while a restored store still holds an older configuration would be served by that one.

Cause: the relay compares revisions of the store. A peer sends nothing to a daemon that knows the same revision, a state with the same revision is refused, and a peer's watcher had replaced the document by the store's older one. If the copy had no configuration at all, the watcher forgot the document.

The operator numbers the versions himself, so they alone decide now: an object with a version is only replaced by a later version, whatever the revision, and never removed; a query names the version that the requester has, and a later one is sent and taken over at any revision. Daemons that don't name a version get the document each time.

ConfigurationWatcherTest: StoreRestoredWithOlder_Configuration_IsKept, StoreRestoredWithout_Configuration_IsKept and StartedWithOlder_MergeFromPeer_TakesTheLater failed on (without the new argument): version 2, 0 and 2 instead of 3, and nothing relayed.

--- a/Source/Core/Session/directory_watcher.cc
+++ b/Source/Core/Session/directory_watcher.cc
@@ -38,6 +38,17 @@
                                          : DirectoryFreshness::kLatest;
 }
 
+/// The version that the writer of an object gave it; none if objects of its
+/// kind have no versions.
+std::optional<std::uint64_t> VersionOf(const DirectoryValue& value) {
+  const auto* configuration =
+      std::get_if<std::shared_ptr<const DirectoryConfiguration>>(&value);
+  if (configuration == nullptr || *configuration == nullptr) {
+    return std::nullopt;
+  }
+  return (*configuration)->version;
+}
+
 }  // namespace
 
 DirectoryWatcher::DirectoryWatcher(connection::EventLoop* loop,
@@ -238,29 +249,36 @@
               {{"kind", ToString(this->settings.kind)}});
 }
 
-void DirectoryWatcher::Apply(const DirectoryChange& change) {
+bool DirectoryWatcher::Apply(const DirectoryChange& change) {
   Entry& entry = this->entries[change.name];
-  if (change.revision < entry.revision) return;
-  entry.revision = change.revision;
-  if (change.removed) {
-    if (!entry.removed_at.has_value()) entry.removed_at = common::SteadyNow();
-    return;
-  }
-  entry.removed_at.reset();
-  entry.value = change.value;
-  entry.document = change.document;
-  if (const auto* unreadable = std::get_if<UnreadableObject>(&entry.value)) {
+  const std::optional<std::uint64_t> known = VersionOf(entry.value);
+  const std::optional<std::uint64_t> offered = VersionOf(change.value);
+  const bool is_later =
+      known.has_value() ? offered > known : change.revision >= entry.revision;
+  entry.revision = std::max(entry.revision, change.revision);
+  if (const auto* unreadable = std::get_if<UnreadableObject>(&change.value);
+      unreadable != nullptr && !change.removed) {
     common::Log(Subsystem::kVersion, LogLevel::kWarning, "object_unreadable",
                 {{"kind", ToString(this->settings.kind)},
                  {"name", change.name},
                  {"revision", change.revision.number},
                  {"reason", unreadable->reason}});
   }
+  if (!is_later) return false;
+  if (change.removed) {
+    if (!entry.removed_at.has_value()) entry.removed_at = common::SteadyNow();
+    return true;
+  }
+  entry.removed_at.reset();
+  entry.value = change.value;
+  entry.document = change.document;
+  return true;
 }
 
 void DirectoryWatcher::MarkAbsentRemoved(const std::set<std::string>& present) {
   for (auto& [name, entry] : this->entries) {
-    if (!present.contains(name) && !entry.removed_at.has_value()) {
+    if (!present.contains(name) && !entry.removed_at.has_value() &&
+        !VersionOf(entry.value).has_value()) {
       entry.removed_at = common::SteadyNow();
     }
   }
@@ -284,24 +302,37 @@
   return is_due(this->unavailable_since) || is_due(this->behind_since);
 }
 
-SharedDirectory DirectoryWatcher::ObjectsSince(StoreRevision known) const {
+std::uint64_t DirectoryWatcher::Version() const {
+  std::uint64_t latest = 0;
+  for (const auto& [name, entry] : this->entries) {
+    latest = std::max(latest, VersionOf(entry.value).value_or(0));
+  }
+  return latest;
+}
+
+SharedDirectory DirectoryWatcher::ObjectsSince(
+    StoreRevision known, std::uint64_t known_version) const {
   SharedDirectory shared;
   shared.revision = this->Revision();
-  if (shared.revision <= known) return shared;
+  bool is_newer = shared.revision > known;
   for (const auto& [name, entry] : this->entries) {
     if (entry.removed_at.has_value()) continue;
+    const std::optional<std::uint64_t> version = VersionOf(entry.value);
+    const bool is_later =
+        version.has_value() ? *version > known_version : entry.revision > known;
     SharedObject object{name, entry.revision, std::nullopt};
-    if (entry.revision > known) object.document = entry.document;
+    if (is_later) object.document = entry.document;
     shared.objects.push_back(std::move(object));
+    is_newer = is_newer || is_later;
   }
+  if (!is_newer) shared.objects.clear();
   return shared;
 }
 
 bool DirectoryWatcher::MergeFromPeer(const SharedDirectory& shared) {
-  if (shared.revision <= this->Revision() || shared.revision.era < this->era) {
-    return false;
-  }
-  this->AdvanceEra(shared.revision.era);
+  const bool is_newer =
+      shared.revision > this->Revision() && shared.revision.era >= this->era;
+  bool changed = is_newer;
   std::set<std::string> present;
   for (const SharedObject& object : shared.objects) {
     present.insert(object.name);
@@ -312,10 +343,18 @@
     change.document = *object.document;
     change.value = this->platform->Decode(this->settings.kind, object.name,
                                           *object.document);
-    this->Apply(change);
+    // An object with a version counts whatever the revision: a restored store
+    // may hold an older one than this daemon's peers.
+    if (!is_newer && !VersionOf(change.value).has_value()) continue;
+    changed = this->Apply(change) || changed;
   }
-  this->MarkAbsentRemoved(present);
-  this->AdvanceRevision(shared.revision);
+  if (!changed) return false;
+  if (is_newer) {
+    this->AdvanceEra(shared.revision.era);
+    this->MarkAbsentRemoved(present);
+    this->AdvanceRevision(shared.revision);
+  }
+  this->behind_since.reset();
   this->NotifyObserver();
   return true;
 }
--- a/Source/Core/Session/directory_watcher.h
+++ b/Source/Core/Session/directory_watcher.h
@@ -68,11 +68,17 @@
     return this->revision.value_or(StoreRevision());
   }
 
+  /// The latest version of an object with versions; 0 if there is none.
+  std::uint64_t Version() const;
+
   /// The state known here, for a daemon that knows the state at the given
-  /// revision. Documents that have not changed since then are left out.
-  SharedDirectory ObjectsSince(StoreRevision known) const;
+  /// revision, and objects with versions up to the given one. Documents that it
+  /// has are left out.
+  SharedDirectory ObjectsSince(StoreRevision known,
+                               std::uint64_t known_version) const;
 
-  /// Takes over another daemon's state. Returns false if it is not newer.
+  /// Takes over another daemon's state if it is newer, or else its objects with
+  /// later versions. Returns whether anything was newer.
   bool MergeFromPeer(const SharedDirectory& shared);
 
  private:
@@ -97,8 +103,13 @@
   void CountAnswer(const DirectoryResult& result);
   void OnUnavailable(const StoreUnavailable& failure);
   void OnAvailable();
-  void Apply(const DirectoryChange& change);
-  /// Marks the entries that are missing in a complete listing as removed.
+  /// Takes over the state of an object if it is later: by its version if it has
+  /// one, as a restored store may hold an older version at a later revision,
+  /// otherwise by its revision. An object with a version is never removed.
+  /// Returns whether it was later.
+  bool Apply(const DirectoryChange& change);
+  /// Marks the entries that are missing in a complete listing as removed,
+  /// except those with a version.
   void MarkAbsentRemoved(const std::set<std::string>& present);
   void AdvanceRevision(StoreRevision reached);
   void ExpireRemoved();
--- a/Source/Core/Session/fleet_transport.h
+++ b/Source/Core/Session/fleet_transport.h
@@ -52,6 +52,9 @@
   DirectoryKind kind = DirectoryKind::kConfiguration;
   /// The revision that the requester already knows.
   StoreRevision revision;
+  /// The version of the configuration that the requester already knows; 0 for
+  /// none.
+  std::uint64_t version = 0;
 };
 
 /// Interface to the other daemons. Callbacks come from the event loop.
--- a/Source/Core/Session/grpc_fleet_transport.cc
+++ b/Source/Core/Session/grpc_fleet_transport.cc
@@ -54,13 +54,15 @@
                        : fleet::v1::CONFIGURATION);
   message.set_revision(query.revision.number);
   message.set_era(query.revision.era);
+  message.set_version(query.version);
   return message;
 }
 
 DirectoryQuery FromMessage(const fleet::v1::DirectoryRequest& message) {
   return {message.kind() == fleet::v1::MEMBERS ? DirectoryKind::kMembers
                                                : DirectoryKind::kConfiguration,
-          {message.era(), message.revision()}};
+          {message.era(), message.revision()},
+          message.version()};
 }
 
 fleet::v1::DirectoryReply ToMessage(const SharedDirectory& shared) {
--- a/Source/Core/Session/proxy.cc
+++ b/Source/Core/Session/proxy.cc
@@ -119,7 +119,8 @@
     this->CompareVersions(report);
   };
   callbacks.read_directory = [this](const DirectoryQuery& query) {
-    return this->WatcherOf(query.kind)->ObjectsSince(query.revision);
+    return this->WatcherOf(query.kind)
+        ->ObjectsSince(query.revision, query.version);
   };
   callbacks.on_size_changed = [this](std::size_t size, std::size_t responsive) {
     this->OnFleetSize(size, responsive);
@@ -386,7 +387,7 @@
     const DirectoryWatcher* watcher = this->WatcherOf(kind);
     if (!watcher->NeedsPeers(now)) continue;
     this->fleet->QueryDirectory(
-        {kind, watcher->Revision()},
+        {kind, watcher->Revision(), watcher->Version()},
         [this, kind](const common::HostId& peer,
                      const SharedDirectory& shared) {
           if (!this->WatcherOf(kind)->MergeFromPeer(shared)) return;
--- a/Source/UnitTests/Core/Session/directory_watcher_test.cc
+++ b/Source/UnitTests/Core/Session/directory_watcher_test.cc
@@ -222,11 +222,11 @@
   DirectoryChange new_entry = Change("b", 6);
   new_entry.document = "new";
   this->AnswerList({old_entry, new_entry}, 6);
-  const SharedDirectory shared = this->watcher.ObjectsSince({0, 5});
+  const SharedDirectory shared = this->watcher.ObjectsSince({0, 5}, 0);
   ASSERT_EQ(shared.objects.size(), 2U);
   EXPECT_FALSE(shared.objects[0].document.has_value());
   EXPECT_EQ(shared.objects[1].document, "new");
-  EXPECT_TRUE(this->watcher.ObjectsSince({0, 6}).objects.empty());
+  EXPECT_TRUE(this->watcher.ObjectsSince({0, 6}, 0).objects.empty());
 }
 
 // Guards against queries to other daemons for changes that are about to arrive
@@ -336,10 +336,94 @@
   DirectoryChange entry = ChangeOfEra(1, "a", 2);
   entry.document = "text";
   this->AnswerList(DirectoryChanges{{entry}, {1, 5}});
-  const SharedDirectory shared = this->watcher.ObjectsSince({0, 9});
+  const SharedDirectory shared = this->watcher.ObjectsSince({0, 9}, 0);
   ASSERT_EQ(shared.objects.size(), 1U);
   EXPECT_EQ(shared.objects[0].document, "text");
 }
 
+/// A watcher of the configuration, whose object has a version.
+class ConfigurationWatcherTest : public testing::Test {
+ protected:
+  ConfigurationWatcherTest() { this->watcher.Start(); }
+
+  static DirectoryValue Configuration(std::uint64_t version) {
+    auto configuration = std::make_shared<DirectoryConfiguration>();
+    configuration->version = version;
+    return std::shared_ptr<const DirectoryConfiguration>(configuration);
+  }
+
+  void AnswerList(std::vector<DirectoryChange> changes,
+                  StoreRevision revision) {
+    auto done =
+        std::move(this->platform.lists[DirectoryKind::kConfiguration].front());
+    this->platform.lists[DirectoryKind::kConfiguration].pop_front();
+    done(DirectoryChanges{std::move(changes), revision});
+  }
+
+  connection::EventLoop loop;
+  FakePlatform platform;
+  ProxyMetrics metrics;
+  std::uint64_t version = 0;
+  DirectoryWatcher watcher{
+      &this->loop,
+      &this->platform,
+      &this->metrics,
+      {DirectoryKind::kConfiguration, milliseconds(0), milliseconds(6000)},
+      [this](const auto& objects) {
+        this->version = 0;
+        for (const auto& [name, value] : objects) {
+          this->version =
+              std::get<std::shared_ptr<const DirectoryConfiguration>>(value)
+                  ->version;
+        }
+      }};
+};
+
+// Guards against a daemon that relays the older configuration of a restored
+// store instead of the one in force.
+TEST_F(ConfigurationWatcherTest, StoreRestoredWithOlder_Configuration_IsKept) {
+  this->AnswerList({{"main", {0, 9}, false, Configuration(3), "third"}},
+                   {0, 9});
+  this->watcher.OnEra(1);
+  this->AnswerList({{"main", {1, 4}, false, Configuration(2), "second"}},
+                   {1, 5});
+  EXPECT_EQ(this->version, 3U);
+  const SharedDirectory shared = this->watcher.ObjectsSince({1, 5}, 2);
+  ASSERT_EQ(shared.objects.size(), 1U);
+  EXPECT_EQ(shared.objects[0].document, "third");
+  EXPECT_TRUE(this->watcher.ObjectsSince({1, 5}, 3).objects.empty());
+}
+
+// Guards against losing the configuration if it is missing in the copy that the
+// store was restored from.
+TEST_F(ConfigurationWatcherTest, StoreRestoredWithout_Configuration_IsKept) {
+  this->AnswerList({{"main", {0, 9}, false, Configuration(3), "third"}},
+                   {0, 9});
+  this->watcher.OnEra(1);
+  this->AnswerList({}, {1, 5});
+  this->loop.RunLater(milliseconds(120), [this] { this->loop.Stop(); });
+  this->loop.Run();
+  EXPECT_EQ(this->version, 3U);
+  EXPECT_EQ(this->watcher.ObjectsSince({1, 5}, 0).objects.size(), 1U);
+}
+
+// Guards against a daemon that starts with the older configuration of a
+// restored store and refuses the one in force because the store's revision is
+// the same.
+TEST_F(ConfigurationWatcherTest, StartedWithOlder_MergeFromPeer_TakesTheLater) {
+  this->AnswerList({{"main", {1, 4}, false, Configuration(2), "second"}},
+                   {1, 5});
+  this->platform.documents["third"] = Configuration(3);
+  EXPECT_TRUE(this->watcher.MergeFromPeer(
+      {{1, 5}, {{"main", {1, 4}, std::string("third")}}}));
+  EXPECT_EQ(this->version, 3U);
+  EXPECT_FALSE(this->watcher.MergeFromPeer(
+      {{1, 5}, {{"main", {1, 4}, std::string("third")}}}));
+  this->platform.documents["second"] = Configuration(2);
+  EXPECT_TRUE(this->watcher.MergeFromPeer(
+      {{1, 8}, {{"main", {1, 7}, std::string("second")}}}));
+  EXPECT_EQ(this->version, 3U);
+}
+
 }  // namespace
 }  // namespace camphorferry::session
--- a/Source/UnitTests/Core/Session/grpc_fleet_transport_test.cc
+++ b/Source/UnitTests/Core/Session/grpc_fleet_transport_test.cc
@@ -34,6 +34,8 @@
       // Documents may contain any bytes.
       shared.objects.push_back(
           {"bytes", {query.revision.era, 5}, std::string("\0\xff", 2)});
+      shared.objects.push_back(
+          {"version", {query.revision.era, query.version}, std::nullopt});
       return shared;
     };
     return NewGrpcFleetTransport(loop, {"127.0.0.1", 0}, std::move(handlers));
@@ -95,7 +97,7 @@
   for (const DirectoryKind kind :
        {DirectoryKind::kConfiguration, DirectoryKind::kMembers}) {
     std::optional<SharedDirectory> answer;
-    requester->ReadDirectory(Address(*peer), {kind, {3, 8}}, seconds(5),
+    requester->ReadDirectory(Address(*peer), {kind, {3, 8}, 6}, seconds(5),
                              [&](const auto& got) {
                                answer = got;
                                loop.Stop();
@@ -103,11 +105,12 @@
     loop.Run();
     ASSERT_TRUE(answer.has_value());
     EXPECT_EQ(answer->revision, (StoreRevision{3, 9}));
-    ASSERT_EQ(answer->objects.size(), 2U);
+    ASSERT_EQ(answer->objects.size(), 3U);
     EXPECT_EQ(answer->objects[0].name, ToString(kind));
     EXPECT_FALSE(answer->objects[0].document.has_value());
     EXPECT_EQ(answer->objects[1].revision, (StoreRevision{3, 5}));
     EXPECT_EQ(answer->objects[1].document, std::string("\0\xff", 2));
+    EXPECT_EQ(answer->objects[2].revision, (StoreRevision{3, 6}));
   }
 }
 
