Session: Do not trust a promotion lease across a restore of the store

Two daemons could order promotions at the same time, or with a token that is lower than one seen before, after the store came back from a copy.

Cause: the lease's record may be lost while its holder goes on, its revision is given out again, so that a renewal may even succeed on another daemon's record, and the revision, which was the fencing token, goes back.

The record carries the era of the answer and the era in which its holder wrote it. A lease of an earlier era is lost, a write whose answer is of a later era doesn't count, and the first acquisition of an era waits until this daemon has known the era for the takeover delay (3 s), the longest that orders under a lost record can be under way. The token combines era and revision and stays below 2^53. Without eras everything is as before.

--- a/Source/Core/Session/directory.cc
+++ b/Source/Core/Session/directory.cc
@@ -14,4 +14,9 @@
   return "unknown";
 }
 
+std::uint64_t FencingToken(const PromotionLeaseRecord& record) {
+  constexpr int kRevisionBits = 40;
+  return (record.revision.era << kRevisionBits) | record.revision.number;
+}
+
 }  // namespace camphorferry::session
--- a/Source/Core/Session/directory.h
+++ b/Source/Core/Session/directory.h
@@ -168,15 +168,24 @@
 enum class DirectoryFreshness { kLatest, kAllowStale };
 
 /// The record that says which daemon may order promotions (the promotion
-/// lease). The revision of its last change is the fencing token, which rises
-/// with every change of the holder.
+/// lease).
 struct PromotionLeaseRecord {
   common::HostId holder;
   /// True while the holder is carrying out a promotion.
   bool active = false;
-  std::uint64_t revision = 0;
+  /// Revision of the record's last change; number 0 if there is no record. Its
+  /// era is that of the answer, so it may be later than the last change.
+  StoreRevision revision;
+  /// Era that the holder knew when it wrote the record.
+  std::uint64_t written_in_era = 0;
 };
 
+/// The fencing token of a record that its holder has written. Rises with every
+/// change of the holder, also when the store has been restored from a backup
+/// and gives its revisions out again. Below 2^53 for less than 2^40 changes and
+/// 2^13 eras; the revision itself if the store doesn't state eras.
+std::uint64_t FencingToken(const PromotionLeaseRecord& record);
+
 /// The record was changed by another daemon; its current state.
 struct PromotionLeaseConflict {
   PromotionLeaseRecord record;
@@ -220,11 +229,13 @@
   virtual void RegisterHost(const FleetHost& host,
                             std::function<void(bool done)> done) = 0;
 
-  /// Reads the lease record; its revision is 0 if there is none.
+  /// Reads the lease record; the number of its revision is 0 if there is none.
   virtual void ReadPromotionLease(
       std::function<void(PromotionLeaseResult)> done) = 0;
 
-  /// Writes the lease record if its revision is still the given one.
+  /// Writes the lease record if the number of its revision is still the given
+  /// one. If the result is of a later era, the store has been restored since,
+  /// and the number may have been that of another change.
   virtual void WritePromotionLease(
       const PromotionLeaseRecord& record,
       std::function<void(PromotionLeaseResult)> done) = 0;
--- a/Source/Core/Session/promotion_lease.cc
+++ b/Source/Core/Session/promotion_lease.cc
@@ -18,6 +18,24 @@
 PromotionLease::PromotionLease(Platform* platform, common::HostId host)
     : platform(platform), host(std::move(host)) {}
 
+void PromotionLease::OnEra(std::uint64_t store_era, common::SteadyTime now) {
+  if (store_era <= this->era) return;
+  this->era = store_era;
+  this->era_known_since = now;
+  if (this->users > 0 && this->record.revision.era < store_era) {
+    this->lost = true;
+    this->confirmed_at.reset();
+  }
+}
+
+bool PromotionLease::MayBeHeldByAnother(const PromotionLeaseRecord& stored,
+                                        common::SteadyTime now) const {
+  const bool first_of_era = stored.revision.era != stored.written_in_era;
+  if (first_of_era && now - this->era_known_since < kTakeoverDelay) return true;
+  return stored.active && stored.holder != this->host &&
+         now - *this->record_seen_at < kTakeoverDelay;
+}
+
 void PromotionLease::Acquire(std::function<void(bool held)> done) {
   if (this->users > 0) {
     if (this->lost) {
@@ -38,13 +56,17 @@
           return;
         }
         const common::SteadyTime now = common::SteadyNow();
+        this->OnEra(stored->revision.era, now);
+        if (stored->revision.era < this->era) {
+          done(false);
+          return;
+        }
         if (!this->record_seen_at.has_value() ||
             stored->revision != this->record.revision) {
           this->record_seen_at = now;
         }
         this->record = *stored;
-        if (stored->active && stored->holder != this->host &&
-            now - *this->record_seen_at < kTakeoverDelay) {
+        if (this->MayBeHeldByAnother(*stored, now)) {
           done(false);
           return;
         }
@@ -85,12 +107,21 @@
 void PromotionLease::Write(bool active,
                            std::function<void(bool written)> done) {
   const common::SteadyTime sent = common::SteadyNow();
-  PromotionLeaseRecord wanted{this->host, active, this->record.revision};
+  const PromotionLeaseRecord wanted{this->host, active, this->record.revision,
+                                    this->record.revision.era};
   this->platform->WritePromotionLease(
-      wanted, [this, sent, still_alive = this->alive,
-               done = std::move(done)](const PromotionLeaseResult& result) {
+      wanted,
+      [this, sent, era_before = wanted.revision.era, still_alive = this->alive,
+       done = std::move(done)](const PromotionLeaseResult& result) {
         if (!*still_alive) return;
         if (const auto* written = std::get_if<PromotionLeaseRecord>(&result)) {
+          this->OnEra(written->revision.era, common::SteadyNow());
+          // After a restore, the revision that the write required may have been
+          // that of another daemon's record.
+          if (written->revision.era != era_before || era_before != this->era) {
+            done(false);
+            return;
+          }
           this->record = *written;
           this->record_seen_at = common::SteadyNow();
           this->confirmed_at = sent;
@@ -99,6 +130,7 @@
         }
         if (const auto* conflict =
                 std::get_if<PromotionLeaseConflict>(&result)) {
+          this->OnEra(conflict->record.revision.era, common::SteadyNow());
           this->record = conflict->record;
           this->record_seen_at = common::SteadyNow();
           this->confirmed_at.reset();
--- a/Source/Core/Session/promotion_task.cc
+++ b/Source/Core/Session/promotion_task.cc
@@ -164,7 +164,7 @@
                     "promotion_ordered",
                     {{"service", this->service},
                      {"endpoint", order.endpoint},
-                     {"token", record->revision}});
+                     {"token", FencingToken(*record)}});
         this->context.platform->Promote(
             this->service, order.endpoint, *record,
             [this, still_alive, current](PromotionAnswer answer) {
--- a/Source/Core/Session/proxy.cc
+++ b/Source/Core/Session/proxy.cc
@@ -362,6 +362,7 @@
   common::Log(Subsystem::kVersion,
               restored ? LogLevel::kWarning : LogLevel::kInfo,
               restored ? "store_restored" : "store_era", {{"era", era}});
+  this->promotion_lease.OnEra(era, common::SteadyNow());
   this->configuration_watcher->OnEra(era);
   this->member_watcher->OnEra(era);
 }
--- a/Source/UnitTests/Core/Session/fake_platform.h
+++ b/Source/UnitTests/Core/Session/fake_platform.h
@@ -66,6 +66,7 @@
       done(StoreUnavailable{"down"});
       return;
     }
+    this->lease_record.revision.era = this->era;
     done(this->lease_record);
   }
 
@@ -76,12 +77,13 @@
       done(StoreUnavailable{"down"});
       return;
     }
-    if (wanted.revision != this->lease_record.revision) {
+    this->lease_record.revision.era = this->era;
+    if (wanted.revision.number != this->lease_record.revision.number) {
       done(PromotionLeaseConflict{this->lease_record});
       return;
     }
     this->lease_record = wanted;
-    this->lease_record.revision = ++this->revision;
+    this->lease_record.revision = {this->era, ++this->revision};
     done(this->lease_record);
   }
 
@@ -89,7 +91,7 @@
                const common::EndpointId& endpoint,
                const PromotionLeaseRecord& used,
                std::function<void(PromotionAnswer)> done) override {
-    this->orders.push_back({service, endpoint, used.revision});
+    this->orders.push_back({service, endpoint, FencingToken(used)});
     if (this->on_order) this->on_order(endpoint);
     done(PromotionAnswer::kAccepted);
   }
@@ -103,6 +105,8 @@
   std::map<std::string, DirectoryValue> documents;
   std::vector<FleetHost> registered;
   PromotionLeaseRecord lease_record;
+  /// Era of the answers about the lease.
+  std::uint64_t era = 0;
   std::uint64_t revision = 10;
   bool store_down = false;
   std::vector<Order> orders;
--- a/Source/UnitTests/Core/Session/promotion_lease_test.cc
+++ b/Source/UnitTests/Core/Session/promotion_lease_test.cc
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 
 #include <chrono>
+#include <optional>
 #include <thread>
 
 #include "fake_platform.h"
@@ -35,11 +36,11 @@
   std::uint64_t second_token = 0;
   ASSERT_TRUE(Acquire(&this->first));
   this->first.Confirm(
-      [&](const auto& record) { first_token = record->revision; });
+      [&](const auto& record) { first_token = FencingToken(*record); });
   this->first.Release();
   ASSERT_TRUE(Acquire(&this->second));
   this->second.Confirm(
-      [&](const auto& record) { second_token = record->revision; });
+      [&](const auto& record) { second_token = FencingToken(*record); });
   EXPECT_GT(second_token, first_token);
 }
 
@@ -48,7 +49,7 @@
   ASSERT_TRUE(Acquire(&this->first));
   // Another daemon has taken over the record.
   this->platform.lease_record.holder = common::HostId("h2");
-  this->platform.lease_record.revision = ++this->platform.revision;
+  this->platform.lease_record.revision.number = ++this->platform.revision;
   const common::SteadyTime later =
       common::SteadyNow() + std::chrono::seconds(2);
   EXPECT_FALSE(this->first.MayOrder(later));
@@ -59,7 +60,7 @@
 TEST_F(PromotionLeaseTest, TakenOver_ConfirmAndRelease_KeepTheNewHolder) {
   ASSERT_TRUE(Acquire(&this->first));
   this->platform.lease_record.holder = common::HostId("h2");
-  this->platform.lease_record.revision = ++this->platform.revision;
+  this->platform.lease_record.revision.number = ++this->platform.revision;
   std::this_thread::sleep_for(std::chrono::milliseconds(650));
   bool has_token = true;
   for (int attempt = 0; attempt < 2; ++attempt) {
@@ -78,5 +79,78 @@
   EXPECT_FALSE(Acquire(&this->first));
 }
 
+/// A store that states eras and has been restored while the first daemon holds
+/// the lease. Its copy of the record is the one before that.
+class RestoredPromotionLeaseTest : public PromotionLeaseTest {
+ protected:
+  static constexpr std::chrono::milliseconds kLongerThanTakeoverDelay{3050};
+
+  void Restore() {
+    this->platform.lease_record = this->copy;
+    this->platform.revision = this->copy.revision.number;
+    ++this->platform.era;
+  }
+
+  static std::optional<std::uint64_t> Token(PromotionLease* lease) {
+    std::optional<std::uint64_t> token;
+    lease->Confirm([&](const auto& record) {
+      if (record.has_value()) token = FencingToken(*record);
+    });
+    return token;
+  }
+
+  PromotionLeaseRecord copy;
+};
+
+// Guards against an order under a lease that the store has lost.
+TEST_F(RestoredPromotionLeaseTest, HeldInEarlierEra_Confirm_GivesNoToken) {
+  ASSERT_TRUE(Acquire(&this->first));
+  this->Restore();
+  this->first.OnEra(1, common::SteadyNow());
+  EXPECT_FALSE(this->first.MayOrder(common::SteadyNow()));
+  EXPECT_FALSE(Token(&this->first).has_value());
+}
+
+// Guards against a renewal that succeeds because the restored store has given
+// the revision of the lease out again, to another daemon's record.
+TEST_F(RestoredPromotionLeaseTest, RevisionGivenOutAgain_Confirm_IsNotCounted) {
+  ASSERT_TRUE(Acquire(&this->first));
+  const std::uint64_t held = this->platform.lease_record.revision.number;
+  this->Restore();
+  this->platform.lease_record.holder = common::HostId("h2");
+  this->platform.lease_record.active = true;
+  this->platform.lease_record.revision.number = held;
+  std::this_thread::sleep_for(std::chrono::milliseconds(650));
+  EXPECT_FALSE(Token(&this->first).has_value());
+  EXPECT_FALSE(this->first.MayOrder(common::SteadyNow()));
+}
+
+// Guards against a second holder while the first one, whose record the store
+// has lost, may still give orders.
+TEST_F(RestoredPromotionLeaseTest, RecordLost_Acquire_WaitsForTakeoverDelay) {
+  ASSERT_TRUE(Acquire(&this->first));
+  this->Restore();
+  EXPECT_FALSE(Acquire(&this->second));
+  std::this_thread::sleep_for(kLongerThanTakeoverDelay);
+  EXPECT_TRUE(Acquire(&this->second));
+  // Only the first holder of an era waits.
+  this->second.Release();
+  EXPECT_TRUE(Acquire(&this->second));
+}
+
+// Guards against a fencing token that goes back with the store's revision.
+TEST_F(RestoredPromotionLeaseTest, StoreRestored_Token_Rises) {
+  ASSERT_TRUE(Acquire(&this->first));
+  const std::optional<std::uint64_t> before = Token(&this->first);
+  this->Restore();
+  this->platform.revision = 1;
+  this->second.OnEra(1, common::SteadyNow() - kLongerThanTakeoverDelay);
+  ASSERT_TRUE(Acquire(&this->second));
+  const std::optional<std::uint64_t> after = Token(&this->second);
+  ASSERT_TRUE(before.has_value() && after.has_value());
+  EXPECT_GT(*after, *before);
+  EXPECT_LT(*after, std::uint64_t{1} << 53);
+}
+
 }  // namespace
 }  // namespace camphorferry::session
--- a/Source/UnitTests/Platform/documents_test.cc
+++ b/Source/UnitTests/Platform/documents_test.cc
@@ -102,9 +102,9 @@
 // Guards against a renewal of the promotion lease that the store ignores
 // because nothing in it has changed.
 TEST_F(DocumentsTest, EncodeLeaseRecord_Renewal_Differs) {
-  session::PromotionLeaseRecord record{common::HostId("h"), true, 4};
+  session::PromotionLeaseRecord record{common::HostId("h"), true, {0, 4}, 0};
   const json before = EncodeLeaseRecord(record);
-  record.revision = 5;
+  record.revision.number = 5;
   EXPECT_NE(before, EncodeLeaseRecord(record));
 }
 
--- a/Source/UnitTests/Platform/promotion_task_test.cc
+++ b/Source/UnitTests/Platform/promotion_task_test.cc
@@ -83,7 +83,7 @@
 // meanwhile, and resumes replicas while its successor promotes one of them.
 TEST_F(PromotionTaskTest, Promotion_LeaseTakenOver_LeavesReplicasPaused) {
   this->platform.lease_record.holder = common::HostId("other");
-  this->platform.lease_record.revision = ++this->platform.revision;
+  this->platform.lease_record.revision.number = ++this->platform.revision;
   this->RunFor(milliseconds(700));
   this->task->Tick(common::SteadyNow() + milliseconds(2500));
   EXPECT_FALSE(this->Resumed());
--- a/Source/UnitTests/Platform/proxy_group_test.cc
+++ b/Source/UnitTests/Platform/proxy_group_test.cc
@@ -42,7 +42,7 @@
       {{"stray", {0, ++this->directory_revision}, false, primary, ""},
        {"witness", {0, ++this->directory_revision}, false, replica, ""}});
   this->RunFor(seconds(6));
-  EXPECT_EQ(this->platform.lease_record.revision, 0U);
+  EXPECT_EQ(this->platform.lease_record.revision.number, 0U);
   const auto client = this->Connect("latest");
   EXPECT_TRUE(HasLine(client->Ask("QUERY 1 WRITE item data"), "COMPLETE"));
 }
--- a/Source/UnitTests/Platform/store_client_test.cc
+++ b/Source/UnitTests/Platform/store_client_test.cc
@@ -136,12 +136,12 @@
 TEST_F(StoreClientTest,
        WritePromotionLease_OlderRevision_ReturnsConflictWithRecord) {
   const auto first = std::get<PromotionLeaseRecord>(
-      this->WritePromotionLease({common::HostId("one"), true, 0}));
-  const auto second = std::get<PromotionLeaseRecord>(
-      this->WritePromotionLease({common::HostId("two"), true, first.revision}));
+      this->WritePromotionLease({common::HostId("one"), true, {}, 0}));
+  const auto second = std::get<PromotionLeaseRecord>(this->WritePromotionLease(
+      {common::HostId("two"), true, first.revision, 0}));
   EXPECT_GT(second.revision, first.revision);
-  const auto late =
-      this->WritePromotionLease({common::HostId("one"), true, first.revision});
+  const auto late = this->WritePromotionLease(
+      {common::HostId("one"), true, first.revision, 0});
   const auto& conflict = std::get<session::PromotionLeaseConflict>(late);
   EXPECT_EQ(conflict.record.holder.Value(), "two");
   EXPECT_EQ(conflict.record.revision, second.revision);
@@ -153,7 +153,7 @@
        WritePromotionLease_ResponseLost_IsUnavailableAlthoughWritten) {
   this->store.SetState(StoreState::kLosesAnswers);
   EXPECT_TRUE(std::holds_alternative<StoreUnavailable>(
-      this->WritePromotionLease({common::HostId("one"), true, 0})));
+      this->WritePromotionLease({common::HostId("one"), true, {}, 0})));
   this->store.SetState(StoreState::kUp);
   const auto read = this->Await<PromotionLeaseResult>(
       [&](auto done) { this->client.ReadPromotionLease(std::move(done)); });
