Session: Register again after the store was restored

A daemon whose registration is missing in the copy that the store came back from stayed unknown to daemons that start later, until it happened to exchange reports with them. Found by reading.

Cause: a daemon registers once, when it starts, and trusts the acknowledgement. It registers and lists the hosts again when the store's era rises, and answers to an earlier registration are ignored, so that only one series of calls goes on.

ProxyTest.StoreRestored_OwnRegistration_IsWrittenAgain failed without the call in Proxy::OnStoreEra: one registration instead of two, no listing of hosts.

--- a/Source/Core/Session/fleet_task.cc
+++ b/Source/Core/Session/fleet_task.cc
@@ -59,8 +59,9 @@
 
 void FleetTask::Register() {
   this->platform->RegisterHost(
-      this->own, [this, still_alive = this->alive](bool registered) {
-        if (!*still_alive) return;
+      this->own, [this, still_alive = this->alive,
+                  call = ++this->last_registration](bool registered) {
+        if (!*still_alive || call != this->last_registration) return;
         if (!registered) {
           this->register_timer = this->loop->After(
               kDirectoryRetryPause, [this] { this->Register(); });
@@ -72,6 +73,12 @@
       });
 }
 
+void FleetTask::OnStoreRestored() {
+  this->register_timer.reset();
+  this->list_timer.reset();
+  this->Register();
+}
+
 void FleetTask::ListHosts() {
   // Only the first listing must contain every host that has registered before.
   this->platform->List(
--- a/Source/Core/Session/fleet_task.h
+++ b/Source/Core/Session/fleet_task.h
@@ -48,6 +48,10 @@
   /// This daemon as its peers know it.
   const FleetHost& Own() const { return this->own; }
 
+  /// The store has been restored from a backup and may have lost this daemon's
+  /// registration and those of others: registers again and lists the hosts.
+  void OnStoreRestored();
+
   /// Whether this daemon is a rate owner.
   bool IsRateOwner();
 
@@ -93,6 +97,8 @@
   /// Another daemon or the whole directory is known. Before that, this daemon
   /// would take itself as the owner of every rate.
   bool fleet_known = false;
+  /// Number of the last registration; answers to earlier ones are ignored.
+  std::uint64_t last_registration = 0;
   std::unique_ptr<FleetTransport> transport;
   std::unique_ptr<connection::Timer> exchange_timer;
   std::unique_ptr<connection::Timer> register_timer;
--- a/Source/Core/Session/proxy.cc
+++ b/Source/Core/Session/proxy.cc
@@ -365,6 +365,7 @@
   this->promotion_lease.OnEra(era, common::SteadyNow());
   this->configuration_watcher->OnEra(era);
   this->member_watcher->OnEra(era);
+  if (restored) this->fleet->OnStoreRestored();
 }
 
 void Proxy::CompareVersions(const FleetReport& report) {
--- a/Source/UnitTests/Platform/proxy_test.cc
+++ b/Source/UnitTests/Platform/proxy_test.cc
@@ -302,5 +302,16 @@
   EXPECT_TRUE(received.ends_with("READY I 1.1\r\n"));
 }
 
+// Guards against a daemon that stays unknown to those that start later because
+// the restored store has lost its registration.
+TEST_F(ProxyTest, StoreRestored_OwnRegistration_IsWrittenAgain) {
+  ASSERT_TRUE(this->platform.era_observer);
+  this->platform.era_observer(4);
+  EXPECT_EQ(this->platform.registered.size(), 1U);
+  this->platform.era_observer(5);
+  EXPECT_EQ(this->platform.registered.size(), 2U);
+  EXPECT_EQ(this->platform.lists[session::DirectoryKind::kHosts].size(), 1U);
+}
+
 }  // namespace
 }  // namespace camphorferry::platform
