--- a/Source/UnitTests/Platform/documents_test.cc
+++ b/Source/UnitTests/Platform/documents_test.cc
@@ -99,6 +99,23 @@
             std::chrono::milliseconds(2000));
 }
 
+// Guards against taking another object of the same kind for the configuration
+// in force because its version is higher.
+TEST_F(DocumentsTest, DecodeObject_OtherNameThanMain_IsNoConfiguration) {
+  session::DirectoryConfiguration configuration;
+  configuration.version = 9;
+  const auto decode = [&](const char* name) {
+    const json object = {{"meta", {{"name", name}, {"rev", 1}}},
+                         {"spec", EncodeConfiguration(configuration)}};
+    return DecodeObject(session::DirectoryKind::kConfiguration, object, false)
+        .value;
+  };
+  EXPECT_TRUE(
+      std::holds_alternative<session::UnreadableObject>(decode("next")));
+  EXPECT_FALSE(
+      std::holds_alternative<session::UnreadableObject>(decode("main")));
+}
+
 // Guards against a renewal of the promotion lease that the store ignores
 // because nothing in it has changed.
 TEST_F(DocumentsTest, EncodeLeaseRecord_Renewal_Differs) {
