Common: Split JSON text into values without parsing them

A parser that reads a whole listing rejects all of it for one invalid value, and functions that visit a parsed tree call themselves for each level. SplitJsonObject and SplitJsonArray return the texts of the values, so that a caller can parse each on its own. They use no recursion.

Tests: JsonTextTest, JsonTextPropertyTest (agreement with the parser on valid text; only JsonTextError on any other text).

--- a/Source/Core/Common/common.h
+++ b/Source/Core/Common/common.h
@@ -10,6 +10,7 @@
 #include "Common/fault_list.h"
 #include "Common/hybrid_clock.h"
 #include "Common/ids.h"
+#include "Common/json_text.h"
 #include "Common/log.h"
 #include "Common/overloaded.h"
 #include "Common/rendezvous.h"
