platform: Parse each entry of the store on its own

What was seen: an entry of another writer with a number too large (1e400), a lone surrogate or other text that the parser rejects made every listing and watch that contained it unavailable. The daemon kept the state it had and followed no later change; a daemon that started had no databases.

Cause: the whole answer was parsed at once, and one invalid value rejects all of it. Only invalid UTF-8 was handled, by replacing it in the body.

Why this works: the answer is split into the texts of its objects and their members, and only the name, the revision and the specification of an object are parsed, each on its own. A specification that cannot be parsed makes its own entry unreadable, also with invalid UTF-8, which therefore needs no replacement any more. An entry without a readable name is logged and skipped as before.

--- a/Source/UnitTests/Platform/documents_test.cc
+++ b/Source/UnitTests/Platform/documents_test.cc
@@ -25,8 +25,8 @@
   }
 
   static session::DirectoryChange Decode(DirectoryKind kind, const json& spec) {
-    return DecodeObject(
-        kind, {{"meta", {{"name", "n"}, {"rev", 3}}}, {"spec", spec}}, false);
+    const json object = {{"meta", {{"name", "n"}, {"rev", 3}}}, {"spec", spec}};
+    return DecodeObject(kind, object.dump(), false);
   }
 
   static bool Unreadable(const session::DirectoryChange& change) {
--- /dev/null
+++ b/Source/UnitTests/Platform/store_entries_test.cc
@@ -0,0 +1,187 @@
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "store_client.h"
+
+namespace camphorferry::platform {
+namespace {
+
+using session::DirectoryChange;
+using session::DirectoryChanges;
+using session::DirectoryFreshness;
+using session::DirectoryKind;
+using session::DirectoryResult;
+using session::UnreadableObject;
+using std::chrono::seconds;
+
+std::string GoodSpec() {
+  return R"({"service":"s","addr":"127.0.0.1:9","zone":"z","state":"ready",)"
+         R"("dbRole":"replica","born":17})";
+}
+
+/// Specification that is good up to one additional field.
+std::string SpecWith(const std::string& field, const std::string& value) {
+  std::string spec = GoodSpec();
+  spec.insert(spec.size() - 1, ",\"" + field + "\":" + value);
+  return spec;
+}
+
+std::string EntryWithMeta(const std::string& meta, const std::string& spec) {
+  return "{\"meta\":" + meta + ",\"spec\":" + spec + "}";
+}
+
+std::string Entry(const std::string& name, const std::string& spec) {
+  return EntryWithMeta(R"({"name":")" + name + R"(","rev":1})", spec);
+}
+
+std::string Page(const std::vector<std::string>& entries,
+                 const std::string& rest = R"("hasMore":false)") {
+  std::string items;
+  for (const std::string& entry : entries) {
+    items += (items.empty() ? "" : ",") + entry;
+  }
+  return R"({"items":[)" + items + R"(],"storeRevision":7,)" + rest + "}";
+}
+
+std::string Events(const std::vector<std::string>& entries) {
+  std::string events;
+  for (const std::string& entry : entries) {
+    events += (events.empty() ? "" : ",");
+    events += R"({"deleted":false,"object":)" + entry + "}";
+  }
+  return R"({"events":[)" + events + R"(],"storeRevision":8})";
+}
+
+/// A client of a store whose answers are given as text.
+class StoreEntriesTest : public testing::Test {
+ protected:
+  StoreEntriesTest()
+      : server(&this->loop, {"127.0.0.1", 0}, connection::HttpServerLimits{},
+               [this](const connection::HttpRequest& request,
+                      const auto& responder) {
+                 ++this->calls;
+                 this->last_method = request.method;
+                 const bool is_watch = !request.Query("watch").empty();
+                 connection::HttpResponse response;
+                 response.status = this->status;
+                 response.body = is_watch ? this->watch_body
+                                          : this->pages[request.Query("after")];
+                 responder->Send(response);
+               }) {}
+
+  /// Starts a call and runs the loop until its callback. Fails the test if
+  /// there is none.
+  template <typename Result, typename Start>
+  Result Await(Start start) {
+    std::optional<Result> result;
+    start([&](const Result& got) {
+      result = got;
+      this->loop.Stop();
+    });
+    const auto limit =
+        this->loop.After(seconds(10), [this] { this->loop.Stop(); });
+    if (!result.has_value()) this->loop.Run();
+    return result.value();
+  }
+
+  DirectoryResult List() {
+    return this->Await<DirectoryResult>([&](auto done) {
+      this->client.List(DirectoryKind::kMembers, DirectoryFreshness::kLatest,
+                        std::move(done));
+    });
+  }
+
+  DirectoryResult ListPage(const std::vector<std::string>& entries) {
+    this->pages[""] = Page(entries);
+    return this->List();
+  }
+
+  DirectoryResult Watch(const std::vector<std::string>& entries) {
+    this->watch_body = Events(entries);
+    return this->Await<DirectoryResult>([&](auto done) {
+      this->client.Watch(DirectoryKind::kMembers, 7, seconds(1),
+                         DirectoryFreshness::kLatest, std::move(done));
+    });
+  }
+
+  /// Names of the entries of an answer, with a mark at those that name no
+  /// database; the reason if there is no answer.
+  static std::vector<std::string> Names(const DirectoryResult& result) {
+    if (const auto* failure = std::get_if<session::StoreUnavailable>(&result)) {
+      return {"unavailable: " + failure->reason};
+    }
+    std::vector<std::string> names;
+    for (const auto& change : std::get<DirectoryChanges>(result).changes) {
+      names.push_back((IsReadable(change) ? "" : "unreadable ") + change.name);
+    }
+    return names;
+  }
+
+  static bool IsReadable(const DirectoryChange& change) {
+    return !std::holds_alternative<UnreadableObject>(change.value);
+  }
+
+  connection::EventLoop loop;
+  std::map<std::string, std::string> pages;
+  std::string watch_body;
+  int status = 200;
+  int calls = 0;
+  std::string last_method;
+  connection::HttpServer server;
+  StoreClient client{&this->loop,
+                     {"127.0.0.1", this->server.Port()},
+                     {"127.0.0.1", this->server.Port()}};
+};
+
+const std::vector<std::string> kOddAndGood = {"unreadable odd", "good"};
+
+// Guards against one entry with a number or a string that the parser rejects,
+// which hides all other entries and keeps the daemon from following the list.
+TEST_F(StoreEntriesTest, ListAndWatch_OneEntryNotParsable_KeepOtherEntries) {
+  const std::string good = Entry("good", GoodSpec());
+  for (const char* value :
+       {"1e400", "-1e400", R"("\ud800")", R"("\udc00x")", "\"\x01\"", "01",
+        "1.", "nul", "\"\xc3\x28\"", R"("\q")", R"({"a" 1})", "[1}"}) {
+    const std::string odd = Entry("odd", SpecWith("seq", value));
+    EXPECT_EQ(Names(this->ListPage({odd, good})), kOddAndGood) << value;
+    EXPECT_EQ(Names(this->Watch({odd, good})), kOddAndGood) << value;
+  }
+}
+
+// Guards against an odd entry on a later page.
+TEST_F(StoreEntriesTest, List_EntryNotParsableOnSecondPage_KeepsOtherEntries) {
+  this->pages[""] = Page({Entry("first", GoodSpec())}, R"("hasMore":true)");
+  this->pages["first"] =
+      Page({Entry("odd", SpecWith("seq", "1e400")), Entry("good", GoodSpec())});
+  EXPECT_EQ(Names(this->List()),
+            (std::vector<std::string>{"first", "unreadable odd", "good"}));
+}
+
+// Guards against an entry that is lost because of fields that nobody reads.
+TEST_F(StoreEntriesTest, List_StatusNotParsable_ReadsSpecification) {
+  std::string entry = Entry("good", GoodSpec());
+  entry.insert(entry.size() - 1, R"(,"status":1e400)");
+  EXPECT_EQ(Names(this->ListPage({entry})), std::vector<std::string>{"good"});
+}
+
+TEST_F(StoreEntriesTest, Watch_OddEvent_KeepsOtherEvents) {
+  this->watch_body =
+      R"({"events":[7,{"deleted":false},{"deleted":false,"object":"x"},)"
+      R"({"deleted":false,"object":)" +
+      Entry("good", GoodSpec()) + R"(}],"storeRevision":8})";
+  EXPECT_EQ(Names(this->Await<DirectoryResult>([&](auto done) {
+              this->client.Watch(DirectoryKind::kMembers, 7, seconds(1),
+                                 DirectoryFreshness::kLatest, std::move(done));
+            })),
+            std::vector<std::string>{"good"});
+}
+
+}  // namespace
+}  // namespace camphorferry::platform
