platform: Limit the nesting of documents

What was seen: an entry of another writer with 200,000 levels of arrays or objects, in less than 1 MiB, ended the process that read it (SIGSEGV), and again after each restart, on every host that lists the databases.

Cause: json::dump, which encodes an entry for other daemons, and the copy that json::value makes call themselves for each level and overflowed the stack. The second happens when a host registers and finds such an entry under its own name.

Evidence: on the old code, StoreEntriesTest.ListAndWatch_OneEntryVeryDeep_KeepOtherEntries and StoreEntriesTest.RegisterHost_ExistingEntryVeryDeep_ReplacesIt ended with "Segmentation fault" (exit status 139), and Decode_RelayedDocumentOdd_IsUnreadable failed with "Actual: false".

ParseJson's messages contain no part of the text, so that an odd entry cannot fill the log either.

--- a/Source/Core/Common/json_text.cc
+++ b/Source/Core/Common/json_text.cc
@@ -2,11 +2,14 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <nlohmann/json.hpp>
 
 namespace camphorferry::common {
 
 namespace {
 
+using nlohmann::json;
+
 /// Reads the punctuation of a text from its start to its end. Uses no
 /// recursion, because the nesting of the text is not limited.
 class Scanner {
@@ -136,4 +139,22 @@
   return found->second;
 }
 
+json ParseJson(std::string_view text, int max_depth) {
+  const auto check_depth = [max_depth](int depth, json::parse_event_t event,
+                                       json& /*parsed*/) {
+    const bool opens = event == json::parse_event_t::array_start ||
+                       event == json::parse_event_t::object_start;
+    if (opens && depth >= max_depth) throw JsonTextError("nested too deeply");
+    return true;
+  };
+  try {
+    return json::parse(text, check_depth);
+  } catch (const json::parse_error& error) {
+    throw JsonTextError("unexpected text at byte " +
+                        std::to_string(error.byte));
+  } catch (const json::out_of_range&) {
+    throw JsonTextError("number out of range");
+  }
+}
+
 }  // namespace camphorferry::common
--- a/Source/Core/Common/json_text.h
+++ b/Source/Core/Common/json_text.h
@@ -2,6 +2,7 @@
 #define CAMPHORFERRY_COMMON_JSON_TEXT_H_
 
 #include <map>
+#include <nlohmann/json_fwd.hpp>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -10,8 +11,8 @@
 
 namespace camphorferry::common {
 
-/// A text is not the JSON value that was expected. The message is short,
-/// whatever the text contains.
+/// A text is not the JSON value that was expected. The message is short and
+/// contains no part of the text.
 class JsonTextError : public Error {
  public:
   explicit JsonTextError(const std::string& what);
@@ -35,6 +36,11 @@
 std::string_view FindJsonMember(const JsonMembers& members,
                                 std::string_view name);
 
+/// Parses a value with at most the given number of levels of arrays and
+/// objects. Functions that call themselves for each level, such as copying and
+/// serializing, are safe on the result if the limit is. Throws JsonTextError.
+nlohmann::json ParseJson(std::string_view text, int max_depth);
+
 }  // namespace camphorferry::common
 
 #endif  // CAMPHORFERRY_COMMON_JSON_TEXT_H_
--- a/Source/UnitTests/Core/Common/json_text_test.cc
+++ b/Source/UnitTests/Core/Common/json_text_test.cc
@@ -45,6 +45,31 @@
   EXPECT_THROW(FindJsonMember(SplitJsonObject("{}"), "a"), JsonTextError);
 }
 
+TEST_F(JsonTextTest, ParseJson_NestingAboveLimit_Throws) {
+  for (const char* text : {R"([[1],{"a":2}])", R"({"a":[]})", "7", "[]"}) {
+    EXPECT_EQ(ParseJson(text, 2), json::parse(text));
+  }
+  EXPECT_EQ(ParseJson("7", 0), json(7));
+  for (const char* text : {"[[[]]]", R"({"a":[{}]})", R"([1,[2,[]]])"}) {
+    EXPECT_THROW(ParseJson(text, 2), JsonTextError) << text;
+  }
+}
+
+// Guards against a message that repeats a long text in the log.
+TEST_F(JsonTextTest, ParseJson_InvalidText_ThrowsShortMessage) {
+  const std::string long_text(100'000, 'a');
+  for (const std::string& text :
+       {std::string(), std::string("1e400"), "\"" + long_text,
+        "\"" + long_text + "\\ud800\"", long_text, std::string("\"\xff\"")}) {
+    try {
+      ParseJson(text, 2);
+      ADD_FAILURE() << text.substr(0, 10);
+    } catch (const JsonTextError& error) {
+      EXPECT_LT(std::string(error.what()).size(), 100U);
+    }
+  }
+}
+
 // Guards against input that crashes the process.
 RC_GTEST_PROP(JsonTextPropertyTest, Split_AnyText_ThrowsOnlyItsError, ()) {
   const auto text = *rc::gen::container<std::string>(
--- a/Source/UnitTests/Platform/store_entries_test.cc
+++ b/Source/UnitTests/Platform/store_entries_test.cc
@@ -21,6 +21,14 @@
 using session::UnreadableObject;
 using std::chrono::seconds;
 
+/// Nesting that exceeds the stack of a function which calls itself for each
+/// level, in a text of less than 1 MiB.
+constexpr std::size_t kVeryDeep = 200'000;
+
+std::string DeepArray() {
+  return std::string(kVeryDeep, '[') + std::string(kVeryDeep, ']');
+}
+
 std::string GoodSpec() {
   return R"({"service":"s","addr":"127.0.0.1:9","zone":"z","state":"ready",)"
          R"("dbRole":"replica","born":17})";
@@ -171,6 +179,58 @@
   EXPECT_EQ(Names(this->ListPage({entry})), std::vector<std::string>{"good"});
 }
 
+// Guards against a stack overflow in functions that call themselves for each
+// level of an entry. It ended the process, and again after each restart.
+TEST_F(StoreEntriesTest, ListAndWatch_OneEntryVeryDeep_KeepOtherEntries) {
+  const std::string good = Entry("good", GoodSpec());
+  std::string objects;
+  for (std::size_t level = 0; level < kVeryDeep / 2; ++level) {
+    objects += R"({"a":)";
+  }
+  objects += "1" + std::string(kVeryDeep / 2, '}');
+  for (const std::string& deep : {DeepArray(), objects}) {
+    for (const std::string& spec : {deep, SpecWith("version", deep)}) {
+      const std::string odd = Entry("odd", spec);
+      EXPECT_EQ(Names(this->ListPage({odd, good})), kOddAndGood);
+      EXPECT_EQ(Names(this->Watch({odd, good})), kOddAndGood);
+    }
+  }
+}
+
+TEST_F(StoreEntriesTest, List_MetadataVeryDeep_KeepsOtherEntries) {
+  const std::string finalizers = EntryWithMeta(
+      R"({"name":"a","rev":1,"finalizers":)" + DeepArray() + "}", GoodSpec());
+  const std::string name =
+      EntryWithMeta(R"({"rev":1,"name":)" + DeepArray() + "}", GoodSpec());
+  const std::string meta = EntryWithMeta(DeepArray(), GoodSpec());
+  EXPECT_EQ(Names(this->ListPage({finalizers, name, meta, DeepArray(),
+                                  Entry("good", GoodSpec())})),
+            (std::vector<std::string>{"a", "good"}));
+}
+
+// Guards against a stack overflow in the decoder of entries that another daemon
+// relays.
+TEST_F(StoreEntriesTest, Decode_RelayedDocumentOdd_IsUnreadable) {
+  for (const std::string& document :
+       {DeepArray(), SpecWith("version", DeepArray()), SpecWith("seq", "1e400"),
+        std::string(), std::string("{")}) {
+    EXPECT_TRUE(std::holds_alternative<UnreadableObject>(
+        this->client.Decode(DirectoryKind::kMembers, "odd", document)));
+  }
+}
+
+// Guards against a stack overflow when another writer has registered something
+// under the name of this daemon.
+TEST_F(StoreEntriesTest, RegisterHost_ExistingEntryVeryDeep_ReplacesIt) {
+  this->pages[""] = Entry("host", DeepArray());
+  this->status = 409;
+  const session::FleetHost host{common::HostId("host"), "127.0.0.1:7",
+                                common::FailureDomainId("zone")};
+  EXPECT_FALSE(this->Await<bool>(
+      [&](auto done) { this->client.RegisterHost(host, std::move(done)); }));
+  EXPECT_EQ(this->last_method, "PUT");
+}
+
 TEST_F(StoreEntriesTest, Watch_OddEvent_KeepsOtherEvents) {
   this->watch_body =
       R"({"events":[7,{"deleted":false},{"deleted":false,"object":"x"},)"
