--- a/Source/UnitTests/Platform/documents_test.cc
+++ b/Source/UnitTests/Platform/documents_test.cc
@@ -71,6 +71,38 @@
   EXPECT_TRUE(Unreadable(Decode(DirectoryKind::kMembers, "bytes")));
 }
 
+// Guards against connections to this host itself: an address that is not IPv4
+// became 0.0.0.0.
+TEST_F(DocumentsTest, DecodeObject_OddAddressOrPort_IsUnreadable) {
+  using std::string_literals::operator""s;
+  for (const std::string& address : {"10.0.0.9:65536"s,
+                                     "10.0.0.9:99999999999999999999"s,
+                                     "10.0.0.9:-1"s,
+                                     "10.0.0.9:0"s,
+                                     "10.0.0.9:"s,
+                                     "10.0.0.9"s,
+                                     "10.0.0.9:+80"s,
+                                     "10.0.0.9: 80"s,
+                                     "10.0.0.9:80x"s,
+                                     "10.0.0.9:0x50"s,
+                                     ":80"s,
+                                     ""s,
+                                     "10.0.0:80"s,
+                                     "10.0.0.256:80"s,
+                                     "host:80"s,
+                                     "[::1]:80"s,
+                                     "::1:80"s,
+                                     " 10.0.0.9:80"s,
+                                     "10.0.0.9\0:80"s,
+                                     "10.0.0.9:80\0"s,
+                                     std::string(100'000, '1') + ":80"}) {
+    json spec = Server();
+    spec["addr"] = address;
+    EXPECT_TRUE(Unreadable(Decode(DirectoryKind::kMembers, spec)))
+        << address.substr(0, 30);
+  }
+}
+
 TEST_F(DocumentsTest,
        DecodeConfiguration_ValidDocument_ReadsRoutesKeysAndRates) {
   const json document = {
