--- a/Source/UnitTests/Platform/documents_test.cc
+++ b/Source/UnitTests/Platform/documents_test.cc
@@ -103,6 +103,21 @@
   }
 }
 
+// Guards against a start time that is converted to another number, so that a
+// database seems restarted.
+TEST_F(DocumentsTest, DecodeObject_BornIsNoWholeNumber_IsUnreadable) {
+  for (const char* born :
+       {"-1", "1.5", "1e300", "-1e300", "1e-7", "18446744073709551616",
+        "\"17\"", "true", "null", "[]", "{}"}) {
+    json spec = Server();
+    spec["born"] = json::parse(born);
+    EXPECT_TRUE(Unreadable(Decode(DirectoryKind::kMembers, spec))) << born;
+  }
+  json spec = Server();
+  spec.erase("born");
+  EXPECT_FALSE(Unreadable(Decode(DirectoryKind::kMembers, spec)));
+}
+
 TEST_F(DocumentsTest,
        DecodeConfiguration_ValidDocument_ReadsRoutesKeysAndRates) {
   const json document = {
