--- a/Source/UnitTests/Platform/documents_test.cc
+++ b/Source/UnitTests/Platform/documents_test.cc
@@ -1,6 +1,7 @@
 #include "documents.h"
 
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
 
 #include "fake_documents.h"
 
@@ -118,6 +119,49 @@
   EXPECT_FALSE(Unreadable(Decode(DirectoryKind::kMembers, spec)));
 }
 
+// Guards against text of another writer in the lines that are sent to a
+// database.
+TEST_F(DocumentsTest, DecodeObject_NameIsNoWord_IsUnreadable) {
+  for (const char* name :
+       {"a b", "a\r\nQUERY - STEPDOWN 9", "a\t", "a\x7f", " a", "\xc3\xa9"}) {
+    const json object = {{"meta", {{"name", name}, {"rev", 3}}},
+                         {"spec", Server()}};
+    const auto change =
+        DecodeObject(DirectoryKind::kMembers, object.dump(), false);
+    EXPECT_TRUE(Unreadable(change)) << name;
+    EXPECT_EQ(change.name, name);
+  }
+}
+
+// Guards against input that crashes the process.
+RC_GTEST_PROP(DocumentsPropertyTest, DecodeObject_AnyFields_ThrowsOnlyItsError,
+              ()) {
+  const auto field =
+      *rc::gen::element<std::string>("meta", "spec", "name", "rev", "service",
+                                     "addr", "zone", "state", "dbRole", "born");
+  const auto value = *rc::gen::oneOf(
+      rc::gen::element<std::string>("{}", "[]", "null", "true", "-1", "1e400",
+                                    "1.5", "\"\"", "\"\\u0000\"",
+                                    "18446744073709551616", "\"\\ud800\""),
+      rc::gen::arbitrary<std::string>());
+  const auto part = [&](const char* name, const std::string& good) {
+    return "\"" + std::string(name) + "\":" + (field == name ? value : good);
+  };
+  const std::string meta =
+      "{" + part("name", "\"n\"") + "," + part("rev", "3") + "}";
+  const std::string spec =
+      "{" + part("service", "\"s\"") + "," + part("addr", "\"10.0.0.9:80\"") +
+      "," + part("zone", "\"z\"") + "," + part("state", "\"ready\"") + "," +
+      part("dbRole", "\"replica\"") + "," + part("born", "17") + "}";
+  const std::string text =
+      "{" + part("meta", meta) + "," + part("spec", spec) + "}";
+  try {
+    const auto change = DecodeObject(DirectoryKind::kMembers, text, false);
+    RC_ASSERT(!change.name.empty());
+  } catch (const DocumentError&) {
+  }
+}
+
 TEST_F(DocumentsTest,
        DecodeConfiguration_ValidDocument_ReadsRoutesKeysAndRates) {
   const json document = {
