--- a/Source/UnitTests/Platform/store_entries_test.cc
+++ b/Source/UnitTests/Platform/store_entries_test.cc
@@ -231,6 +231,21 @@
   EXPECT_EQ(this->last_method, "PUT");
 }
 
+// Guards against a listing that is read without end: the name of the last entry
+// selects the next page, and an empty name selects the first.
+TEST_F(StoreEntriesTest, List_LastNameOfPageEmpty_ContinuesWithNextPage) {
+  this->pages[""] = Page({Entry("first", GoodSpec()), Entry("", GoodSpec())},
+                         R"("hasMore":true)");
+  this->pages["first"] = Page({Entry("second", GoodSpec())});
+  EXPECT_EQ(Names(this->List()), (std::vector<std::string>{"first", "second"}));
+}
+
+TEST_F(StoreEntriesTest, List_PageWithoutAnyName_IsUnavailable) {
+  this->pages[""] = Page({Entry("", GoodSpec())}, R"("hasMore":true)");
+  EXPECT_TRUE(std::holds_alternative<session::StoreUnavailable>(this->List()));
+  EXPECT_EQ(this->calls, 1);
+}
+
 TEST_F(StoreEntriesTest, Watch_OddEvent_KeepsOtherEvents) {
   this->watch_body =
       R"({"events":[7,{"deleted":false},{"deleted":false,"object":"x"},)"
