platform: Limit the revision of an entry to the store's

What was seen: an entry whose `rev` was negative, a number too large or 2^64 - 1 stayed as it was for ever: later versions of it were ignored. One with a `rev` of another type was skipped, so that a good version before it stayed in use.

Cause: json::get converts such numbers to 2^64 - 1, which no later revision exceeds, and the watcher ignores versions with an earlier revision.

Why this works: an entry in an answer has changed at the answer's revision at the latest, and a later version has a later revision. A `rev` that the store cannot have given counts as the revision of the answer.

--- a/Source/UnitTests/Platform/documents_test.cc
+++ b/Source/UnitTests/Platform/documents_test.cc
@@ -27,7 +27,7 @@
 
   static session::DirectoryChange Decode(DirectoryKind kind, const json& spec) {
     const json object = {{"meta", {{"name", "n"}, {"rev", 3}}}, {"spec", spec}};
-    return DecodeObject(kind, object.dump(), false);
+    return DecodeObject(kind, object.dump(), false, 9);
   }
 
   static bool Unreadable(const session::DirectoryChange& change) {
@@ -127,7 +127,7 @@
     const json object = {{"meta", {{"name", name}, {"rev", 3}}},
                          {"spec", Server()}};
     const auto change =
-        DecodeObject(DirectoryKind::kMembers, object.dump(), false);
+        DecodeObject(DirectoryKind::kMembers, object.dump(), false, 9);
     EXPECT_TRUE(Unreadable(change)) << name;
     EXPECT_EQ(change.name, name);
   }
@@ -156,7 +156,7 @@
   const std::string text =
       "{" + part("meta", meta) + "," + part("spec", spec) + "}";
   try {
-    const auto change = DecodeObject(DirectoryKind::kMembers, text, false);
+    const auto change = DecodeObject(DirectoryKind::kMembers, text, false, 9);
     RC_ASSERT(!change.name.empty());
   } catch (const DocumentError&) {
   }
--- a/Source/UnitTests/Platform/store_entries_test.cc
+++ b/Source/UnitTests/Platform/store_entries_test.cc
@@ -246,6 +246,22 @@
   EXPECT_EQ(this->calls, 1);
 }
 
+// Guards against a revision that no later version of the entry exceeds, so that
+// a good version is ignored.
+TEST_F(StoreEntriesTest, List_OddRevision_IsNotAboveRevisionOfStore) {
+  for (const char* revision :
+       {"-1", "1.5", "1e300", "18446744073709551616", "18446744073709551615",
+        R"("1")", "null", "[]"}) {
+    const auto result = this->ListPage(
+        {EntryWithMeta(R"({"name":"odd","rev":)" + std::string(revision) + "}",
+                       GoodSpec()),
+         Entry("good", GoodSpec())});
+    const auto& changes = std::get<DirectoryChanges>(result);
+    ASSERT_EQ(changes.changes.size(), 2U) << revision;
+    EXPECT_LE(changes.changes[0].revision, changes.revision) << revision;
+  }
+}
+
 TEST_F(StoreEntriesTest, Watch_OddEvent_KeepsOtherEvents) {
   this->watch_body =
       R"({"events":[7,{"deleted":false},{"deleted":false,"object":"x"},)"
