platform: Test a proxy before a store with odd entries

A proxy with the client of the store, in front of a fake store that returns specifications as given text: very deep, with a number too large, with a port out of range.

--- a/Source/UnitTests/Platform/fake_store.cc
+++ b/Source/UnitTests/Platform/fake_store.cc
@@ -73,6 +73,27 @@
   this->Put("servers", member.id.Value(), EncodeMember(member));
 }
 
+void FakeStore::PutMemberText(const std::string& name,
+                              const std::string& spec) {
+  const std::string placeholder =
+      "text " + std::to_string(this->texts.size()) + " of " + name;
+  this->texts[json(placeholder).dump()] = spec;
+  this->Put("servers", name, placeholder);
+}
+
+HttpResponse FakeStore::TextResponse(const json& body) const {
+  HttpResponse response = Json(200, body);
+  for (const auto& [placeholder, text] : this->texts) {
+    std::size_t found = 0;
+    while ((found = response.body.find(placeholder, found)) !=
+           std::string::npos) {
+      response.body.replace(found, placeholder.size(), text);
+      found += text.size();
+    }
+  }
+  return response;
+}
+
 void FakeStore::Put(const std::string& kind, const std::string& name,
                     json spec) {
   json& object = this->objects[kind][name];
@@ -152,8 +173,8 @@
       ++it;
       continue;
     }
-    it->responder->Send(Json(200, {{"events", std::move(events)},
-                                   {"storeRevision", this->revision}}));
+    it->responder->Send(this->TextResponse(
+        {{"events", std::move(events)}, {"storeRevision", this->revision}}));
     it = this->watchers.erase(it);
   }
 }
@@ -178,7 +199,7 @@
   const std::string name =
       slash == std::string::npos ? "" : rest.substr(slash + 1);
   if (request.method != "GET") return this->ServeChange(request, kind, name);
-  if (name.empty()) return Json(200, this->ListObjects(kind));
+  if (name.empty()) return this->TextResponse(this->ListObjects(kind));
   const auto found = this->objects[kind].find(name);
   if (found == this->objects[kind].end()) return Json(kNotFound, {});
   return Json(200, found->second);
--- a/Source/UnitTests/Platform/fake_store.h
+++ b/Source/UnitTests/Platform/fake_store.h
@@ -50,6 +50,10 @@
   /// Writes the registration of a database, as the database does.
   void Put(const session::GroupMember& member);
 
+  /// Writes the registration of a database as JSON text, which need not be
+  /// valid.
+  void PutMemberText(const std::string& name, const std::string& spec);
+
   /// Number of calls received.
   std::size_t Calls() const { return this->calls; }
 
@@ -87,6 +91,7 @@
                                        const std::string& name);
   connection::HttpResponse ServePromotion(
       const connection::HttpRequest& request);
+  connection::HttpResponse TextResponse(const nlohmann::json& body) const;
   nlohmann::json ListObjects(const std::string& kind) const;
   nlohmann::json EventsFor(const Watcher& watcher) const;
   void AnswerWatchers();
@@ -98,6 +103,9 @@
   std::uint64_t history_start = 100;
   std::map<std::string, std::map<std::string, nlohmann::json>> objects;
   std::vector<Change> history;
+  /// Texts of specifications by the JSON string that stands for them in
+  /// objects.
+  std::map<std::string, std::string> texts;
   std::list<Watcher> watchers;
   /// Calls that stay unanswered until the state changes.
   std::vector<Responder> unanswered;
