--- a/Source/UnitTests/Platform/documents_test.cc
+++ b/Source/UnitTests/Platform/documents_test.cc
@@ -1,6 +1,7 @@
 #include "documents.h"
 
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
 
 #include "fake_documents.h"
 
@@ -25,8 +26,8 @@
   }
 
   static session::DirectoryChange Decode(DirectoryKind kind, const json& spec) {
-    return DecodeObject(
-        kind, {{"meta", {{"name", "n"}, {"rev", 3}}}, {"spec", spec}}, false);
+    const json object = {{"meta", {{"name", "n"}, {"rev", 3}}}, {"spec", spec}};
+    return DecodeObject(kind, object.dump(), false, 9);
   }
 
   static bool Unreadable(const session::DirectoryChange& change) {
@@ -71,6 +72,96 @@
   EXPECT_TRUE(Unreadable(Decode(DirectoryKind::kMembers, "bytes")));
 }
 
+// Guards against connections to this host itself: an address that is not IPv4
+// became 0.0.0.0.
+TEST_F(DocumentsTest, DecodeObject_OddAddressOrPort_IsUnreadable) {
+  using std::string_literals::operator""s;
+  for (const std::string& address : {"10.0.0.9:65536"s,
+                                     "10.0.0.9:99999999999999999999"s,
+                                     "10.0.0.9:-1"s,
+                                     "10.0.0.9:0"s,
+                                     "10.0.0.9:"s,
+                                     "10.0.0.9"s,
+                                     "10.0.0.9:+80"s,
+                                     "10.0.0.9: 80"s,
+                                     "10.0.0.9:80x"s,
+                                     "10.0.0.9:0x50"s,
+                                     ":80"s,
+                                     ""s,
+                                     "10.0.0:80"s,
+                                     "10.0.0.256:80"s,
+                                     "host:80"s,
+                                     "[::1]:80"s,
+                                     "::1:80"s,
+                                     " 10.0.0.9:80"s,
+                                     "10.0.0.9\0:80"s,
+                                     "10.0.0.9:80\0"s,
+                                     std::string(100'000, '1') + ":80"}) {
+    json spec = Server();
+    spec["addr"] = address;
+    EXPECT_TRUE(Unreadable(Decode(DirectoryKind::kMembers, spec)))
+        << address.substr(0, 30);
+  }
+}
+
+// Guards against a start time that is converted to another number, so that a
+// database seems restarted.
+TEST_F(DocumentsTest, DecodeObject_BornIsNoWholeNumber_IsUnreadable) {
+  for (const char* born :
+       {"-1", "1.5", "1e300", "-1e300", "1e-7", "18446744073709551616",
+        "\"17\"", "true", "null", "[]", "{}"}) {
+    json spec = Server();
+    spec["born"] = json::parse(born);
+    EXPECT_TRUE(Unreadable(Decode(DirectoryKind::kMembers, spec))) << born;
+  }
+  json spec = Server();
+  spec.erase("born");
+  EXPECT_FALSE(Unreadable(Decode(DirectoryKind::kMembers, spec)));
+}
+
+// Guards against text of another writer in the lines that are sent to a
+// database.
+TEST_F(DocumentsTest, DecodeObject_NameIsNoWord_IsUnreadable) {
+  for (const char* name :
+       {"a b", "a\r\nQUERY - STEPDOWN 9", "a\t", "a\x7f", " a", "\xc3\xa9"}) {
+    const json object = {{"meta", {{"name", name}, {"rev", 3}}},
+                         {"spec", Server()}};
+    const auto change =
+        DecodeObject(DirectoryKind::kMembers, object.dump(), false, 9);
+    EXPECT_TRUE(Unreadable(change)) << name;
+    EXPECT_EQ(change.name, name);
+  }
+}
+
+// Guards against input that crashes the process.
+RC_GTEST_PROP(DocumentsPropertyTest, DecodeObject_AnyFields_ThrowsOnlyItsError,
+              ()) {
+  const auto field =
+      *rc::gen::element<std::string>("meta", "spec", "name", "rev", "service",
+                                     "addr", "zone", "state", "dbRole", "born");
+  const auto value = *rc::gen::oneOf(
+      rc::gen::element<std::string>("{}", "[]", "null", "true", "-1", "1e400",
+                                    "1.5", "\"\"", "\"\\u0000\"",
+                                    "18446744073709551616", "\"\\ud800\""),
+      rc::gen::arbitrary<std::string>());
+  const auto part = [&](const char* name, const std::string& good) {
+    return "\"" + std::string(name) + "\":" + (field == name ? value : good);
+  };
+  const std::string meta =
+      "{" + part("name", "\"n\"") + "," + part("rev", "3") + "}";
+  const std::string spec =
+      "{" + part("service", "\"s\"") + "," + part("addr", "\"10.0.0.9:80\"") +
+      "," + part("zone", "\"z\"") + "," + part("state", "\"ready\"") + "," +
+      part("dbRole", "\"replica\"") + "," + part("born", "17") + "}";
+  const std::string text =
+      "{" + part("meta", meta) + "," + part("spec", spec) + "}";
+  try {
+    const auto change = DecodeObject(DirectoryKind::kMembers, text, false, 9);
+    RC_ASSERT(!change.name.empty());
+  } catch (const DocumentError&) {
+  }
+}
+
 TEST_F(DocumentsTest,
        DecodeConfiguration_ValidDocument_ReadsRoutesKeysAndRates) {
   const json document = {
@@ -107,7 +198,8 @@
   const auto decode = [&](const char* name) {
     const json object = {{"meta", {{"name", name}, {"rev", 1}}},
                          {"spec", EncodeConfiguration(configuration)}};
-    return DecodeObject(session::DirectoryKind::kConfiguration, object, false)
+    return DecodeObject(session::DirectoryKind::kConfiguration, object.dump(),
+                        false, 9)
         .value;
   };
   EXPECT_TRUE(
