--- a/Source/Core/Session/promotion_plan.cc
+++ b/Source/Core/Session/promotion_plan.cc
@@ -224,13 +224,12 @@
   if (this->primary.has_value() && missing.contains(*this->primary)) {
     return age < kFenceReplyWait ? std::nullopt : this->MostAdvanced({});
   }
-  const std::optional<common::EndpointId> replica =
-      this->MostAdvanced(this->primary);
+  std::optional<common::EndpointId> replica = this->MostAdvanced(this->primary);
   if (missing.empty()) {
     return replica.has_value() ? replica : this->MostAdvanced({});
   }
   if (age < kFenceReplyWait) return std::nullopt;
-  const std::optional<common::EndpointId> best = this->MostAdvanced({});
+  std::optional<common::EndpointId> best = this->MostAdvanced({});
   const bool has_all = replica.has_value() && best.has_value() &&
                        this->members.at(*replica).fenced->received >=
                            this->members.at(*best).fenced->received;
--- a/Source/UnitTests/Platform/promotion_task_test.cc
+++ b/Source/UnitTests/Platform/promotion_task_test.cc
@@ -34,7 +34,7 @@
         done({EndpointStatus{session::GroupRole::kReplica,
                              1,
                              {1, 5},
-                             held ? common::Term(2) : 0},
+                             held ? common::Term{2} : 0},
               true});
       }
     };
