Session: Keep the lease through an unanswered write, abandon it for all groups

Writes could wait seconds longer for a new primary: a daemon took its own lease write, whose answer was lost, for another holder's and could order no more. And acknowledged writes could be lost: while one group of a daemon used the lease, another one started a promotion although a command of its abandoned one could still arrive.

Evidence: PromotionLeaseTest.OwnWriteWithoutAnswer_* and AbandonedByOneUse_* fail without this change (promotion_lease_test.cc:87 and 96). Found by review.

A conflict with this host's own record adopts its revision. An abandoned lease is checked before it is shared. A read that is answered after another use acquired the lease shares it and leaves the record alone.

--- a/Source/Core/Session/promotion_lease.cc
+++ b/Source/Core/Session/promotion_lease.cc
@@ -37,23 +37,23 @@
 }
 
 void PromotionLease::Acquire(std::function<void(bool held)> done) {
-  if (this->users > 0) {
-    if (this->lost) {
-      done(false);
-      return;
-    }
-    ++this->users;
-    done(true);
-    return;
-  }
   if (this->WasAbandoned(common::SteadyNow())) {
     done(false);
     return;
   }
+  if (this->users > 0) {
+    done(this->Share());
+    return;
+  }
   this->platform->ReadPromotionLease(
       [this, still_alive = this->alive,
        done = std::move(done)](const PromotionLeaseResult& result) {
         if (!*still_alive) return;
+        // Another use has acquired the lease meanwhile.
+        if (this->users > 0) {
+          done(this->Share());
+          return;
+        }
         const auto* stored = std::get_if<PromotionLeaseRecord>(&result);
         if (stored == nullptr) {
           done(false);
@@ -81,6 +81,12 @@
       });
 }
 
+bool PromotionLease::Share() {
+  if (this->lost) return false;
+  ++this->users;
+  return true;
+}
+
 void PromotionLease::Confirm(
     std::function<void(std::optional<PromotionLeaseRecord>)> done) {
   if (this->lost) {
@@ -149,8 +155,9 @@
           this->record = conflict->record;
           this->record_seen_at = common::SteadyNow();
           this->confirmed_at.reset();
-          // The new holder must not lose the lease to this daemon.
-          this->lost = this->users > 0;
+          // The new holder must not lose the lease to this daemon. A record of
+          // this daemon is its own write that had no answer.
+          this->lost = this->users > 0 && conflict->record.holder != this->host;
         }
         done(false);
       });
--- a/Source/Core/Session/promotion_lease.h
+++ b/Source/Core/Session/promotion_lease.h
@@ -48,6 +48,8 @@
   bool MayOrder(common::SteadyTime now) const;
 
  private:
+  /// Adds a use of the lease that is held; returns false if it was lost.
+  bool Share();
   /// Whether a use was abandoned less than the takeover delay ago.
   bool WasAbandoned(common::SteadyTime now) const;
   void Write(bool active, std::function<void(bool written)> done);
--- a/Source/UnitTests/Core/Session/promotion_lease_test.cc
+++ b/Source/UnitTests/Core/Session/promotion_lease_test.cc
@@ -73,6 +73,32 @@
   EXPECT_TRUE(this->platform.lease_record.active);
 }
 
+// Guards against a daemon that takes its own write, whose answer was lost, for
+// that of another holder and can order no more.
+TEST_F(PromotionLeaseTest, OwnWriteWithoutAnswer_Confirm_KeepsTheLease) {
+  ASSERT_TRUE(Acquire(&this->first));
+  this->platform.lease_record.revision.number = ++this->platform.revision;
+  std::this_thread::sleep_for(std::chrono::milliseconds(650));
+  bool has_token = false;
+  for (int attempt = 0; attempt < 2; ++attempt) {
+    this->first.Confirm(
+        [&](const auto& record) { has_token = record.has_value(); });
+  }
+  EXPECT_TRUE(has_token);
+}
+
+// Guards against a promotion that begins while a command of an abandoned one
+// may still be executed, because another group uses the lease.
+TEST_F(PromotionLeaseTest, AbandonedByOneUse_Acquire_FailsForAll) {
+  ASSERT_TRUE(Acquire(&this->first));
+  ASSERT_TRUE(Acquire(&this->first));
+  this->first.Abandon();
+  EXPECT_FALSE(Acquire(&this->first));
+  this->first.Release();
+  EXPECT_TRUE(this->platform.lease_record.active);
+  EXPECT_FALSE(Acquire(&this->second));
+}
+
 // Guards against orders while the store cannot confirm the lease.
 TEST_F(PromotionLeaseTest, StoreDown_Acquire_Fails) {
   this->platform.store_down = true;
