Session: Hold members only for the term that the promotion will lead

A plan had raised its term above the holds of an earlier plan, and held members again whose hold had ended because the promotion had taken effect.

Members are held for the term after the newest one. After the order only members that were never held are held.

--- a/Source/Core/Session/promotion_plan.cc
+++ b/Source/Core/Session/promotion_plan.cc
@@ -66,6 +66,8 @@
     if (this->primary == id) {
       member.step_down_sent = true;
       actions.emplace_back(SendStepDown{id, this->term});
+    } else if (!this->MayHold(member)) {
+      actions.emplace_back(SendStatus{id});
     } else if (member.has_answered || this->phase == Phase::kOrdered) {
       member.hold_sent = true;
       member.held_by_plan = true;
@@ -135,13 +137,8 @@
     const common::EndpointId& id, const EndpointStatus& status) {
   Member& member = this->members.at(id);
   member.fenced.reset();
-  const bool is_first = !std::exchange(member.has_answered, true);
-  if (is_first) member.held_before = status.held > this->newest_term;
-  if (is_first && this->phase == Phase::kFencing && status.held >= this->term) {
-    // An earlier promotion has held the member for the same term and may have
-    // taken effect without this daemon's knowledge.
-    this->RaiseTerm(status.held + 1);
-    return this->FenceUnanswered();
+  if (!std::exchange(member.has_answered, true)) {
+    member.held_before = status.held > this->newest_term;
   }
   if (status.role == GroupRole::kPrimary) {
     // A hold has no effect on a primary.
@@ -152,11 +149,14 @@
   if (status.held < this->term) {
     // A primary that has stepped down follows any other primary and confirms
     // its commits, so it is held as well.
-    if (std::exchange(member.hold_sent, true)) return {};
+    if (!this->MayHold(member) || std::exchange(member.hold_sent, true)) {
+      return {};
+    }
     member.held_by_plan = true;
     return {SendHold{id, this->term}};
   }
   member.fenced = status;
+  member.was_fenced = true;
   member.hold_sent = false;
   return {};
 }
@@ -184,6 +184,10 @@
   return this->FenceUnanswered();
 }
 
+bool PromotionPlan::MayHold(const Member& member) const {
+  return this->phase != Phase::kOrdered || !member.was_fenced;
+}
+
 bool PromotionPlan::IsLeaving(const Member& member) {
   return member.entry.state == MemberState::kLeaving;
 }
--- a/Source/Core/Session/promotion_plan.h
+++ b/Source/Core/Session/promotion_plan.h
@@ -116,6 +116,8 @@
     bool held_before = false;
     /// The plan has sent a hold to the member.
     bool held_by_plan = false;
+    /// The member has been held for this plan.
+    bool was_fenced = false;
     /// Commands sent since the last tick. A command without effect is repeated
     /// by the next tick, not by each answer.
     bool step_down_sent = false;
@@ -126,11 +128,16 @@
   };
 
   static bool IsLeaving(const Member& member);
+  /// Whether a member that is not held may be held now.
+  bool MayHold(const Member& member) const;
   /// Fences the members that are not held. A member is asked for its status
   /// before its hold, whose answer would not show an earlier hold.
   std::vector<PromotionAction> FenceUnanswered();
   /// Fences the members that are not held and asks the others for their status:
   /// a restart, or a delayed command of another daemon, may have ended a hold.
+  /// Once an order was given, a hold may also have ended because the promotion
+  /// has taken effect, and another one would cut the member off from its new
+  /// primary; so only members that were never held are held then.
   std::vector<PromotionAction> CheckMembers();
   /// Fences all members anew for a higher term.
   void RaiseTerm(common::Term raised);
@@ -157,7 +164,8 @@
   std::optional<common::EndpointId> primary;
   /// Highest term known to have a primary before this promotion.
   common::Term newest_term;
-  /// Term for which the members are held.
+  /// Term for which the members are held: the one that the promoted member will
+  /// lead. A hold for a higher term would outlast the promotion.
   common::Term term;
   common::SteadyTime started;
   Phase phase = Phase::kFencing;
