Session: Check the choice again before an order is sent

Acknowledged writes could be lost if a hold ended while the lease was being confirmed, which takes up to a second. And members stayed held for up to nine seconds after an order that was never sent, because it counted as outstanding.

Evidence: PromotionPlanTest.OrderNotSent_HoldEnded_ChoosesAgainAndResumes. Found by review.

The order is sent only if the member is still the one to choose. An order that was not sent doesn't count, and the plan fences and chooses again.

--- a/Source/Core/Session/promotion_plan.cc
+++ b/Source/Core/Session/promotion_plan.cc
@@ -259,6 +259,19 @@
   return OrderPromotion{*this->chosen};
 }
 
+bool PromotionPlan::IsChosen(const common::EndpointId& id,
+                             common::SteadyTime now) const {
+  return this->phase == Phase::kOrdered && this->ChooseCandidate(now) == id;
+}
+
+void PromotionPlan::OnOrderNotSent() {
+  if (this->phase != Phase::kOrdered) return;
+  --this->unanswered_orders;
+  if (this->unanswered_orders == 0 && !this->accepted_at.has_value()) {
+    this->phase = Phase::kFencing;
+  }
+}
+
 bool PromotionPlan::OrderMayExecute(common::SteadyTime now) const {
   if (this->unanswered_orders > 0) return true;
   return this->accepted_at.has_value() &&
--- a/Source/Core/Session/promotion_plan.h
+++ b/Source/Core/Session/promotion_plan.h
@@ -102,6 +102,13 @@
   std::vector<PromotionAction> OnOrderAnswer(PromotionAnswer answer,
                                              common::SteadyTime now);
 
+  /// Whether an order may still be sent for this member: it is held, and so are
+  /// all others that the choice relies on.
+  bool IsChosen(const common::EndpointId& id, common::SteadyTime now) const;
+
+  /// Handles that an order was not sent. The plan fences and chooses again.
+  void OnOrderNotSent();
+
   /// Handles the passing of time. Must be called every kPromotionTickInterval.
   std::vector<PromotionAction> OnTick(common::SteadyTime now);
 
--- a/Source/Core/Session/promotion_task.cc
+++ b/Source/Core/Session/promotion_task.cc
@@ -198,6 +198,13 @@
           common::Log(Subsystem::kConnection, LogLevel::kWarning,
                       "promotion_duty_unconfirmed",
                       {{"service", this->service}});
+          current->OnOrderNotSent();
+          return;
+        }
+        // The confirmation may have taken a second, in which a hold may have
+        // ended.
+        if (!current->IsChosen(order.endpoint, common::SteadyNow())) {
+          current->OnOrderNotSent();
           return;
         }
         common::Log(Subsystem::kConnection, LogLevel::kWarning,
--- a/Source/UnitTests/Core/Session/promotion_plan_test.cc
+++ b/Source/UnitTests/Core/Session/promotion_plan_test.cc
@@ -284,6 +284,26 @@
   EXPECT_EQ(Find<SendResume>(actions), nullptr);
 }
 
+// Guards against an order on a choice that no longer stands, and against
+// members that stay held because an order that was never sent counts as
+// outstanding.
+TEST_F(PromotionPlanTest, OrderNotSent_HoldEnded_ChoosesAgainAndResumes) {
+  const common::SteadyTime late = kStart + milliseconds(400);
+  this->plan.OnStatus(this->a, Held(3, 10, 4), late);
+  this->plan.OnStatus(this->b, Held(3, 12, 4), late);
+  EXPECT_TRUE(this->plan.IsChosen(this->b, late));
+  this->plan.OnStatus(this->a, Held(3, 13, 0), late);
+  EXPECT_FALSE(this->plan.IsChosen(this->b, late));
+  this->plan.OnOrderNotSent();
+  const auto again = this->plan.OnStatus(this->a, Held(3, 13, 4), late);
+  const auto* order = Find<OrderPromotion>(again);
+  ASSERT_NE(order, nullptr);
+  EXPECT_EQ(order->endpoint, this->a);
+  this->plan.OnOrderNotSent();
+  const auto ended = this->plan.OnTick(kStart + milliseconds(2000));
+  EXPECT_NE(Find<SendResume>(ended), nullptr);
+}
+
 /// Model of a replicated group in virtual time. The primary acknowledges a
 /// commit once one replica that receives has it.
 class ModelGroup {
