--- a/Source/Core/Session/promotion_plan.cc
+++ b/Source/Core/Session/promotion_plan.cc
@@ -66,9 +66,7 @@
     if (this->primary == id) {
       member.step_down_sent = true;
       actions.emplace_back(SendStepDown{id, this->term});
-    } else if (!this->MayHold(member)) {
-      actions.emplace_back(SendStatus{id});
-    } else if (member.has_answered || this->phase == Phase::kOrdered) {
+    } else if (this->MayHold(member)) {
       member.hold_sent = true;
       member.held_by_plan = true;
       actions.emplace_back(SendHold{id, this->term});
@@ -185,7 +183,8 @@
 }
 
 bool PromotionPlan::MayHold(const Member& member) const {
-  return this->phase != Phase::kOrdered || !member.was_fenced;
+  return this->phase == Phase::kOrdered ? !member.was_fenced
+                                        : member.has_answered;
 }
 
 bool PromotionPlan::IsLeaving(const Member& member) {
