Connection: Free closed connections when an event loop ends

Six tests (ProxyOddEntriesTest, RestoredStoreTest) passed and then reported leaked HTTP connections; the leak shows on every run.

Cause: EventLoop's destructor discards its queued actions, which closes the connections that they own, but libevent frees a closed connection in a callback of its own, and nothing ran the loop afterwards. SendHttpBlocking ran its loop once more for this reason; objects that end together with their loop did not.

Fix: the destructor runs what is due before it frees the event base. SendHttpBlocking no longer needs its extra run.

--- a/Source/Core/Connection/event_loop.cc
+++ b/Source/Core/Connection/event_loop.cc
@@ -47,8 +47,11 @@
 }
 
 EventLoop::~EventLoop() {
-  this->DiscardPending();
   for (const auto& handler : this->signal_handlers) event_free(handler->handle);
+  this->DiscardPending();
+  // Libevent frees closed connections in callbacks of its own.
+  event_base_loop(this->base, EVLOOP_NONBLOCK);
+  this->DiscardPending();
   event_free(this->wakeup);
   event_base_free(this->base);
 }
--- a/Source/Core/Connection/http_client.cc
+++ b/Source/Core/Connection/http_client.cc
@@ -228,12 +228,6 @@
     });
     loop.Run();
   }
-  // The connection is closed by a posted action and freed by libevent in later
-  // callbacks. The loop has to run both before it is destroyed.
-  loop.Post([&loop] {
-    loop.RunLater(common::Duration::zero(), [&loop] { loop.Stop(); });
-  });
-  loop.Run();
   return outcome;
 }
 
