Scripts: Don't take the output of an earlier process for a new one's

What callers saw: after a restart under load, fleet_start returned before the new process was ready, fleet_value then read an empty file, and fleet_wait_serving asked an address without a port until its limit of 30 s.

Cause: the background process truncates NAME.out only when it begins to run. Until then, fleet_wait_ready finds the ready line of the earlier process.

Why it works: the earlier file is removed before the start, so a ready line can only come from the new process.

--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -30,6 +30,8 @@
 fleet_start() {
   local name=$1
   shift
+  # A line of an earlier process would look like that of the new one.
+  rm -f "$work/$name.out"
   "$@" >"$work/$name.out" 2>"$work/$name.err" &
   fleet_pids+=("$!")
   printf '%s' "$!" >"$work/$name.pid"
