Soak: Keep the result of a failed fork() out of the process id

What callers would see: if fork() fails in ProxyProcess::Start (a limit of processes or of memory), ProcessStartError is thrown, and the destructor, which runs where the exception is caught (as in a unit test), kills every process of the user. Signal() after the failure sends to all of them too.

Cause: the result of fork(), -1, was stored as the process id, and 0 was the only value without a process. kill(-1, ...) addresses all processes.

Evidence: no test in the tree, since one that fails would kill processes that it didn't start.

Why it works: the id is assigned only if fork() succeeded, so it is 0 or that of a child. The log file is now closed on this path as well. These are the only uses of kill, waitpid and fork in the C++ sources; the scripts signal only ids that they have stored from $!.

--- a/Source/Soak/proxy_process.cc
+++ b/Source/Soak/proxy_process.cc
@@ -66,9 +66,8 @@
 void ProxyProcess::Start() {
   const int log =
       open(this->log_path.c_str(), O_CREAT | O_WRONLY | O_APPEND, 0644);
-  this->pid = fork();
-  if (this->pid < 0) throw ProcessStartError(this->program);
-  if (this->pid == 0) {
+  const pid_t child = fork();
+  if (child == 0) {
     dup2(log, STDOUT_FILENO);
     dup2(log, STDERR_FILENO);
     // If the child inherited sockets of the soak, their peers would not notice
@@ -81,6 +80,8 @@
     _exit(127);
   }
   close(log);
+  if (child < 0) throw ProcessStartError(this->program);
+  this->pid = child;
 }
 
 connection::SocketAddress ProxyProcess::ClientAddress() const {
--- a/Source/Soak/proxy_process.h
+++ b/Source/Soak/proxy_process.h
@@ -46,6 +46,8 @@
   std::string log_path;
   /// Loopback address of this proxy only.
   std::string ip;
+  /// Id of the running process; 0 if there is none. It must not become -1, with
+  /// which kill() signals all processes of the user.
   pid_t pid = 0;
 };
 
