Soak: Separate the choice of a fault's actions from their execution

SoakRun chose and executed the actions of a fault in two switches over its kind, so that only a run with real processes could show what a fault does. FaultTracker now returns each action as a value, without I/O, and SoakRun executes it with a visitor. The actions are the same as before. PublishConfiguration of SoakRun is called PutConfiguration, since the action has the former name.

--- a/Source/Soak/soak_run.cc
+++ b/Source/Soak/soak_run.cc
@@ -1,6 +1,5 @@
 #include "soak_run.h"
 
-#include <csignal>
 #include <utility>
 
 namespace camphorferry::soak {
@@ -48,7 +47,10 @@
 
 }  // namespace
 
-SoakRun::SoakRun(SoakSettings settings) : settings(std::move(settings)) {
+SoakRun::SoakRun(SoakSettings settings)
+    : settings(std::move(settings)),
+      fault_tracker(static_cast<std::size_t>(this->settings.proxies),
+                    static_cast<std::size_t>(this->settings.services)) {
   this->store = std::make_unique<platform::FakeStore>(
       &this->loop, [this](const std::string& service, const std::string& id) {
         for (const auto& group : this->groups) {
@@ -66,10 +68,10 @@
   for (const std::string& workspace : kWorkspaces) {
     this->checker.SetWindowLimit(workspace, kWindowLimit);
   }
-  this->PublishConfiguration();
+  this->PutConfiguration();
 }
 
-void SoakRun::PublishConfiguration() {
+void SoakRun::PutConfiguration() {
   session::DirectoryConfiguration configuration;
   configuration.version = this->configuration_version++;
   configuration.transaction_idle_limit = kTransactionIdleLimit;
@@ -130,129 +132,67 @@
   return this->active_faults == 0 && this->last_fault_ended_at < since;
 }
 
-DatabaseGroup* SoakRun::GroupOf(const Fault& fault) {
-  return this->groups[fault.target_selector % this->groups.size()].get();
-}
-
-void SoakRun::SignalProxy(const Fault& fault, int number) {
-  this->proxies[fault.target_selector % this->proxies.size()]->Signal(number);
-}
-
-void SoakRun::InjectFault(const Fault& fault) {
+void SoakRun::BeginFault(const Fault& fault) {
   common::Log(Subsystem::kProcess, LogLevel::kInfo, "fault_begins",
               {{"kind", ToString(fault.kind)},
                {"lasts_ms", common::ToMilliseconds(fault.duration).count()}});
   if (!IsPlannedOperation(fault.kind)) ++this->active_faults;
-  DatabaseGroup* group = this->GroupOf(fault);
-  switch (fault.kind) {
-    case FaultKind::kStopProxy:
-      this->SignalProxy(fault, SIGTERM);
-      break;
-    case FaultKind::kKillProxy:
-      this->SignalProxy(fault, SIGKILL);
-      break;
-    case FaultKind::kFreezeProxy:
-      this->SignalProxy(fault, SIGSTOP);
-      break;
-    case FaultKind::kKillAllProxies:
-      for (const auto& proxy : this->proxies) proxy->Signal(SIGKILL);
-      break;
-    case FaultKind::kCrashPrimary:
-      group->CrashPrimary();
-      break;
-    case FaultKind::kResetDatabaseConnections:
-      group->ResetConnections();
-      break;
-    case FaultKind::kDatabaseLinksSilent:
-      group->SetLinkState(LinkState::kSilent);
-      break;
-    case FaultKind::kDatabaseLinksCutForward:
-      group->SetLinkState(LinkState::kCutForward);
-      break;
-    case FaultKind::kDatabaseLinksCutBackward:
-      group->SetLinkState(LinkState::kCutBackward);
-      break;
-    case FaultKind::kDatabaseLinksDelayed:
-      group->SetLinkState(LinkState::kDelayed);
-      break;
-    case FaultKind::kReplicasLag:
-      group->SetReplicasLag(true);
-      break;
-    case FaultKind::kDatabaseAnswersLost:
-      group->SetLoseResponses(true);
-      break;
-    case FaultKind::kStoreBusy:
-      this->store->SetState(platform::StoreState::kBusy);
-      break;
-    case FaultKind::kStoreSilent:
-      this->store->SetState(platform::StoreState::kSilent);
-      break;
-    case FaultKind::kStoreSlow:
-      this->store->SetState(platform::StoreState::kSlow);
-      break;
-    case FaultKind::kStoreAnswersLost:
-      this->store->SetState(platform::StoreState::kLosesAnswers);
-      break;
-    case FaultKind::kStoreHistoryDropped:
-      this->store->DropHistory();
-      break;
-    case FaultKind::kProxyCutFromStore:
-      this->store_relays[fault.target_selector % this->store_relays.size()]
-          ->SetState(LinkState::kSilent);
-      break;
-    case FaultKind::kConfigurationChange:
-      this->PublishConfiguration();
-      break;
-    case FaultKind::kKeyWithdrawn:
-      this->key_withdrawn = !this->key_withdrawn;
-      this->key_changed_at = common::SteadyNow();
-      this->PublishConfiguration();
-      break;
-    case FaultKind::kSettingsSignal:
-      this->SignalProxy(fault, SIGHUP);
-      break;
-  }
+  this->Execute(this->fault_tracker.Begin(fault));
 }
 
-void SoakRun::RevertFault(const Fault& fault) {
-  DatabaseGroup* group = this->GroupOf(fault);
-  switch (fault.kind) {
-    case FaultKind::kFreezeProxy:
-      this->SignalProxy(fault, SIGCONT);
-      break;
-    case FaultKind::kCrashPrimary:
-      group->RestoreAll();
-      break;
-    case FaultKind::kDatabaseLinksSilent:
-    case FaultKind::kDatabaseLinksCutForward:
-    case FaultKind::kDatabaseLinksCutBackward:
-    case FaultKind::kDatabaseLinksDelayed:
-      group->SetLinkState(LinkState::kOpen);
-      break;
-    case FaultKind::kReplicasLag:
-      group->SetReplicasLag(false);
-      break;
-    case FaultKind::kDatabaseAnswersLost:
-      group->SetLoseResponses(false);
-      break;
-    case FaultKind::kStoreBusy:
-    case FaultKind::kStoreSilent:
-    case FaultKind::kStoreSlow:
-    case FaultKind::kStoreAnswersLost:
-      this->store->SetState(platform::StoreState::kUp);
-      break;
-    case FaultKind::kProxyCutFromStore:
-      this->store_relays[fault.target_selector % this->store_relays.size()]
-          ->SetState(LinkState::kOpen);
-      break;
-    default:
-      break;
-  }
+void SoakRun::EndFault(const Fault& fault) {
+  const std::optional<FaultAction> action = this->fault_tracker.End(fault);
+  if (action.has_value()) this->Execute(*action);
   if (IsPlannedOperation(fault.kind)) return;
   --this->active_faults;
   this->last_fault_ended_at = common::SteadyNow();
 }
 
+void SoakRun::Execute(const FaultAction& action) {
+  std::visit(
+      common::Overloaded{
+          [this](const SignalProxy& signal) {
+            this->proxies[signal.proxy]->Signal(signal.number);
+          },
+          [this](const SignalAllProxies& signal) {
+            for (const auto& proxy : this->proxies) {
+              proxy->Signal(signal.number);
+            }
+          },
+          [this](const CrashPrimary& crash) {
+            this->groups[crash.service]->CrashPrimary();
+          },
+          [this](const RestoreDatabases& restore) {
+            this->groups[restore.service]->RestoreAll();
+          },
+          [this](const ResetDatabaseConnections& reset) {
+            this->groups[reset.service]->ResetConnections();
+          },
+          [this](const SetDatabaseLinks& links) {
+            this->groups[links.service]->SetLinkState(links.state);
+          },
+          [this](const SetReplicasLag& replicas) {
+            this->groups[replicas.service]->SetReplicasLag(replicas.lag);
+          },
+          [this](const SetResponsesLost& responses) {
+            this->groups[responses.service]->SetLoseResponses(responses.lose);
+          },
+          [this](const SetStoreState& store) {
+            this->store->SetState(store.state);
+          },
+          [this](const DropStoreHistory&) { this->store->DropHistory(); },
+          [this](const SetStoreLink& link) {
+            this->store_relays[link.proxy]->SetState(link.state);
+          },
+          [this](const PublishConfiguration&) { this->PutConfiguration(); },
+          [this](const ToggleKey&) {
+            this->key_withdrawn = !this->key_withdrawn;
+            this->key_changed_at = common::SteadyNow();
+            this->PutConfiguration();
+          }},
+      action);
+}
+
 void SoakRun::RestartExitedProxies() {
   for (const auto& proxy : this->proxies) {
     if (!proxy->Running()) proxy->Start();
@@ -292,9 +232,9 @@
   this->StartClients();
   for (const Fault& fault :
        MakeSchedule(this->settings.seed, this->settings.length)) {
-    this->loop.RunLater(fault.at, [this, fault] { this->InjectFault(fault); });
+    this->loop.RunLater(fault.at, [this, fault] { this->BeginFault(fault); });
     this->loop.RunLater(fault.at + fault.duration,
-                        [this, fault] { this->RevertFault(fault); });
+                        [this, fault] { this->EndFault(fault); });
   }
   const auto steps = this->loop.Every(kClientStepInterval, [this] {
     for (const auto& client : this->clients) client->Step();
--- a/Source/Soak/soak_run.h
+++ b/Source/Soak/soak_run.h
@@ -8,6 +8,7 @@
 #include "database_group.h"
 #include "fake_store.h"
 #include "fault_schedule.h"
+#include "fault_tracker.h"
 #include "guarantee_checker.h"
 #include "proxy_process.h"
 #include "soak_client.h"
@@ -44,19 +45,19 @@
   SoakResult Run();
 
  private:
-  void PublishConfiguration();
+  void PutConfiguration();
   void StartProxies();
   void StartClients();
-  void InjectFault(const Fault& fault);
-  void RevertFault(const Fault& fault);
-  void SignalProxy(const Fault& fault, int number);
+  void BeginFault(const Fault& fault);
+  void EndFault(const Fault& fault);
+  void Execute(const FaultAction& action);
   void RestartExitedProxies();
   void CheckResources();
   void CheckFinalState();
   bool OnlyPlannedOperations(common::SteadyTime since) const;
-  DatabaseGroup* GroupOf(const Fault& fault);
 
   SoakSettings settings;
+  FaultTracker fault_tracker;
   connection::EventLoop loop;
   GuaranteeChecker checker;
   std::unique_ptr<platform::FakeStore> store;
