Soak: Let each fault last as long as the schedule says

What a reader of a soak's result would see: a run that disturbs the system less than its schedule says. If two faults of one kind, or two that set the same state (links of one service, the store), overlapped on one target, the end of the first also ended the second.

Cause: the end of a fault always reset the state, whatever other fault was in progress.

Evidence: four of the seven tests of FaultTrackerTest fail with the code before. OverlapOfOneKind_FirstEnds_StateRemains fails for each of its seven kinds: the first End() returns the reversal instead of nothing. With the fix, the 24 tests of soak_tests pass.

Why it works: FaultTracker remembers the faults in progress. Faults that the same action reverses change the same state; it is reset when the last of them ends, and until then the one that began last determines it. Crashed primaries of a service therefore return together with the end of the last crash.

--- a/Source/Soak/fault_schedule.h
+++ b/Source/Soak/fault_schedule.h
@@ -44,6 +44,7 @@
   common::Duration duration = common::Duration::zero();
   /// Random number that selects the affected process or service.
   std::uint64_t target_selector = 0;
+  bool operator==(const Fault&) const = default;
 };
 
 /// Generates the faults of a run of the given length: single, repeated and
--- a/Source/Soak/fault_tracker.cc
+++ b/Source/Soak/fault_tracker.cc
@@ -1,5 +1,6 @@
 #include "fault_tracker.h"
 
+#include <algorithm>
 #include <csignal>
 
 namespace camphorferry::soak {
@@ -10,11 +11,22 @@
     : proxies(proxies), services(services) {}
 
 FaultAction FaultTracker::Begin(const Fault& fault) {
+  this->active.push_back(fault);
   return this->Effect(fault);
 }
 
 std::optional<FaultAction> FaultTracker::End(const Fault& fault) {
-  return this->Reversal(fault);
+  const auto ended = std::find(this->active.begin(), this->active.end(), fault);
+  if (ended != this->active.end()) this->active.erase(ended);
+  const std::optional<FaultAction> reversal = this->Reversal(fault);
+  if (!reversal.has_value()) return std::nullopt;
+  // Faults change the same state if the same action reverses them.
+  const auto latest = std::find_if(
+      this->active.rbegin(), this->active.rend(),
+      [&](const Fault& other) { return this->Reversal(other) == reversal; });
+  if (latest == this->active.rend()) return reversal;
+  if (latest->kind == fault.kind) return std::nullopt;
+  return this->Effect(*latest);
 }
 
 FaultAction FaultTracker::Effect(const Fault& fault) const {
--- a/Source/Soak/fault_tracker.h
+++ b/Source/Soak/fault_tracker.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <optional>
 #include <variant>
+#include <vector>
 
 #include "fake_store.h"
 #include "fault_schedule.h"
@@ -97,7 +98,9 @@
                  SetResponsesLost, SetStoreState, DropStoreHistory,
                  SetStoreLink, PublishConfiguration, ToggleKey>;
 
-/// Decides by which actions the faults of a schedule begin and end.
+/// Decides by which actions the faults of a schedule begin and end. Where
+/// faults overlap that change the same state, the one that began last
+/// determines it, and the state is reset when all of them have ended.
 class FaultTracker {
  public:
   FaultTracker(std::size_t proxies, std::size_t services);
@@ -114,6 +117,8 @@
 
   std::size_t proxies;
   std::size_t services;
+  /// Faults that have begun and not ended, in the order of their beginning.
+  std::vector<Fault> active;
 };
 
 }  // namespace camphorferry::soak
