--- a/Source/UnitTests/Platform/store_client_test.cc
+++ b/Source/UnitTests/Platform/store_client_test.cc
@@ -4,6 +4,7 @@
 
 #include <csignal>
 
+#include "await.h"
 #include "fake_store.h"
 
 namespace camphorferry::platform {
@@ -43,36 +44,22 @@
     return names;
   }
 
-  /// Starts a call and runs the loop until its callback.
-  template <typename Result, typename Start>
-  Result Await(Start start) {
-    std::optional<Result> result;
-    start([&](const Result& got) {
-      result = got;
-      this->loop.Stop();
-    });
-    const auto limit =
-        this->loop.After(seconds(10), [this] { this->loop.Stop(); });
-    if (!result.has_value()) this->loop.Run();
-    return result.value();
-  }
-
   DirectoryResult List(StoreClient* client) {
-    return this->Await<DirectoryResult>([&](auto done) {
+    return Await<DirectoryResult>(&this->loop, [&](auto done) {
       client->List(DirectoryKind::kMembers, DirectoryFreshness::kLatest,
                    std::move(done));
     });
   }
 
   DirectoryResult Watch(session::StoreRevision after, common::Duration wait) {
-    return this->Await<DirectoryResult>([&](auto done) {
+    return Await<DirectoryResult>(&this->loop, [&](auto done) {
       this->client.Watch(DirectoryKind::kMembers, after, wait,
                          DirectoryFreshness::kLatest, std::move(done));
     });
   }
 
   PromotionLeaseResult WritePromotionLease(const PromotionLeaseRecord& record) {
-    return this->Await<PromotionLeaseResult>([&](auto done) {
+    return Await<PromotionLeaseResult>(&this->loop, [&](auto done) {
       this->client.WritePromotionLease(record, std::move(done));
     });
   }
@@ -155,8 +142,9 @@
   EXPECT_TRUE(std::holds_alternative<StoreUnavailable>(
       this->WritePromotionLease({common::HostId("one"), true, {}, 0})));
   this->store.SetState(StoreState::kUp);
-  const auto read = this->Await<PromotionLeaseResult>(
-      [&](auto done) { this->client.ReadPromotionLease(std::move(done)); });
+  const auto read = Await<PromotionLeaseResult>(&this->loop, [&](auto done) {
+    this->client.ReadPromotionLease(std::move(done));
+  });
   EXPECT_EQ(std::get<PromotionLeaseRecord>(read).holder.Value(), "one");
 }
 
@@ -166,8 +154,9 @@
   session::FleetHost host{common::HostId("host"), "127.0.0.1:7",
                           common::FailureDomainId("zone")};
   const auto register_host = [&] {
-    return this->Await<bool>(
-        [&](auto done) { this->client.RegisterHost(host, std::move(done)); });
+    return Await<bool>(&this->loop, [&](auto done) {
+      this->client.RegisterHost(host, std::move(done));
+    });
   };
   EXPECT_TRUE(register_host());
   EXPECT_EQ(this->store.Calls(), 1U);
@@ -176,7 +165,7 @@
   host.peer_address = "127.0.0.1:8";
   EXPECT_TRUE(register_host());
   EXPECT_EQ(this->store.Calls(), 4U);
-  const auto listed = this->Await<DirectoryResult>([&](auto done) {
+  const auto listed = Await<DirectoryResult>(&this->loop, [&](auto done) {
     this->client.List(DirectoryKind::kHosts, DirectoryFreshness::kLatest,
                       std::move(done));
   });
--- a/Source/UnitTests/Platform/store_entries_test.cc
+++ b/Source/UnitTests/Platform/store_entries_test.cc
@@ -3,11 +3,11 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "await.h"
 #include "store_client.h"
 
 namespace camphorferry::platform {
@@ -84,23 +84,8 @@
                  responder->Send(response);
                }) {}
 
-  /// Starts a call and runs the loop until its callback. Fails the test if
-  /// there is none.
-  template <typename Result, typename Start>
-  Result Await(Start start) {
-    std::optional<Result> result;
-    start([&](const Result& got) {
-      result = got;
-      this->loop.Stop();
-    });
-    const auto limit =
-        this->loop.After(seconds(10), [this] { this->loop.Stop(); });
-    if (!result.has_value()) this->loop.Run();
-    return result.value();
-  }
-
   DirectoryResult List() {
-    return this->Await<DirectoryResult>([&](auto done) {
+    return Await<DirectoryResult>(&this->loop, [&](auto done) {
       this->client.List(DirectoryKind::kMembers, DirectoryFreshness::kLatest,
                         std::move(done));
     });
@@ -113,7 +98,7 @@
 
   DirectoryResult Watch(const std::vector<std::string>& entries) {
     this->watch_body = Events(entries);
-    return this->Await<DirectoryResult>([&](auto done) {
+    return Await<DirectoryResult>(&this->loop, [&](auto done) {
       this->client.Watch(DirectoryKind::kMembers, {0, 7}, seconds(1),
                          DirectoryFreshness::kLatest, std::move(done));
     });
@@ -226,8 +211,9 @@
   this->status = 409;
   const session::FleetHost host{common::HostId("host"), "127.0.0.1:7",
                                 common::FailureDomainId("zone")};
-  EXPECT_FALSE(this->Await<bool>(
-      [&](auto done) { this->client.RegisterHost(host, std::move(done)); }));
+  EXPECT_FALSE(Await<bool>(&this->loop, [&](auto done) {
+    this->client.RegisterHost(host, std::move(done));
+  }));
   EXPECT_EQ(this->last_method, "PUT");
 }
 
@@ -267,11 +253,11 @@
       R"({"events":[7,{"deleted":false},{"deleted":false,"object":"x"},)"
       R"({"deleted":false,"object":)" +
       Entry("good", GoodSpec()) + R"(}],"storeRevision":8})";
-  EXPECT_EQ(Names(this->Await<DirectoryResult>([&](auto done) {
-              this->client.Watch(DirectoryKind::kMembers, {0, 7}, seconds(1),
-                                 DirectoryFreshness::kLatest, std::move(done));
-            })),
-            std::vector<std::string>{"good"});
+  const auto result = Await<DirectoryResult>(&this->loop, [&](auto done) {
+    this->client.Watch(DirectoryKind::kMembers, {0, 7}, seconds(1),
+                       DirectoryFreshness::kLatest, std::move(done));
+  });
+  EXPECT_EQ(Names(result), std::vector<std::string>{"good"});
 }
 
 }  // namespace
