Tests: Confirm the lease in the test that says so

PromotionLeaseTest.TakenOver_Confirm_GivesNoToken checked MayOrder only and never called Confirm. It now also waits until the order window has passed, calls Confirm and checks that it answers once, with no record, and that no order may be given afterwards. The check that was there stays.

--- a/Source/UnitTests/Core/Session/promotion_lease_test.cc
+++ b/Source/UnitTests/Core/Session/promotion_lease_test.cc
@@ -53,6 +53,16 @@
   const common::SteadyTime later =
       common::SteadyNow() + std::chrono::seconds(2);
   EXPECT_FALSE(this->first.MayOrder(later));
+  std::this_thread::sleep_for(std::chrono::milliseconds(650));
+  int answers = 0;
+  std::optional<PromotionLeaseRecord> confirmed;
+  this->first.Confirm([&](const auto& record) {
+    ++answers;
+    confirmed = record;
+  });
+  EXPECT_EQ(answers, 1);
+  EXPECT_FALSE(confirmed.has_value());
+  EXPECT_FALSE(this->first.MayOrder(common::SteadyNow()));
 }
 
 // Guards against a daemon that lost the lease and takes the record back from
