Soak: Keep link faults on databases that return from a crash

What a reader of a soak's result would see: while the links of a service were silent, cut or delayed, a crashed database that returned was reachable at once.

Cause: DatabaseGroup::RestoreAll opened the links of the databases that it restored, whatever state had been set for the group.

Evidence: DatabaseGroupTest.LinksSilent_CrashedPrimaryReturns_StaysSilent failed before ('Value of: this->Responds("svc-0"), Actual: true, Expected: false').

--- a/Source/Soak/database_group.cc
+++ b/Source/Soak/database_group.cc
@@ -180,7 +180,7 @@
   Member* leader = this->Leader();
   for (const auto& member : this->members) {
     if (!std::exchange(member->down, false)) continue;
-    member->relay->SetState(LinkState::kOpen);
+    member->relay->SetState(this->link_state);
     member->database->held = 0;
     if (member.get() == leader) continue;
     // A crashed primary restarts as a replica of the current primary.
@@ -191,6 +191,7 @@
 }
 
 void DatabaseGroup::SetLinkState(LinkState state) {
+  this->link_state = state;
   for (const auto& member : this->members) {
     if (!member->down) member->relay->SetState(state);
   }
--- a/Source/Soak/database_group.h
+++ b/Source/Soak/database_group.h
@@ -30,10 +30,12 @@
 
   /// Makes the current primary unreachable.
   void CrashPrimary();
-  /// Makes all databases reachable again, with their logs.
+  /// Ends all crashes. The databases return with their logs, and their links
+  /// have the state that was set last.
   void RestoreAll();
 
-  /// Sets the state of the links to all databases that are not down.
+  /// Sets the state of the links to all databases. It takes effect for one that
+  /// is down when it returns.
   void SetLinkState(LinkState state);
   /// Resets all connections to the databases.
   void ResetConnections();
@@ -78,6 +80,7 @@
   GuaranteeChecker* checker;
   std::string service;
   std::vector<std::unique_ptr<Member>> members;
+  LinkState link_state = LinkState::kOpen;
   bool replicas_lag = false;
   bool lose_responses = false;
   unsigned statement_counter = 0;
