Session: Hear peers before the first configuration is used

What callers would see: a daemon that starts while the store holds an older configuration than the running daemons, because it came back from a copy, was ready with the older one. A route or key that had been added was refused, and a dropped one was served (CONFIG).

Cause: the store's first answer was put in force at once. The newer version was learned from a peer's report and requested 1 s later.

Evidence: ProxyStartTest.StoreHasOlderConfiguration_Start_UsesThatOfPeer failed before with "ERROR NODB route3" and VersionOf(started) 2 instead of 3.

Fix: InitialConfigurationCheck decides, without I/O, when the first configuration may be used: once three peers have reported versions, all listed hosts have answered or failed to, or 250 ms are over. A newer version is requested at once from the peers that reported it, three at most, and waited for during 700 ms. The reports are those that a daemon exchanges at its start anyway; the hosts are now also read beside the registration, without the demand for the latest state, so that peers are known as early as the configuration. A daemon in the check reports no version, so that daemons which start together neither wait for nor vouch for each other.

The listing after the registration stays one without lag, even if a peer has reported itself before.

The fixture ProxyTest answers one more listing of hosts; its checks are unchanged.

--- a/Source/Core/Session/fleet_membership.cc
+++ b/Source/Core/Session/fleet_membership.cc
@@ -73,6 +73,14 @@
   return static_cast<std::size_t>(count) + 1;
 }
 
+std::size_t FleetMembership::PendingCount() const {
+  const auto count = std::count_if(
+      this->peers.begin(), this->peers.end(), [](const auto& item) {
+        return !item.second.has_replied && item.second.misses == 0;
+      });
+  return static_cast<std::size_t>(count);
+}
+
 bool FleetMembership::OnNoReply(const common::HostId& host) {
   const auto found = this->peers.find(host);
   if (found == this->peers.end()) return false;
--- a/Source/Core/Session/fleet_membership.h
+++ b/Source/Core/Session/fleet_membership.h
@@ -42,6 +42,10 @@
   /// other.
   std::optional<FleetHost> NextResponsive();
 
+  /// Number of other daemons that have neither answered nor failed to since
+  /// they became known.
+  std::size_t PendingCount() const;
+
   /// Removes daemons that have been silent for long and returns them.
   std::vector<FleetHost> RemoveLost(common::SteadyTime now);
 
--- a/Source/Core/Session/fleet_task.cc
+++ b/Source/Core/Session/fleet_task.cc
@@ -52,6 +52,8 @@
       connection::ToString({listen.ip, this->transport->Port()});
   this->exchange_timer =
       loop->Every(kExchangeTickInterval, [this] { this->ExchangeReports(); });
+  // Peers are contacted while this daemon registers.
+  this->ReadHosts(DirectoryFreshness::kAllowStale, [](bool /*answered*/) {});
   this->Register();
 }
 
@@ -81,16 +83,30 @@
 
 void FleetTask::ListHosts() {
   // Only the first listing must contain every host that has registered before.
+  this->ReadHosts(
+      this->hosts_listed ? DirectoryFreshness::kAllowStale
+                         : DirectoryFreshness::kLatest,
+      [this](bool answered) {
+        if (answered) {
+          this->hosts_listed = true;
+          this->fleet_known = true;
+        }
+        this->list_timer = this->loop->After(
+            answered ? common::Duration(kListInterval) : kDirectoryRetryPause,
+            [this] { this->ListHosts(); });
+      });
+}
+
+void FleetTask::ReadHosts(DirectoryFreshness freshness,
+                          std::function<void(bool answered)> done) {
   this->platform->List(
-      DirectoryKind::kHosts,
-      this->fleet_known ? DirectoryFreshness::kAllowStale
-                        : DirectoryFreshness::kLatest,
-      [this, still_alive = this->alive](const DirectoryResult& result) {
+      DirectoryKind::kHosts, freshness,
+      [this, still_alive = this->alive,
+       done = std::move(done)](const DirectoryResult& result) {
         if (!*still_alive) return;
         const auto* changes = std::get_if<DirectoryChanges>(&result);
         if (changes == nullptr) {
-          this->list_timer = this->loop->After(kDirectoryRetryPause,
-                                               [this] { this->ListHosts(); });
+          done(false);
           return;
         }
         for (const DirectoryChange& change : changes->changes) {
@@ -98,10 +114,10 @@
             this->membership.Add(*host, common::SteadyNow());
           }
         }
-        this->fleet_known = true;
-        this->ReportChanges();
-        this->list_timer =
-            this->loop->After(kListInterval, [this] { this->ListHosts(); });
+        this->hosts_read = true;
+        done(true);
+        this->ExchangeReports();
+        this->ReportPending();
       });
 }
 
@@ -118,12 +134,13 @@
         [this, still_alive = this->alive, id = peer.id,
          requested_at = now](const std::optional<FleetReport>& report) {
           if (!*still_alive) return;
-          if (!report.has_value()) {
+          if (report.has_value()) {
+            this->OnReply(id);
+            this->callbacks.on_reply(*report, requested_at);
+          } else {
             this->OnNoReply(id);
-            return;
           }
-          this->OnReply(id);
-          this->callbacks.on_reply(*report, requested_at);
+          this->ReportPending();
         });
   }
   this->ReportChanges();
@@ -134,6 +151,7 @@
   this->OnReply(report.host.id);
   this->fleet_known = true;
   this->callbacks.on_peer_report(report);
+  this->ReportPending();
   return this->callbacks.report(true);
 }
 
@@ -188,15 +206,18 @@
       });
 }
 
-void FleetTask::QueryDirectory(
-    const DirectoryQuery& query,
-    std::function<void(const common::HostId& peer, const SharedDirectory&)>
-        done) {
+void FleetTask::QueryDirectory(const DirectoryQuery& query,
+                               DirectoryReceiver done) {
   const std::optional<FleetHost> peer = this->membership.NextResponsive();
-  if (!peer.has_value()) return;
+  if (peer.has_value()) this->QueryDirectory(*peer, query, std::move(done));
+}
+
+void FleetTask::QueryDirectory(const FleetHost& peer,
+                               const DirectoryQuery& query,
+                               DirectoryReceiver done) {
   this->transport->ReadDirectory(
-      peer->peer_address, query, kExchangeTimeout,
-      [this, still_alive = this->alive, id = peer->id,
+      peer.peer_address, query, kExchangeTimeout,
+      [this, still_alive = this->alive, id = peer.id,
        done = std::move(done)](const std::optional<SharedDirectory>& shared) {
         if (!*still_alive) return;
         if (!shared.has_value()) {
@@ -208,6 +229,11 @@
       });
 }
 
+void FleetTask::ReportPending() {
+  if (!this->hosts_read) return;
+  this->callbacks.on_hosts_pending(this->membership.PendingCount());
+}
+
 void FleetTask::ReportChanges() {
   if (this->membership.RateOwners() != this->last_rate_owners) {
     this->last_rate_owners = this->membership.RateOwners();
--- a/Source/Core/Session/fleet_task.h
+++ b/Source/Core/Session/fleet_task.h
@@ -25,6 +25,9 @@
   /// The number of daemons that may be alive, or the number of those that
   /// respond, has changed.
   std::function<void(std::size_t size, std::size_t responsive)> on_size_changed;
+  /// The hosts have been listed, or one of them has answered or failed to. Gets
+  /// the number of those that did neither yet.
+  std::function<void(std::size_t pending)> on_hosts_pending;
   /// The set of rate owners has changed.
   std::function<void()> rate_owners_changed;
   /// Decides, as rate owner, about a daemon's operation.
@@ -69,18 +72,32 @@
       const common::WorkspaceId& workspace,
       std::function<void(std::optional<AdmissionDecision>)> done);
 
+  /// Receives the part of the directory that a peer has given.
+  using DirectoryReceiver =
+      std::function<void(const common::HostId& peer, const SharedDirectory&)>;
+
   /// Asks the next responsive daemon for a part of the directory. Calls back
   /// only if it answers.
-  void QueryDirectory(
-      const DirectoryQuery& query,
-      std::function<void(const common::HostId& peer, const SharedDirectory&)>
-          done);
+  void QueryDirectory(const DirectoryQuery& query, DirectoryReceiver done);
+
+  /// Asks the given daemon for a part of the directory. Calls back only if it
+  /// answers.
+  void QueryDirectory(const FleetHost& peer, const DirectoryQuery& query,
+                      DirectoryReceiver done);
 
  private:
   void Register();
+  /// Lists the hosts after the registration, and again from time to time.
   void ListHosts();
+  /// Reads the list of hosts and contacts those that are new. Calls back with
+  /// whether the store has answered.
+  void ReadHosts(DirectoryFreshness freshness,
+                 std::function<void(bool answered)> done);
   void ExchangeReports();
   FleetReport OnPeerReport(const FleetReport& report);
+  /// Reports to the process how many hosts have not been heard, once they are
+  /// listed.
+  void ReportPending();
   /// Reports changes of the fleet's size and of its rate owners to the process.
   void ReportChanges();
   void OnReply(const common::HostId& peer);
@@ -97,6 +114,10 @@
   /// Another daemon or the whole directory is known. Before that, this daemon
   /// would take itself as the owner of every rate.
   bool fleet_known = false;
+  /// The hosts have been read, possibly from a copy that lags.
+  bool hosts_read = false;
+  /// The hosts have been listed after the registration.
+  bool hosts_listed = false;
   /// Number of the last registration; answers to earlier ones are ignored.
   std::uint64_t last_registration = 0;
   std::unique_ptr<FleetTransport> transport;
--- a/Source/Core/Session/proxy.cc
+++ b/Source/Core/Session/proxy.cc
@@ -125,6 +125,11 @@
   callbacks.on_size_changed = [this](std::size_t size, std::size_t responsive) {
     this->OnFleetSize(size, responsive);
   };
+  callbacks.on_hosts_pending = [this](std::size_t pending) {
+    if (!this->initial_check.has_value()) return;
+    this->initial_check->OnHostsPending(pending);
+    this->CheckInitialConfiguration();
+  };
   callbacks.rate_owners_changed = [this] { this->UpdateRateOwners(); };
   callbacks.admit = [this](const AdmissionRequest& request) {
     return AdmissionReply{this->limiter.Admit(
@@ -175,11 +180,10 @@
                          static_cast<std::int64_t>(this->sessions.size()));
   this->metrics.SetGauge("fleet_size", "Daemons that may be alive.",
                          static_cast<std::int64_t>(this->fleet_size));
+  const auto in_force = this->Configuration();
   this->metrics.SetGauge(
       "configuration_version", "Version of the configuration in force.",
-      this->configuration == nullptr
-          ? 0
-          : static_cast<std::int64_t>(this->configuration->version));
+      in_force == nullptr ? 0 : static_cast<std::int64_t>(in_force->version));
   std::int64_t without_primary = 0;
   for (const auto& [service, group] : this->groups) {
     if (!group->Primary().has_value()) ++without_primary;
@@ -190,12 +194,12 @@
 }
 
 bool Proxy::Ready() const {
-  return this->configuration != nullptr && this->members_known &&
+  return this->Configuration() != nullptr && this->members_known &&
          !this->stopping_since.has_value();
 }
 
 std::shared_ptr<const DirectoryConfiguration> Proxy::Configuration() const {
-  return this->configuration;
+  return this->initial_check.has_value() ? nullptr : this->configuration;
 }
 
 std::shared_ptr<ServiceGroup> Proxy::GroupOf(const common::ServiceId& service) {
@@ -286,16 +290,45 @@
       continue;
     }
     this->configuration = candidate;
-    common::Log(Subsystem::kVersion, LogLevel::kInfo, "configuration_in_force",
-                {{"version", candidate->version},
-                 {"routes", candidate->routes.size()},
-                 {"services", candidate->services.size()},
-                 {"workspaces", candidate->workspaces.size()}});
+    if (!this->initial_check.has_value()) this->LogConfigurationInForce();
     this->limiter.SetRates(candidate->workspaces, common::SteadyNow());
     this->UpdateRateOwners();
     this->UpdateGroups();
   }
   if (this->configuration == nullptr) return;
+  if (this->initial_check.has_value()) {
+    this->initial_check->OnConfiguration(this->configuration->version,
+                                         common::SteadyNow());
+    this->CheckInitialConfiguration();
+    return;
+  }
+  this->NotifySessions();
+}
+
+void Proxy::CheckInitialConfiguration() {
+  if (!this->initial_check.has_value()) return;
+  for (const FleetHost& peer : this->initial_check->TakePeersToQuery()) {
+    this->fleet->QueryDirectory(
+        peer, this->NewQuery(DirectoryKind::kConfiguration),
+        [this](const common::HostId& id, const SharedDirectory& shared) {
+          this->OnDirectoryRelayed(DirectoryKind::kConfiguration, id, shared);
+        });
+  }
+  if (!this->initial_check->Passed(common::SteadyNow())) return;
+  this->initial_check.reset();
+  this->LogConfigurationInForce();
+  this->NotifySessions();
+}
+
+void Proxy::LogConfigurationInForce() {
+  common::Log(Subsystem::kVersion, LogLevel::kInfo, "configuration_in_force",
+              {{"version", this->configuration->version},
+               {"routes", this->configuration->routes.size()},
+               {"services", this->configuration->services.size()},
+               {"workspaces", this->configuration->workspaces.size()}});
+}
+
+void Proxy::NotifySessions() {
   const auto open = this->sessions;
   for (const auto& [raw, session] : open) session->OnConfiguration();
 }
@@ -343,8 +376,8 @@
   FleetReport report;
   report.host = this->fleet->Own();
   report.store_era = this->store_era.value_or(0);
-  if (this->configuration != nullptr) {
-    report.configuration_version = this->configuration->version;
+  if (const auto in_force = this->Configuration()) {
+    report.configuration_version = in_force->version;
   }
   if (!with_proofs) return report;
   for (const auto& [service, group] : this->groups) {
@@ -374,6 +407,9 @@
   if (report.configuration_version > own) {
     this->configuration_watcher->OnPeerAhead(common::SteadyNow());
   }
+  if (!this->initial_check.has_value()) return;
+  this->initial_check->OnPeerVersion(report.host, report.configuration_version);
+  this->CheckInitialConfiguration();
 }
 
 DirectoryWatcher* Proxy::WatcherOf(DirectoryKind kind) {
@@ -388,20 +424,29 @@
        {DirectoryKind::kConfiguration, DirectoryKind::kMembers}) {
     const DirectoryWatcher* watcher = this->WatcherOf(kind);
     if (!watcher->NeedsPeers(now)) continue;
-    this->fleet->QueryDirectory(
-        {kind, watcher->Revision(), watcher->Version()},
-        [this, kind](const common::HostId& peer,
-                     const SharedDirectory& shared) {
-          if (!this->WatcherOf(kind)->MergeFromPeer(shared)) return;
-          common::Log(Subsystem::kVersion, LogLevel::kInfo, "directory_relayed",
-                      {{"kind", ToString(kind)},
-                       {"peer", peer},
-                       {"era", shared.revision.era},
-                       {"revision", shared.revision.number}});
-        });
+    this->fleet->QueryDirectory(this->NewQuery(kind),
+                                [this, kind](const common::HostId& peer,
+                                             const SharedDirectory& shared) {
+                                  this->OnDirectoryRelayed(kind, peer, shared);
+                                });
   }
 }
 
+DirectoryQuery Proxy::NewQuery(DirectoryKind kind) {
+  const DirectoryWatcher* watcher = this->WatcherOf(kind);
+  return {kind, watcher->Revision(), watcher->Version()};
+}
+
+void Proxy::OnDirectoryRelayed(DirectoryKind kind, const common::HostId& peer,
+                               const SharedDirectory& shared) {
+  if (!this->WatcherOf(kind)->MergeFromPeer(shared)) return;
+  common::Log(Subsystem::kVersion, LogLevel::kInfo, "directory_relayed",
+              {{"kind", ToString(kind)},
+               {"peer", peer},
+               {"era", shared.revision.era},
+               {"revision", shared.revision.number}});
+}
+
 void Proxy::OnReport(const FleetReport& report,
                      common::SteadyTime requested_at) {
   if (report.store_era > 0) this->OnStoreEra(report.store_era);
@@ -437,6 +482,7 @@
   const common::SteadyTime now = common::SteadyNow();
   for (const auto& [service, group] : this->groups) group->Tick(now);
   this->QueryPeers(now);
+  this->CheckInitialConfiguration();
   // Idle limits of transactions are seconds, so checking on every other tick is
   // enough.
   this->tick_odd = !this->tick_odd;
--- a/Source/Core/Session/proxy.h
+++ b/Source/Core/Session/proxy.h
@@ -13,6 +13,7 @@
 #include "Session/directory.h"
 #include "Session/directory_watcher.h"
 #include "Session/fleet_task.h"
+#include "Session/initial_configuration_check.h"
 #include "Session/promotion_lease.h"
 #include "Session/proxy_metrics.h"
 #include "Session/service_group.h"
@@ -60,10 +61,15 @@
   /// The local port that clients connect to.
   std::uint16_t ClientPort() const;
 
+  /// The local port of the readiness endpoint.
+  std::uint16_t ReadinessPort() const { return this->readiness->Port(); }
+
   /// Starts to stop. The event loop ends within the stop grace time of the
   /// settings.
   void BeginStop();
 
+  /// The configuration in force; none before the check of the first one has
+  /// ended.
   std::shared_ptr<const DirectoryConfiguration> Configuration() const override;
   std::shared_ptr<ServiceGroup> GroupOf(
       const common::ServiceId& service) override;
@@ -81,6 +87,11 @@
   void Listen();
   void OnConfigurations(const std::map<std::string, DirectoryValue>& objects);
   void OnMembers(const std::map<std::string, DirectoryValue>& objects);
+  /// Asks peers for a newer configuration before the first one is used, and
+  /// puts it in force once the check has passed.
+  void CheckInitialConfiguration();
+  void LogConfigurationInForce();
+  void NotifySessions();
   /// Updates the groups from the members and the configuration. Members of a
   /// service that the configuration does not declare have no group.
   void UpdateGroups();
@@ -92,6 +103,11 @@
   void CompareVersions(const FleetReport& report);
   /// Asks peers for the parts of the directory that the store does not provide.
   void QueryPeers(common::SteadyTime now);
+  /// The query for the state of a kind that is newer than the known one.
+  DirectoryQuery NewQuery(DirectoryKind kind);
+  /// Takes over the part of the directory that a peer has given.
+  void OnDirectoryRelayed(DirectoryKind kind, const common::HostId& peer,
+                          const SharedDirectory& shared);
   DirectoryWatcher* WatcherOf(DirectoryKind kind);
   void OnFleetSize(std::size_t size, std::size_t responsive);
   void UpdateRateOwners();
@@ -113,7 +129,10 @@
   evconnlistener* listener = nullptr;
   std::unique_ptr<connection::HttpServer> readiness;
   std::unique_ptr<connection::HttpServer> metrics_server;
+  /// The newest known configuration. In force unless it is still checked.
   std::shared_ptr<const DirectoryConfiguration> configuration;
+  /// Check of the first configuration; none once it has passed.
+  std::optional<InitialConfigurationCheck> initial_check{std::in_place};
   std::map<common::ServiceId, std::vector<GroupMember>> members;
   std::map<common::ServiceId, std::shared_ptr<ServiceGroup>> groups;
   std::map<ClientSession*, std::shared_ptr<ClientSession>> sessions;
--- a/Source/Core/Session/session.h
+++ b/Source/Core/Session/session.h
@@ -17,6 +17,7 @@
 #include "Session/fleet_transport.h"
 #include "Session/group_context.h"
 #include "Session/hedge_budget.h"
+#include "Session/initial_configuration_check.h"
 #include "Session/leadership_proofs.h"
 #include "Session/message_stream.h"
 #include "Session/primary_monitor.h"
--- a/Source/UnitTests/Core/Session/fleet_membership_test.cc
+++ b/Source/UnitTests/Core/Session/fleet_membership_test.cc
@@ -35,6 +35,17 @@
   EXPECT_EQ(this->membership.Size(), 1U);
 }
 
+// Guards against waiting for a daemon that has answered or refused.
+TEST_F(FleetMembershipTest, AnsweredAndFailed_PendingCount_IsOfTheOthers) {
+  for (const char* id : {"a", "b", "c"}) {
+    this->membership.Add(Host(id, "east"), kStart);
+  }
+  EXPECT_EQ(this->membership.PendingCount(), 3U);
+  this->membership.OnReply(common::HostId("a"), kStart);
+  this->membership.OnNoReply(common::HostId("b"));
+  EXPECT_EQ(this->membership.PendingCount(), 1U);
+}
+
 // Guards against queries that all go to one daemon, or to one that does not
 // respond.
 TEST_F(FleetMembershipTest, OneSilent_NextResponsive_RotatesOverTheOthers) {
--- a/Source/UnitTests/Platform/proxy_fixture.h
+++ b/Source/UnitTests/Platform/proxy_fixture.h
@@ -41,6 +41,8 @@
                                                    &this->platform, settings);
     this->PublishConfiguration(1);
     this->PublishMembers();
+    // The hosts are read at the start and after the registration.
+    this->AnswerDirectoryCall(session::DirectoryKind::kHosts, {});
     this->AnswerDirectoryCall(session::DirectoryKind::kHosts, {});
   }
 
--- /dev/null
+++ b/Source/UnitTests/Platform/proxy_start_test.cc
@@ -0,0 +1,235 @@
+#include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "fake_store.h"
+#include "store_client.h"
+#include "test_clients.h"
+#include "wire_format.h"
+
+namespace camphorferry::platform {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Address at which connections are accepted and nothing is answered.
+class SilentListener {
+ public:
+  SilentListener() : socket(::socket(AF_INET, SOCK_STREAM, 0)) {
+    const sockaddr_in address = connection::ToSockaddrIn({"127.0.0.1", 0});
+    EXPECT_EQ(bind(this->socket, reinterpret_cast<const sockaddr*>(&address),
+                   sizeof(address)),
+              0);
+    EXPECT_EQ(listen(this->socket, 1), 0);
+  }
+  ~SilentListener() { close(this->socket); }
+  SilentListener(const SilentListener&) = delete;
+  SilentListener& operator=(const SilentListener&) = delete;
+
+  std::string Address() const {
+    return connection::ToString(
+        {"127.0.0.1", connection::LocalPort(this->socket)});
+  }
+
+ private:
+  int socket;
+};
+
+/// Daemons of one fleet that start at a fake store, with all parts between
+/// them.
+class ProxyStartTest : public testing::Test {
+ protected:
+  /// One daemon and its client of the store.
+  struct Daemon {
+    std::unique_ptr<StoreClient> client;
+    std::unique_ptr<session::Proxy> proxy;
+  };
+
+  // The fake store writes to sockets that it has shut down itself.
+  ProxyStartTest() { std::signal(SIGPIPE, SIG_IGN); }
+
+  ~ProxyStartTest() override { this->RunFor(milliseconds(1)); }
+
+  void RunFor(common::Duration time) {
+    const auto timer = this->loop.After(time, [this] { this->loop.Stop(); });
+    this->loop.Run();
+  }
+
+  Daemon NewDaemon(const std::string& host) {
+    session::ProxySettings settings;
+    settings.location.host = common::HostId(host);
+    settings.location.domain = common::FailureDomainId("zone");
+    settings.clients = {"127.0.0.1", 0};
+    settings.readiness = {"127.0.0.1", 0};
+    settings.readiness_path = "/ready";
+    settings.peers = {"127.0.0.1", 0};
+    Daemon daemon;
+    daemon.client = std::make_unique<StoreClient>(
+        &this->loop, this->store.Address(), this->store.Address());
+    daemon.proxy = std::make_unique<session::Proxy>(
+        &this->loop, &this->format, daemon.client.get(), settings);
+    return daemon;
+  }
+
+  /// Writes a configuration with a route of the version's name.
+  void PutConfiguration(std::uint64_t version) {
+    session::DirectoryConfiguration configuration;
+    configuration.version = version;
+    session::DatabaseRoute route;
+    route.service = common::ServiceId("svc");
+    configuration.routes["route" + std::to_string(version)] = route;
+    configuration.services[route.service].max_connections = 16;
+    configuration.workspaces[common::WorkspaceId("tenant")] = {100, 100};
+    configuration.workspace_of_key["key"] = common::WorkspaceId("tenant");
+    this->store.Put(configuration);
+  }
+
+  /// Writes the registration of a daemon that has ended.
+  void PutEndedHost(const std::string& host, const std::string& address) {
+    bool done = false;
+    StoreClient client(&this->loop, this->store.Address(),
+                       this->store.Address());
+    client.RegisterHost(
+        {common::HostId(host), address, common::FailureDomainId("zone")},
+        [&](bool registered) { done = registered; });
+    this->RunFor(milliseconds(50));
+    ASSERT_TRUE(done);
+  }
+
+  bool IsReady(const Daemon& daemon) {
+    connection::HttpRequest request;
+    request.path = "/ready";
+    std::optional<int> status;
+    connection::SendHttpOnce(
+        &this->loop, {"127.0.0.1", daemon.proxy->ReadinessPort()}, request,
+        seconds(1), [&](const connection::HttpResult& result) {
+          const auto* response = std::get_if<connection::HttpResponse>(&result);
+          status = response == nullptr ? 0 : response->status;
+          this->loop.Stop();
+        });
+    while (!status.has_value()) this->loop.Run();
+    return *status == 200;
+  }
+
+  /// Time until a daemon is ready, or the limit.
+  common::Duration TimeUntilReady(const Daemon& daemon,
+                                  common::Duration limit) {
+    const common::SteadyTime start = common::SteadyNow();
+    while (!this->IsReady(daemon)) {
+      if (common::SteadyNow() - start >= limit) return limit;
+      this->RunFor(milliseconds(2));
+    }
+    return common::SteadyNow() - start;
+  }
+
+  static std::uint64_t VersionOf(const Daemon& daemon) {
+    const auto configuration = daemon.proxy->Configuration();
+    return configuration == nullptr ? 0 : configuration->version;
+  }
+
+  connection::EventLoop loop;
+  FakeStore store{&this->loop,
+                  [](const std::string&, const std::string&) { return true; }};
+  WireFormat format;
+};
+
+// Guards against a daemon that starts to serve with the older configuration of
+// a store that came back from a copy, although a running daemon has the newer
+// one.
+TEST_F(ProxyStartTest, StoreHasOlderConfiguration_Start_UsesThatOfPeer) {
+  this->PutConfiguration(2);
+  const Daemon running = this->NewDaemon("running");
+  this->RunFor(milliseconds(300));
+  const std::uint64_t copied = this->store.Revision();
+  this->PutConfiguration(3);
+  this->RunFor(milliseconds(500));
+  ASSERT_EQ(VersionOf(running), 3U);
+  this->store.Restore(copied);
+  const Daemon started = this->NewDaemon("started");
+  // Opened before the daemon is ready, as when the balancer has no other.
+  TestClient client(&this->loop, started.proxy->ClientPort());
+  const auto answer = client.Ask("STARTUP route3 key");
+  EXPECT_TRUE(!answer.empty() && answer.back().starts_with("READY"))
+      << testing::PrintToString(answer);
+  EXPECT_LT(this->TimeUntilReady(started, seconds(2)), milliseconds(300));
+  EXPECT_EQ(VersionOf(started), 3U);
+}
+
+// Guards against a configuration that is in force before the readiness says so.
+TEST_F(ProxyStartTest, StoreHasOlderConfiguration_Start_NeverUsesIt) {
+  this->PutConfiguration(2);
+  const Daemon running = this->NewDaemon("running");
+  this->RunFor(milliseconds(300));
+  const std::uint64_t copied = this->store.Revision();
+  this->PutConfiguration(3);
+  this->RunFor(milliseconds(500));
+  this->store.Restore(copied);
+  const Daemon started = this->NewDaemon("started");
+  const common::SteadyTime start = common::SteadyNow();
+  while (common::SteadyNow() - start < seconds(1)) {
+    this->RunFor(milliseconds(1));
+    ASSERT_NE(VersionOf(started), 2U);
+  }
+  EXPECT_EQ(VersionOf(started), 3U);
+}
+
+// Guards against a daemon that waits for others though there are none.
+TEST_F(ProxyStartTest, NoOtherHost_Start_IsReadyAtOnce) {
+  this->PutConfiguration(2);
+  const Daemon started = this->NewDaemon("started");
+  EXPECT_LT(this->TimeUntilReady(started, seconds(2)), milliseconds(150));
+  EXPECT_EQ(VersionOf(started), 2U);
+}
+
+// Guards against a daemon that waits for hosts on which no daemon runs.
+TEST_F(ProxyStartTest, OtherHostsRefuse_Start_IsReadyAtOnce) {
+  this->PutConfiguration(2);
+  for (const char* host : {"a", "b", "c", "d"}) {
+    this->PutEndedHost(host, "127.0.0.1:1");
+  }
+  const Daemon started = this->NewDaemon("started");
+  EXPECT_LT(this->TimeUntilReady(started, seconds(2)), milliseconds(200));
+  EXPECT_EQ(VersionOf(started), 2U);
+}
+
+// Guards against a long wait for hosts that accept connections and never
+// answer.
+TEST_F(ProxyStartTest, OtherHostsSilent_Start_IsReadySoon) {
+  this->PutConfiguration(2);
+  const SilentListener silent;
+  this->PutEndedHost("a", silent.Address());
+  const Daemon started = this->NewDaemon("started");
+  EXPECT_LT(this->TimeUntilReady(started, seconds(2)), milliseconds(500));
+  EXPECT_EQ(VersionOf(started), 2U);
+}
+
+// Guards against daemons that wait for each other when all start together.
+TEST_F(ProxyStartTest, AllStartTogether_Start_AreReadyAtOnce) {
+  constexpr int kDaemons = 8;
+  this->PutConfiguration(2);
+  // All have run before, under other addresses.
+  for (int host = 0; host < kDaemons; ++host) {
+    this->PutEndedHost("h" + std::to_string(host), "127.0.0.1:1");
+  }
+  std::vector<Daemon> daemons;
+  daemons.reserve(kDaemons);
+  const common::SteadyTime start = common::SteadyNow();
+  for (int host = 0; host < kDaemons; ++host) {
+    daemons.push_back(this->NewDaemon("h" + std::to_string(host)));
+  }
+  for (const Daemon& daemon : daemons) {
+    this->TimeUntilReady(daemon, seconds(2));
+    EXPECT_EQ(VersionOf(daemon), 2U);
+  }
+  EXPECT_LT(common::SteadyNow() - start, milliseconds(500));
+}
+
+}  // namespace
+}  // namespace camphorferry::platform
