Session: Register again after an answer from before a known restore

What callers would see: a daemon that the store no longer lists. One that starts later learns of it only from its reports.

Cause: a daemon that learns an era from a peer before the store has answered it does not take that era as a restore. If the store's first answers are of an earlier era, its registration may be one of the writes that the store has lost, and it was not written again.

Evidence: ProxyTest.StoreRestored_AnswerFromBefore_RegistrationIsWrittenAgain failed before: one registration instead of two.

Fix: the store's own answer with an era below the known one leads to a new registration.

--- a/Source/Core/Session/proxy.cc
+++ b/Source/Core/Session/proxy.cc
@@ -138,8 +138,12 @@
   this->fleet =
       std::make_unique<FleetTask>(loop, platform, this->settings.location,
                                   this->settings.peers, std::move(callbacks));
-  platform->SetEraObserver(
-      [this](std::uint64_t era) { this->OnStoreEra(era); });
+  platform->SetEraObserver([this](std::uint64_t era) {
+    // The registration may have been acknowledged in this era too, before a
+    // restore that a peer has already reported.
+    if (era < this->store_era.value_or(0)) this->fleet->OnStoreRestored();
+    this->OnStoreEra(era);
+  });
   this->tick = loop->Every(kGroupTickInterval, [this] { this->Tick(); });
   common::Log(Subsystem::kProcess, LogLevel::kInfo, "started",
               {{"host", this->settings.location.host},
--- a/Source/UnitTests/Platform/proxy_test.cc
+++ b/Source/UnitTests/Platform/proxy_test.cc
@@ -313,5 +313,28 @@
   EXPECT_EQ(this->platform.lists[session::DirectoryKind::kHosts].size(), 1U);
 }
 
+// Guards against a registration that counts although the store acknowledged it
+// before a restore that a peer has reported already.
+TEST_F(ProxyTest, StoreRestored_AnswerFromBefore_RegistrationIsWrittenAgain) {
+  ASSERT_EQ(this->platform.registered.size(), 1U);
+  const auto peer = session::NewGrpcFleetTransport(
+      &this->loop, {"127.0.0.1", 0}, session::FleetHandlers{});
+  session::FleetReport report;
+  report.store_era = 5;
+  bool exchanged = false;
+  peer->Exchange(this->platform.registered[0].peer_address, report, seconds(2),
+                 [&](const std::optional<session::FleetReport>& reply) {
+                   exchanged = reply.has_value();
+                   this->loop.Stop();
+                 });
+  this->loop.Run();
+  ASSERT_TRUE(exchanged);
+  EXPECT_EQ(this->platform.registered.size(), 1U);
+  this->platform.era_observer(4);
+  EXPECT_EQ(this->platform.registered.size(), 2U);
+  this->platform.era_observer(5);
+  EXPECT_EQ(this->platform.registered.size(), 2U);
+}
+
 }  // namespace
 }  // namespace camphorferry::platform
