Session: Drop a primary when a replica reports a newer term

Cause: PrimaryView withdrew the claim of a replaced primary only when that primary answered with its lower term. A primary that could not be reached was kept, and while a primary is assumed, ServiceGroup asks only it and the nearest replica.

Why the fix works: a term is led by one member, so a newer term that any member reports means that the primaries of lower terms were replaced, whether they answer or not. Their claims are withdrawn. Without a known primary all members are asked, and the one that leads the newer term reveals itself. A claim that is known only from an entry has no term and is kept, since it may be the new primary's.

--- a/Source/Core/Session/primary_view.cc
+++ b/Source/Core/Session/primary_view.cc
@@ -4,6 +4,11 @@
 
 namespace camphorferry::session {
 
+void PrimaryView::Claim::Withdraw() {
+  this->sequence = 0;
+  this->term.reset();
+}
+
 void PrimaryView::OnMembers(const std::vector<GroupMember>& members) {
   std::map<common::EndpointId, Claim> present;
   for (const GroupMember& member : members) {
@@ -16,7 +21,11 @@
     claim.incarnation = member.incarnation;
     if (member.reports_primary != claim.reported) {
       claim.reported = member.reports_primary;
-      claim.sequence = member.reports_primary ? this->next_sequence++ : 0;
+      if (member.reports_primary) {
+        claim.sequence = this->next_sequence++;
+      } else {
+        claim.Withdraw();
+      }
     }
     present[member.id] = claim;
   }
@@ -27,25 +36,29 @@
                            const EndpointStatus& status) {
   const auto found = this->claims.find(id);
   if (found == this->claims.end()) return;
-  if (status.role == GroupRole::kReplica) {
-    found->second.sequence = 0;
-    this->highest_term = std::max(this->highest_term, status.term);
-    return;
-  }
+  Claim& claim = found->second;
+  const bool newer = status.term > this->highest_term;
+  this->OnTerm(status.term);
   // A replaced primary may still answer as primary, but with a lower term.
-  if (status.term < this->highest_term) {
-    found->second.sequence = 0;
+  if (status.role == GroupRole::kReplica || status.term < this->highest_term) {
+    claim.Withdraw();
     return;
   }
-  if (status.term > this->highest_term || found->second.sequence == 0) {
-    found->second.sequence = this->next_sequence++;
+  if (newer || claim.sequence == 0) claim.sequence = this->next_sequence++;
+  claim.term = status.term;
+}
+
+void PrimaryView::OnTerm(common::Term term) {
+  if (term <= this->highest_term) return;
+  this->highest_term = term;
+  for (auto& [id, claim] : this->claims) {
+    if (claim.term.has_value() && *claim.term < term) claim.Withdraw();
   }
-  this->highest_term = status.term;
 }
 
 void PrimaryView::OnNotPrimary(const common::EndpointId& id) {
   const auto found = this->claims.find(id);
-  if (found != this->claims.end()) found->second.sequence = 0;
+  if (found != this->claims.end()) found->second.Withdraw();
 }
 
 std::optional<common::EndpointId> PrimaryView::Primary() const {
--- a/Source/Core/Session/primary_view.h
+++ b/Source/Core/Session/primary_view.h
@@ -25,7 +25,8 @@
   /// A member has refused a statement because it is not the primary.
   void OnNotPrimary(const common::EndpointId& id);
 
-  /// The member that was last to claim leadership; none if no member claims it.
+  /// The member that was last to claim leadership; none if no member claims it
+  /// or if the one that did was replaced by a member that is not known yet.
   std::optional<common::EndpointId> Primary() const;
 
   /// Highest term that any member has reported.
@@ -38,8 +39,17 @@
     /// Order in which the claims became known; 0 if the member does not claim
     /// to lead.
     std::uint64_t sequence = 0;
+    /// Term that the member itself has reported with its claim; none if only
+    /// its entry claims that it leads.
+    std::optional<common::Term> term;
+
+    void Withdraw();
   };
 
+  /// Takes a term that a member has reported. The primaries of lower terms have
+  /// been replaced.
+  void OnTerm(common::Term term);
+
   std::map<common::EndpointId, Claim> claims;
   std::uint64_t next_sequence = 1;
   common::Term highest_term = 0;
--- a/Source/UnitTests/Core/Session/primary_view_test.cc
+++ b/Source/UnitTests/Core/Session/primary_view_test.cc
@@ -40,6 +40,24 @@
   EXPECT_EQ(this->view.Primary(), this->b);
 }
 
+// Guards against keeping a primary that doesn't answer any more although a
+// replica follows its successor.
+TEST_F(PrimaryViewTest, ReplicaReportsNewerTerm_Primary_IsNone) {
+  this->view.OnMembers({Entry("a", true), Entry("b", false)});
+  this->view.OnStatus(this->a, Status(GroupRole::kPrimary, 1));
+  this->view.OnStatus(this->b, Status(GroupRole::kReplica, 1));
+  EXPECT_EQ(this->view.Primary(), this->a);
+  this->view.OnStatus(this->b, Status(GroupRole::kReplica, 2));
+  EXPECT_FALSE(this->view.Primary().has_value());
+}
+
+// Guards against dropping a new primary that is known only by its entry.
+TEST_F(PrimaryViewTest, ReplicaReportsNewerTerm_PrimaryNotAsked_IsKept) {
+  this->view.OnMembers({Entry("a", true), Entry("b", false)});
+  this->view.OnStatus(this->b, Status(GroupRole::kReplica, 2));
+  EXPECT_EQ(this->view.Primary(), this->a);
+}
+
 // Guards against sending writes to a member that refuses them.
 TEST_F(PrimaryViewTest, RefusedAsReplica_Primary_IsNone) {
   this->view.OnMembers({Entry("a", true), Entry("b", false)});
--- a/Source/UnitTests/Platform/proxy_group_test.cc
+++ b/Source/UnitTests/Platform/proxy_group_test.cc
@@ -246,6 +246,25 @@
   EXPECT_EQ(this->platform.orders[0].endpoint.Value(), "b");
 }
 
+// Guards against writes that fail until the store answers again, because a
+// daemon asks only the primary that was replaced and one replica that follows
+// the new one.
+TEST_F(ProxyTest, Writes_StoreDownAndPrimaryReplaced_ReachNewPrimary) {
+  const auto client = this->Connect("latest");
+  ASSERT_TRUE(HasLine(client->Ask("QUERY 0 READ item"), "ROW data"));
+  this->platform.store_down = true;
+  this->primary_database.command_behavior = [](const std::string&) {
+    return CommandBehavior::kClose;
+  };
+  this->replica_a.term = 2;
+  this->replica_b.term = 2;
+  this->replica_b.primary = true;
+  const common::SteadyTime start = common::SteadyNow();
+  EXPECT_TRUE(
+      HasLine(this->WriteUntilCommitted(client.get()), "COMPLETE sig.b"));
+  EXPECT_LT(common::SteadyNow() - start, seconds(3));
+}
+
 // Guards against operations that wait for a primary and then reach it all at
 // once, above the rate of their workspace.
 TEST_F(ProxyTest, WaitingWrites_PrimaryReturns_ReachItAtWorkspaceRate) {
