Session: Ask all replicas in turn for a new primary

Cause: besides a silent primary, ServiceGroup asked only the replica that it prefers for proofs. As long as that one answers, no other member is asked.

Why the fix works: once the primary has to be replaced, the replicas are asked in turn (PrimaryMonitor::NextReplica) instead of the nearest one, so each member that knows of the new primary, or is it, answers within as many probes as there are replicas. The number of probes stays the same. Before that moment the nearest replica is asked as before, because PrimaryMonitor judges by the progress of its log whether the primary is dead, and turns would make the answers of each replica rarer than that judgement allows.

--- a/Source/Core/Session/primary_monitor.cc
+++ b/Source/Core/Session/primary_monitor.cc
@@ -147,4 +147,15 @@
   return decision;
 }
 
+std::optional<common::EndpointId> PrimaryMonitor::NextReplica(
+    const std::set<common::EndpointId>& replicas) {
+  if (replicas.empty()) return std::nullopt;
+  auto next = this->last_replica.has_value()
+                  ? replicas.upper_bound(*this->last_replica)
+                  : replicas.begin();
+  if (next == replicas.end()) next = replicas.begin();
+  this->last_replica = *next;
+  return *next;
+}
+
 }  // namespace camphorferry::session
--- a/Source/Core/Session/primary_monitor.h
+++ b/Source/Core/Session/primary_monitor.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -73,6 +74,12 @@
 
   FailoverDecision Decide(common::SteadyTime now) const;
 
+  /// The replica to be asked together with a primary that has to be replaced;
+  /// none if there is no replica. The replicas take turns, since one that does
+  /// not follow the new primary yet cannot reveal it.
+  std::optional<common::EndpointId> NextReplica(
+      const std::set<common::EndpointId>& replicas);
+
  private:
   struct Held {
     common::SteadyTime since;
@@ -87,6 +94,7 @@
   std::optional<common::SteadyTime> stalled_since;
   int stalled_count = 0;
   std::map<common::EndpointId, Held> held;
+  std::optional<common::EndpointId> last_replica;
   common::LogPosition replica_position;
   std::optional<common::SteadyTime> replica_advanced_at;
 };
--- a/Source/Core/Session/service_group.cc
+++ b/Source/Core/Session/service_group.cc
@@ -541,13 +541,25 @@
                     [](const CommandResult& /*result*/) {});
 }
 
+void ServiceGroup::ProbePrimary(bool must_replace) {
+  this->Probe(*this->primary);
+  std::optional<common::EndpointId> replica = this->ChooseProofReplica();
+  if (must_replace) {
+    std::set<common::EndpointId> replicas;
+    for (const auto& [id, member] : this->members) {
+      if (this->primary != id) replicas.insert(id);
+    }
+    replica = this->monitor.NextReplica(replicas);
+  }
+  if (replica.has_value()) this->Probe(*replica);
+}
+
 void ServiceGroup::RunMonitor(common::SteadyTime now) {
   if (!this->waiters.empty()) this->StartRound();
   const FailoverDecision decision = this->monitor.Decide(now);
   if (decision.probe && this->primary.has_value() && now >= this->next_probe) {
     this->next_probe = now + kProbeInterval;
-    this->Probe(*this->primary);
-    if (const auto replica = this->ChooseProofReplica()) this->Probe(*replica);
+    this->ProbePrimary(decision.replace.has_value());
   }
   const std::vector<common::EndpointId> held = this->monitor.HeldReplicas();
   if (!held.empty() && now >= this->next_probe) {
--- a/Source/Core/Session/service_group.h
+++ b/Source/Core/Session/service_group.h
@@ -163,6 +163,8 @@
 
   /// Asks a member for its status. The answer is only used by OnStatus.
   void Probe(const common::EndpointId& id);
+  /// Asks the primary and one replica for their status.
+  void ProbePrimary(bool must_replace);
   void RunMonitor(common::SteadyTime now);
   bool MustReplace(common::SteadyTime now) const;
 
--- a/Source/UnitTests/Core/Session/primary_monitor_test.cc
+++ b/Source/UnitTests/Core/Session/primary_monitor_test.cc
@@ -61,6 +61,18 @@
       this->monitor.Decide(kStart + milliseconds(500)).replace.has_value());
 }
 
+// Guards against a replica that is never asked.
+TEST_F(PrimaryMonitorTest, Replicas_NextReplica_TakesTurns) {
+  const common::EndpointId a("a");
+  const common::EndpointId b("b");
+  const common::EndpointId c("c");
+  EXPECT_EQ(this->monitor.NextReplica({}), std::nullopt);
+  EXPECT_EQ(this->monitor.NextReplica({a, b, c}), a);
+  EXPECT_EQ(this->monitor.NextReplica({a, b, c}), b);
+  EXPECT_EQ(this->monitor.NextReplica({a, c}), c);
+  EXPECT_EQ(this->monitor.NextReplica({a, b, c}), a);
+}
+
 // Guards against a group that stays without a primary.
 TEST_F(PrimaryMonitorTest, NoPrimary_Decide_ReplacesAfterADelay) {
   this->monitor.OnPrimaryChanged(kStart, false);
--- a/Source/UnitTests/Platform/proxy_group_test.cc
+++ b/Source/UnitTests/Platform/proxy_group_test.cc
@@ -265,6 +265,24 @@
   EXPECT_LT(common::SteadyNow() - start, seconds(3));
 }
 
+// Guards against writes that fail until the store answers again, because the
+// only replica that a daemon asks doesn't follow the new primary yet.
+TEST_F(ProxyTest, Writes_StoreDownAndNearestReplicaHeld_ReachNewPrimary) {
+  const auto client = this->Connect("latest");
+  ASSERT_TRUE(HasLine(client->Ask("QUERY 0 READ item"), "ROW data"));
+  this->platform.store_down = true;
+  this->primary_database.command_behavior = [](const std::string&) {
+    return CommandBehavior::kClose;
+  };
+  this->replica_a.held = 2;
+  this->replica_b.term = 2;
+  this->replica_b.primary = true;
+  const common::SteadyTime start = common::SteadyNow();
+  EXPECT_TRUE(
+      HasLine(this->WriteUntilCommitted(client.get()), "COMPLETE sig.b"));
+  EXPECT_LT(common::SteadyNow() - start, seconds(3));
+}
+
 // Guards against operations that wait for a primary and then reach it all at
 // once, above the rate of their workspace.
 TEST_F(ProxyTest, WaitingWrites_PrimaryReturns_ReachItAtWorkspaceRate) {
