Session: Ask members while a primary leaves commits unanswered

Cause: PrimaryMonitor asks for probes only while the primary doesn't answer. A primary that answers and leaves commits without acknowledgement is to be replaced (reason stalled), which needs the store; meanwhile no member was asked.

Why the fix works: a stalled primary and its replicas, in turn, are now probed like a silent one until a commit succeeds or the new primary answers. Probes are added only after two unanswered commits in a row, 300 ms after the first, when a replacement is due anyway.

Open: entries that name an old primary are still believed at once.

--- a/Source/Core/Session/primary_monitor.cc
+++ b/Source/Core/Session/primary_monitor.cc
@@ -142,6 +142,7 @@
   }
   if (this->stalled_count >= kMinStalledCommits &&
       now - *this->stalled_since >= kStalledAfter) {
+    decision.probe = true;
     decision.replace = FailoverReason::kStalled;
   }
   return decision;
--- a/Source/UnitTests/Core/Session/primary_monitor_test.cc
+++ b/Source/UnitTests/Core/Session/primary_monitor_test.cc
@@ -61,6 +61,15 @@
       this->monitor.Decide(kStart + milliseconds(500)).replace.has_value());
 }
 
+// Guards against a daemon that waits for the store to name the new primary,
+// because the replaced one still answers it.
+TEST_F(PrimaryMonitorTest, UnansweredCommits_Decide_Probes) {
+  this->monitor.OnCommitUnanswered(kStart);
+  this->monitor.OnCommitUnanswered(kStart + milliseconds(100));
+  EXPECT_FALSE(this->monitor.Decide(kStart + milliseconds(200)).probe);
+  EXPECT_TRUE(this->monitor.Decide(kStart + milliseconds(400)).probe);
+}
+
 // Guards against a replica that is never asked.
 TEST_F(PrimaryMonitorTest, Replicas_NextReplica_TakesTurns) {
   const common::EndpointId a("a");
--- a/Source/UnitTests/Platform/proxy_group_test.cc
+++ b/Source/UnitTests/Platform/proxy_group_test.cc
@@ -283,6 +283,22 @@
   EXPECT_LT(common::SteadyNow() - start, seconds(3));
 }
 
+// Guards against the same if the replaced primary still answers, but without
+// acknowledging commits.
+TEST_F(ProxyTest, Writes_StoreDownAndOldPrimaryAnswers_ReachNewPrimary) {
+  const auto client = this->Connect("latest");
+  ASSERT_TRUE(HasLine(client->Ask("QUERY 0 READ item"), "ROW data"));
+  this->platform.store_down = true;
+  this->primary_database.acknowledges = [] { return false; };
+  this->replica_a.held = 2;
+  this->replica_b.term = 2;
+  this->replica_b.primary = true;
+  const common::SteadyTime start = common::SteadyNow();
+  EXPECT_TRUE(
+      HasLine(this->WriteUntilCommitted(client.get()), "COMPLETE sig.b"));
+  EXPECT_LT(common::SteadyNow() - start, seconds(3));
+}
+
 // Guards against operations that wait for a primary and then reach it all at
 // once, above the rate of their workspace.
 TEST_F(ProxyTest, WaitingWrites_PrimaryReturns_ReachItAtWorkspaceRate) {
