--- a/Source/UnitTests/Core/Session/primary_monitor_test.cc
+++ b/Source/UnitTests/Core/Session/primary_monitor_test.cc
@@ -61,6 +61,27 @@
       this->monitor.Decide(kStart + milliseconds(500)).replace.has_value());
 }
 
+// Guards against a daemon that waits for the store to name the new primary,
+// because the replaced one still answers it.
+TEST_F(PrimaryMonitorTest, UnansweredCommits_Decide_Probes) {
+  this->monitor.OnCommitUnanswered(kStart);
+  this->monitor.OnCommitUnanswered(kStart + milliseconds(100));
+  EXPECT_FALSE(this->monitor.Decide(kStart + milliseconds(200)).probe);
+  EXPECT_TRUE(this->monitor.Decide(kStart + milliseconds(400)).probe);
+}
+
+// Guards against a replica that is never asked.
+TEST_F(PrimaryMonitorTest, Replicas_NextReplica_TakesTurns) {
+  const common::EndpointId a("a");
+  const common::EndpointId b("b");
+  const common::EndpointId c("c");
+  EXPECT_EQ(this->monitor.NextReplica({}), std::nullopt);
+  EXPECT_EQ(this->monitor.NextReplica({a, b, c}), a);
+  EXPECT_EQ(this->monitor.NextReplica({a, b, c}), b);
+  EXPECT_EQ(this->monitor.NextReplica({a, c}), c);
+  EXPECT_EQ(this->monitor.NextReplica({a, b, c}), a);
+}
+
 // Guards against a group that stays without a primary.
 TEST_F(PrimaryMonitorTest, NoPrimary_Decide_ReplacesAfterADelay) {
   this->monitor.OnPrimaryChanged(kStart, false);
