Session: Release the channel of an ended call on the event loop

What callers would see: a daemon that is aborted when it stops. In tests it ended whole test programs: ProxyStartTest, ten times in each of eight programs at once, was aborted in five of them ("ref_counted.h:183 assertion failed: prior > 0").

Cause: the state of a call holds the client context, which holds its channel. The callback kept a reference to the state until after the transport's destructor could go on, so a thread of gRPC could release the last channel of the process. gRPC then joins its threads, that one among them, and frees the queue that the thread still uses.

Fix: the callback moves the state into the action that it posts. The event loop releases it, also if the action is discarded.

--- a/Source/Core/Session/grpc_fleet_transport.cc
+++ b/Source/Core/Session/grpc_fleet_transport.cc
@@ -307,19 +307,25 @@
       const std::scoped_lock lock(this->calls_mutex);
       this->calls.insert(&state->context);
     }
-    start(
-        stub->async(), state.get(),
-        [this, still_alive = this->alive, state,
-         done = std::move(done)](const grpc::Status& status) {
-          this->loop->Post([still_alive, state, done, answered = status.ok()] {
-            if (!*still_alive) return;
-            done(answered ? std::optional(FromMessage(state->reply))
-                          : std::nullopt);
+    CallState* started = state.get();
+    start(stub->async(), started,
+          [this, still_alive = this->alive, state = std::move(state),
+           done = std::move(done)](const grpc::Status& status) mutable {
+            grpc::ClientContext* ended = &state->context;
+            // The context may hold the last reference to its channel. gRPC
+            // joins its threads when the last channel is released, so this
+            // thread must not release it.
+            this->loop->Post([still_alive = std::move(still_alive),
+                              state = std::move(state), done = std::move(done),
+                              answered = status.ok()] {
+              if (!*still_alive) return;
+              done(answered ? std::optional(FromMessage(state->reply))
+                            : std::nullopt);
+            });
+            const std::scoped_lock lock(this->calls_mutex);
+            this->calls.erase(ended);
+            if (this->calls.empty()) this->calls_ended.notify_all();
           });
-          const std::scoped_lock lock(this->calls_mutex);
-          this->calls.erase(&state->context);
-          if (this->calls.empty()) this->calls_ended.notify_all();
-        });
   }
 
   connection::EventLoop* loop;
--- a/Source/UnitTests/Core/Session/grpc_fleet_transport_test.cc
+++ b/Source/UnitTests/Core/Session/grpc_fleet_transport_test.cc
@@ -155,5 +155,19 @@
   EXPECT_FALSE(answered);
 }
 
+// Guards against a process that is aborted because a thread of gRPC releases
+// the last channel, which joins that thread.
+TEST_F(GrpcFleetTransportTest, CallEndsAtDestruction_Destruction_Returns) {
+  constexpr int kRepetitions = 2000;
+  int ended = 0;
+  for (int repetition = 0; repetition < kRepetitions; ++repetition) {
+    connection::EventLoop loop;
+    const auto caller = NewTransport(&loop, "caller");
+    caller->Exchange("127.0.0.1:1", FleetReport(), seconds(20),
+                     [&](const std::optional<FleetReport>&) { ++ended; });
+  }
+  EXPECT_EQ(ended, 0);
+}
+
 }  // namespace
 }  // namespace camphorferry::session
