Session: Keep a new primary that a replica has told of

Callers would see writes refused for a second or more although the group has a healthy primary: a daemon that did not know of a promotion yet started another one, and a replica that follows the new primary answered before that primary did.

Cause: the plan compared the new primary's term with the newest term it had heard of. A replica's answer raised it, so the new primary's own answer was not newer any more; the plan told it to step down. The plan had also raised its holds above the term of the new primary, which does not end them.

The plan now ends for a primary that leads the newest known term, if that is above the term with which the plan began. It resumes the members that it has held for a later term than that, unless they were held before. Holds up to the new primary's term stay, as before; they stop the old primary until the replica follows the new one. A primary of a term in between has been replaced itself, and still steps down.

Evidence: PromotionPlanTest.ReplicaKnowsNewerTerm_NewPrimaryAnswers_Ends failed before ("Find<SendStepDown>(actions) Which is: 0xaaaaec546e20", and no PromotionFinished), and so did HeldAboveNewerTerm_NewPrimaryAnswers_ IsResumed (no SendResume).

--- a/Source/Core/Session/promotion_plan.cc
+++ b/Source/Core/Session/promotion_plan.cc
@@ -46,6 +46,7 @@
                              common::Term highest_term, common::SteadyTime now)
     : former(std::move(former)),
       primary(primary),
+      term_before(highest_term),
       newest_term(highest_term),
       term(highest_term + 1),
       started(now) {
@@ -68,7 +69,7 @@
       actions.emplace_back(SendStepDown{id, this->term});
     } else if (this->MayHold(member)) {
       member.hold_sent = true;
-      member.held_by_plan = true;
+      member.hold_term = this->term;
       actions.emplace_back(SendHold{id, this->term});
     } else {
       actions.emplace_back(SendStatus{id});
@@ -103,16 +104,17 @@
     }
     // Another member has been promoted instead, or the chosen one follows it.
     if (this->chosen == id || status.role == GroupRole::kPrimary) {
-      return this->FinishSuperseded(now);
+      return this->FinishSuperseded(id, status.term, now);
     }
     return {};
   }
+  // Another daemon has promoted a member in the meantime, or the term was out
+  // of date. A replica may have told of the newer term before.
+  if (status.role == GroupRole::kPrimary && status.term > this->term_before &&
+      status.term >= this->newest_term) {
+    return this->FinishSuperseded(id, status.term, now);
+  }
   if (status.term > this->newest_term) {
-    // Another daemon has promoted a member in the meantime, or the term was out
-    // of date.
-    if (status.role == GroupRole::kPrimary) {
-      return this->FinishSuperseded(now);
-    }
     this->newest_term = status.term;
     if (this->newest_term >= this->term) this->RaiseTerm(status.term + 1);
     return this->FenceUnanswered();
@@ -150,7 +152,7 @@
     if (!this->MayHold(member) || std::exchange(member.hold_sent, true)) {
       return {};
     }
-    member.held_by_plan = true;
+    member.hold_term = this->term;
     return {SendHold{id, this->term}};
   }
   member.fenced = status;
@@ -330,7 +332,7 @@
   if (!promoted && !open) {
     for (const auto& [id, member] : this->members) {
       // The hold of an earlier promotion may be what stops an old primary.
-      if (!member.held_by_plan || member.held_before) continue;
+      if (member.hold_term == 0 || member.held_before) continue;
       actions.emplace_back(SendResume{id});
     }
   }
@@ -340,10 +342,20 @@
 }
 
 std::vector<PromotionAction> PromotionPlan::FinishSuperseded(
-    common::SteadyTime now) {
+    const common::EndpointId& id, common::Term led, common::SteadyTime now) {
+  const bool open = this->OrderMayExecute(now);
+  std::vector<PromotionAction> actions;
+  if (!open) {
+    for (const auto& [other, member] : this->members) {
+      if (other == id || member.hold_term <= led || member.held_before) {
+        continue;
+      }
+      actions.emplace_back(SendResume{other});
+    }
+  }
   this->phase = Phase::kFinished;
-  return {
-      PromotionFinished{false, "other_primary", this->OrderMayExecute(now)}};
+  actions.emplace_back(PromotionFinished{false, "other_primary", open});
+  return actions;
 }
 
 }  // namespace camphorferry::session
--- a/Source/Core/Session/promotion_plan.h
+++ b/Source/Core/Session/promotion_plan.h
@@ -121,8 +121,9 @@
     bool has_answered = false;
     /// The member was held when it first answered.
     bool held_before = false;
-    /// The plan has sent a hold to the member.
-    bool held_by_plan = false;
+    /// Highest term of the holds that the plan has sent to the member; 0 if it
+    /// has sent none.
+    common::Term hold_term = 0;
     /// The member has been held for this plan.
     bool was_fenced = false;
     /// Commands sent since the last tick. A command without effect is repeated
@@ -160,15 +161,21 @@
   OrderPromotion Order(common::SteadyTime now);
   /// Whether an order that was given may still take effect.
   bool OrderMayExecute(common::SteadyTime now) const;
-  /// Ends the plan because another member has been promoted. The holds end with
-  /// that promotion; where it has not arrived yet, they stop the old primary.
-  std::vector<PromotionAction> FinishSuperseded(common::SteadyTime now);
+  /// Ends the plan because another member has been promoted: this one, or the
+  /// one that it follows, leads the given term. Holds up to that term end with
+  /// the promotion; where it has not arrived yet, they stop the old primary.
+  /// Later ones would cut the replicas off from the new primary.
+  std::vector<PromotionAction> FinishSuperseded(const common::EndpointId& id,
+                                                common::Term led,
+                                                common::SteadyTime now);
   std::vector<PromotionAction> Finish(bool promoted, const char* reason,
                                       common::SteadyTime now);
 
   std::map<common::EndpointId, Member> members;
   FormerMembers former;
   std::optional<common::EndpointId> primary;
+  /// Highest term known when the plan was made.
+  common::Term term_before;
   /// Highest term known to have a primary before this promotion.
   common::Term newest_term;
   /// Term for which the members are held: the one that the promoted member will
--- a/Source/UnitTests/Core/Session/promotion_plan_test.cc
+++ b/Source/UnitTests/Core/Session/promotion_plan_test.cc
@@ -284,6 +284,55 @@
   EXPECT_EQ(Find<SendResume>(actions), nullptr);
 }
 
+// Guards against replacing a healthy new primary of which a replica's answer
+// has told before its own answer.
+TEST_F(PromotionPlanTest, ReplicaKnowsNewerTerm_NewPrimaryAnswers_Ends) {
+  this->plan.OnStatus(this->b, Held(4, 10, 0), kStart);
+  const auto actions = this->plan.OnStatus(
+      this->a, {GroupRole::kPrimary, 4, {4, 10}, 0}, kStart);
+  EXPECT_EQ(Find<SendStepDown>(actions), nullptr);
+  const auto* finished = Find<PromotionFinished>(actions);
+  ASSERT_NE(finished, nullptr);
+  EXPECT_FALSE(finished->promoted);
+  EXPECT_STREQ(finished->reason, "other_primary");
+}
+
+// Guards against a hold for a higher term than the new primary's, which would
+// cut the replica off from it.
+TEST_F(PromotionPlanTest, HeldAboveNewerTerm_NewPrimaryAnswers_IsResumed) {
+  const auto raised = this->plan.OnStatus(this->b, Held(4, 10, 0), kStart);
+  const auto* hold = Find<SendHold>(raised);
+  ASSERT_NE(hold, nullptr);
+  ASSERT_EQ(hold->term, 5U);
+  const auto actions = this->plan.OnStatus(
+      this->a, {GroupRole::kPrimary, 4, {4, 10}, 0}, kStart);
+  const auto* resume = Find<SendResume>(actions);
+  ASSERT_NE(resume, nullptr);
+  EXPECT_EQ(resume->endpoint, this->b);
+}
+
+// Guards against ending a hold that stops the old primary: the new primary ends
+// it once it reaches the replica.
+TEST_F(PromotionPlanTest, HeldForNewerTerm_NewPrimaryAnswers_IsNotResumed) {
+  this->plan.OnStatus(this->b, Held(3, 10, 4), kStart);
+  const auto actions = this->plan.OnStatus(
+      this->a, {GroupRole::kPrimary, 4, {4, 10}, 0}, kStart);
+  EXPECT_NE(Find<PromotionFinished>(actions), nullptr);
+  EXPECT_EQ(Find<SendResume>(actions), nullptr);
+}
+
+// Guards against ending for a member that has been replaced as well: it leads a
+// later term than the plan began with, but not the latest one.
+TEST_F(PromotionPlanTest, ReplicaKnowsNewerTerm_OlderPrimaryAnswers_StepsDown) {
+  this->plan.OnStatus(this->b, Held(5, 10, 0), kStart);
+  const auto actions = this->plan.OnStatus(
+      this->a, {GroupRole::kPrimary, 4, {4, 10}, 0}, kStart);
+  EXPECT_EQ(Find<PromotionFinished>(actions), nullptr);
+  const auto* step_down = Find<SendStepDown>(actions);
+  ASSERT_NE(step_down, nullptr);
+  EXPECT_EQ(step_down->endpoint, this->a);
+}
+
 // Guards against an order on a choice that no longer stands, and against
 // members that stay held because an order that was never sent counts as
 // outstanding.
