Session: Do not rely on holds of a promotion that may have succeeded

Cause: a plan counts members that are held for its term as fenced. A daemon that does not know of an earlier promotion to that term took the holds of that promotion for its own. If the new primary was silent and a replica had not followed it yet, the plan ordered that replica, while the new primary, which such holds do not stop, got commits confirmed.

A hold above the newest known term in a member's first answer now shows that another promotion has used the term. If a member is silent that is not the primary to replace, the plan holds the others for a later term before it orders, so that its holds stop that member whether it leads or not. If the silent member is the assumed primary, but known from its entry only, it may be the earlier promotion's; then the plan orders nothing. A primary that has itself reported to lead the newest term is replaced as before, and so is one after a promoter that has ended midway, once all members answer.

Holds for a later term than the one that is led in the end would cut the replicas off from the new primary. The plan resumes what it has held above that term when the promoted member, or another one, leads; also members that were held before, since their new hold would not end otherwise.

Evidence: PromotionPlanTest.HeldBefore_OtherReplicaSilent_* and HeldBefore_PrimaryOfUnknownTermSilent_OrdersNothing failed before (an order where none was expected).

--- a/Source/Core/Session/primary_view.cc
+++ b/Source/Core/Session/primary_view.cc
@@ -17,6 +17,7 @@
     if (member.reports_primary != claim.reported) {
       claim.reported = member.reports_primary;
       claim.sequence = member.reports_primary ? this->next_sequence++ : 0;
+      claim.led_term = 0;
     }
     present[member.id] = claim;
   }
@@ -41,6 +42,7 @@
     found->second.sequence = this->next_sequence++;
   }
   this->highest_term = status.term;
+  found->second.led_term = status.term;
 }
 
 void PrimaryView::OnNotPrimary(const common::EndpointId& id) {
@@ -60,4 +62,9 @@
   return best;
 }
 
+common::Term PrimaryView::PrimaryTerm() const {
+  const std::optional<common::EndpointId> primary = this->Primary();
+  return primary.has_value() ? this->claims.at(*primary).led_term : 0;
+}
+
 }  // namespace camphorferry::session
--- a/Source/Core/Session/primary_view.h
+++ b/Source/Core/Session/primary_view.h
@@ -28,6 +28,10 @@
   /// The member that was last to claim leadership; none if no member claims it.
   std::optional<common::EndpointId> Primary() const;
 
+  /// Term that the primary has reported to lead; 0 if it is known from its
+  /// entry only, so that it may lead a term that no member has reported yet.
+  common::Term PrimaryTerm() const;
+
   /// Highest term that any member has reported.
   common::Term HighestTerm() const { return this->highest_term; }
 
@@ -38,6 +42,9 @@
     /// Order in which the claims became known; 0 if the member does not claim
     /// to lead.
     std::uint64_t sequence = 0;
+    /// Term that the member has reported to lead; 0 if its claim is known from
+    /// its entry only.
+    common::Term led_term = 0;
   };
 
   std::map<common::EndpointId, Claim> claims;
--- a/Source/Core/Session/promotion_plan.cc
+++ b/Source/Core/Session/promotion_plan.cc
@@ -43,9 +43,11 @@
 PromotionPlan::PromotionPlan(const std::vector<GroupMember>& group,
                              FormerMembers former,
                              const std::optional<common::EndpointId>& primary,
+                             common::Term primary_term,
                              common::Term highest_term, common::SteadyTime now)
     : former(std::move(former)),
       primary(primary),
+      primary_term(primary_term),
       term_before(highest_term),
       newest_term(highest_term),
       term(highest_term + 1),
@@ -56,7 +58,7 @@
 }
 
 std::vector<PromotionAction> PromotionPlan::Begin(common::SteadyTime now) {
-  if (this->members.empty()) return this->Finish(false, "no_members", now);
+  if (this->members.empty()) return this->Finish("no_members", now);
   return this->FenceUnanswered();
 }
 
@@ -100,7 +102,7 @@
   if (this->phase == Phase::kOrdered) {
     if (status.term <= this->newest_term) return this->TakeStatus(id, status);
     if (this->chosen == id && status.role == GroupRole::kPrimary) {
-      return this->Finish(true, "leads", now);
+      return this->FinishPromoted(id, status.term);
     }
     // Another member has been promoted instead, or the chosen one follows it.
     if (this->chosen == id || status.role == GroupRole::kPrimary) {
@@ -139,10 +141,14 @@
   member.fenced.reset();
   if (!std::exchange(member.has_answered, true)) {
     member.held_before = status.held > this->newest_term;
+    if (member.held_before) {
+      this->earlier_hold = std::max(this->earlier_hold, status.held);
+    }
   }
   if (status.role == GroupRole::kPrimary) {
     // A hold has no effect on a primary.
     this->primary = id;
+    this->primary_term = status.term;
     if (std::exchange(member.step_down_sent, true)) return {};
     return {SendStepDown{id, this->term}};
   }
@@ -211,8 +217,7 @@
   return best_id;
 }
 
-std::optional<common::EndpointId> PromotionPlan::ChooseCandidate(
-    common::SteadyTime now) const {
+std::set<common::EndpointId> PromotionPlan::Missing() const {
   // Processes of one member never run at the same time, so each member counts
   // once.
   std::set<common::EndpointId> missing;
@@ -220,6 +225,20 @@
   for (const auto& [id, member] : this->members) {
     if (!member.fenced.has_value()) missing.insert(id);
   }
+  return missing;
+}
+
+bool PromotionPlan::OtherMayLead() const {
+  if (this->earlier_hold < this->term) return false;
+  const std::set<common::EndpointId> missing = this->Missing();
+  return std::any_of(
+      missing.begin(), missing.end(),
+      [this](const common::EndpointId& id) { return this->primary != id; });
+}
+
+std::optional<common::EndpointId> PromotionPlan::ChooseCandidate(
+    common::SteadyTime now) const {
+  const std::set<common::EndpointId> missing = this->Missing();
   // Every acknowledged commit is on two members. With at most one member
   // missing, the other one is held, and no commit can be confirmed any more.
   if (missing.size() > 1) return std::nullopt;
@@ -227,6 +246,13 @@
   // A reachable primary steps down first, so that clients of other daemons
   // learn of the change from its refusals.
   if (this->primary.has_value() && missing.contains(*this->primary)) {
+    // Only its entry tells that it leads, so it may lead the earlier
+    // promotion's term. If it leads an older one, it must not meet members that
+    // were held for a later term and have to be resumed.
+    if (this->earlier_hold >= this->term &&
+        this->primary_term < this->newest_term) {
+      return std::nullopt;
+    }
     return age < kFenceReplyWait ? std::nullopt : this->MostAdvanced({});
   }
   std::optional<common::EndpointId> replica = this->MostAdvanced(this->primary);
@@ -249,6 +275,12 @@
   const std::optional<common::EndpointId> candidate =
       this->ChooseCandidate(now);
   if (!candidate.has_value()) return {};
+  if (this->OtherMayLead()) {
+    // The holds end when the plan does, even if the promoted member leads an
+    // earlier term than theirs.
+    this->RaiseTerm(this->earlier_hold + 1);
+    return this->FenceUnanswered();
+  }
   this->phase = Phase::kOrdered;
   this->chosen = candidate;
   return {this->Order(now)};
@@ -286,7 +318,7 @@
   if (answer == PromotionAnswer::kNoAnswer) return {};
   --this->unanswered_orders;
   if (answer == PromotionAnswer::kRejected) {
-    return this->Finish(false, "rejected", now);
+    return this->Finish("rejected", now);
   }
   this->accepted_at = now;
   return {SendStatus{*this->chosen}};
@@ -296,7 +328,7 @@
   switch (this->phase) {
     case Phase::kFencing: {
       if (now - this->started >= kFencingTimeout) {
-        return this->Finish(false, "members_unreachable", now);
+        return this->Finish("members_unreachable", now);
       }
       std::vector<PromotionAction> actions = this->OrderIfPossible(now);
       if (!actions.empty()) return actions;
@@ -304,7 +336,7 @@
     }
     case Phase::kOrdered: {
       if (now - this->started >= kPlanTimeout) {
-        return this->Finish(false, "no_effect", now);
+        return this->Finish("no_effect", now);
       }
       std::vector<PromotionAction> actions = this->CheckMembers();
       // The holds may have ended since the first order.
@@ -321,15 +353,13 @@
   return {};
 }
 
-std::vector<PromotionAction> PromotionPlan::Finish(bool promoted,
-                                                   const char* reason,
+std::vector<PromotionAction> PromotionPlan::Finish(const char* reason,
                                                    common::SteadyTime now) {
-  const bool open =
-      promoted ? this->unanswered_orders > 0 : this->OrderMayExecute(now);
+  const bool open = this->OrderMayExecute(now);
   std::vector<PromotionAction> actions;
   // An order that may still be executed must not meet replicas that have
   // confirmed commits since their positions were read.
-  if (!promoted && !open) {
+  if (!open) {
     for (const auto& [id, member] : this->members) {
       // The hold of an earlier promotion may be what stops an old primary.
       if (member.hold_term == 0 || member.held_before) continue;
@@ -337,7 +367,16 @@
     }
   }
   this->phase = Phase::kFinished;
-  actions.emplace_back(PromotionFinished{promoted, reason, open});
+  actions.emplace_back(PromotionFinished{false, reason, open});
+  return actions;
+}
+
+std::vector<PromotionAction> PromotionPlan::FinishPromoted(
+    const common::EndpointId& id, common::Term led) {
+  std::vector<PromotionAction> actions = this->ResumeHeldAbove(id, led);
+  this->phase = Phase::kFinished;
+  actions.emplace_back(
+      PromotionFinished{true, "leads", this->unanswered_orders > 0});
   return actions;
 }
 
@@ -345,17 +384,20 @@
     const common::EndpointId& id, common::Term led, common::SteadyTime now) {
   const bool open = this->OrderMayExecute(now);
   std::vector<PromotionAction> actions;
-  if (!open) {
-    for (const auto& [other, member] : this->members) {
-      if (other == id || member.hold_term <= led || member.held_before) {
-        continue;
-      }
-      actions.emplace_back(SendResume{other});
-    }
-  }
+  if (!open) actions = this->ResumeHeldAbove(id, led);
   this->phase = Phase::kFinished;
   actions.emplace_back(PromotionFinished{false, "other_primary", open});
   return actions;
 }
 
+std::vector<PromotionAction> PromotionPlan::ResumeHeldAbove(
+    const common::EndpointId& leader, common::Term led) const {
+  std::vector<PromotionAction> actions;
+  for (const auto& [id, member] : this->members) {
+    if (id == leader || member.hold_term <= led) continue;
+    actions.emplace_back(SendResume{id});
+  }
+  return actions;
+}
+
 }  // namespace camphorferry::session
--- a/Source/Core/Session/promotion_plan.h
+++ b/Source/Core/Session/promotion_plan.h
@@ -81,10 +81,12 @@
 /// has lost what it had confirmed. Both count as members that are not held.
 class PromotionPlan {
  public:
-  /// The former members are those that have disappeared recently.
+  /// The former members are those that have disappeared recently. The primary's
+  /// term is the one that it has reported to lead; 0 if it has reported none.
   PromotionPlan(const std::vector<GroupMember>& members, FormerMembers former,
                 const std::optional<common::EndpointId>& primary,
-                common::Term highest_term, common::SteadyTime now);
+                common::Term primary_term, common::Term highest_term,
+                common::SteadyTime now);
 
   /// Returns the first actions of the plan.
   std::vector<PromotionAction> Begin(common::SteadyTime now);
@@ -153,6 +155,12 @@
   std::vector<PromotionAction> TakeStatus(const common::EndpointId& id,
                                           const EndpointStatus& status);
   std::vector<PromotionAction> OrderIfPossible(common::SteadyTime now);
+  /// Members that are not held, among them those that have disappeared.
+  std::set<common::EndpointId> Missing() const;
+  /// Whether an earlier promotion, of which only a hold is known, may have made
+  /// a member the primary that is not held and not the one to replace. The
+  /// holds for its term do not stop it.
+  bool OtherMayLead() const;
   std::optional<common::EndpointId> ChooseCandidate(
       common::SteadyTime now) const;
   /// The held member with the most advanced log, apart from the named one.
@@ -168,18 +176,32 @@
   std::vector<PromotionAction> FinishSuperseded(const common::EndpointId& id,
                                                 common::Term led,
                                                 common::SteadyTime now);
-  std::vector<PromotionAction> Finish(bool promoted, const char* reason,
+  /// Ends the plan because its promotion has taken effect.
+  std::vector<PromotionAction> FinishPromoted(const common::EndpointId& id,
+                                              common::Term led);
+  /// Ends the plan without a promotion.
+  std::vector<PromotionAction> Finish(const char* reason,
                                       common::SteadyTime now);
+  /// Resumes the members that the plan has held for a later term than the one
+  /// that is led now.
+  std::vector<PromotionAction> ResumeHeldAbove(const common::EndpointId& leader,
+                                               common::Term led) const;
 
   std::map<common::EndpointId, Member> members;
   FormerMembers former;
   std::optional<common::EndpointId> primary;
+  /// Term that the primary has reported to lead; 0 if it has reported none.
+  common::Term primary_term;
   /// Highest term known when the plan was made.
   common::Term term_before;
   /// Highest term known to have a primary before this promotion.
   common::Term newest_term;
+  /// Highest term of the holds that members had before this plan; 0 if there
+  /// were none above the newest term.
+  common::Term earlier_hold = 0;
   /// Term for which the members are held: the one that the promoted member will
-  /// lead. A hold for a higher term would outlast the promotion.
+  /// lead, or a later one if an earlier promotion may have used that term.
+  /// Holds that outlast the promotion end with the plan.
   common::Term term;
   common::SteadyTime started;
   Phase phase = Phase::kFencing;
--- a/Source/Core/Session/promotion_task.cc
+++ b/Source/Core/Session/promotion_task.cc
@@ -72,7 +72,8 @@
                {"members", members.size()},
                {"former_members", former.size()}});
   this->plan = std::make_shared<PromotionPlan>(
-      members, former, primary, this->callbacks.highest_term(), now);
+      members, former, primary, this->callbacks.primary_term(),
+      this->callbacks.highest_term(), now);
   this->Perform(this->plan->Begin(now));
 }
 
--- a/Source/Core/Session/promotion_task.h
+++ b/Source/Core/Session/promotion_task.h
@@ -33,6 +33,8 @@
   std::function<std::vector<GroupMember>()> members;
   std::function<FormerMembers()> former_members;
   std::function<std::optional<common::EndpointId>()> primary;
+  /// Term that the primary has reported to lead; 0 if it has reported none.
+  std::function<common::Term()> primary_term;
   std::function<common::Term()> highest_term;
   /// Whether the primary still needs to be replaced.
   std::function<bool()> still_needed;
--- a/Source/Core/Session/service_group.cc
+++ b/Source/Core/Session/service_group.cc
@@ -73,6 +73,7 @@
     return former;
   };
   callbacks.primary = [this] { return this->primary; };
+  callbacks.primary_term = [this] { return this->view.PrimaryTerm(); };
   callbacks.highest_term = [this] { return this->view.HighestTerm(); };
   callbacks.still_needed = [this] {
     return this->MustReplace(common::SteadyNow());
--- a/Source/UnitTests/Core/Session/primary_view_test.cc
+++ b/Source/UnitTests/Core/Session/primary_view_test.cc
@@ -54,5 +54,18 @@
   EXPECT_FALSE(this->view.Primary().has_value());
 }
 
+// Guards against taking the term of older statuses for that of a primary which
+// is known from its entry only.
+TEST_F(PrimaryViewTest, ClaimedByEntry_PrimaryTerm_IsUnknownUntilItsStatus) {
+  this->view.OnMembers({Entry("a", false), Entry("b", false)});
+  this->view.OnStatus(this->a, Status(GroupRole::kPrimary, 1));
+  EXPECT_EQ(this->view.PrimaryTerm(), 1U);
+  this->view.OnMembers({Entry("a", false), Entry("b", true)});
+  EXPECT_EQ(this->view.Primary(), this->b);
+  EXPECT_EQ(this->view.PrimaryTerm(), 0U);
+  this->view.OnStatus(this->b, Status(GroupRole::kPrimary, 2));
+  EXPECT_EQ(this->view.PrimaryTerm(), 2U);
+}
+
 }  // namespace
 }  // namespace camphorferry::session
--- a/Source/UnitTests/Core/Session/promotion_model.cc
+++ b/Source/UnitTests/Core/Session/promotion_model.cc
@@ -654,7 +654,8 @@
       (primary.has_value() ? primary->Value() : std::string("unknown")) +
       ", highest term " + std::to_string(this->view.HighestTerm()));
   this->plan = std::make_shared<PromotionPlan>(
-      this->members, this->Former(), primary, this->view.HighestTerm(), now);
+      this->members, this->Former(), primary, this->view.PrimaryTerm(),
+      this->view.HighestTerm(), now);
   this->Perform(this->plan->Begin(now));
 }
 
--- a/Source/UnitTests/Core/Session/promotion_model_test.cc
+++ b/Source/UnitTests/Core/Session/promotion_model_test.cc
@@ -57,7 +57,8 @@
 class PromotionLossTest : public testing::Test {
  protected:
   PromotionLossTest()
-      : plan({Member("p"), Member("a"), Member("b")}, {}, this->p, 3, kStart) {
+      : plan({Member("p"), Member("a"), Member("b")}, {}, this->p, 3, 3,
+             kStart) {
     this->Record(this->plan.Begin(kStart), milliseconds(0));
   }
 
--- a/Source/UnitTests/Core/Session/promotion_plan_test.cc
+++ b/Source/UnitTests/Core/Session/promotion_plan_test.cc
@@ -38,7 +38,8 @@
 class PromotionPlanTest : public testing::Test {
  protected:
   PromotionPlanTest()
-      : plan({Member("p"), Member("a"), Member("b")}, {}, this->p, 3, kStart) {
+      : plan({Member("p"), Member("a"), Member("b")}, {}, this->p, 3, 3,
+             kStart) {
     this->plan.Begin(kStart);
     // Each replica is asked for its status before it is held.
     this->plan.OnStatus(this->a, Held(3, 1, 0), kStart);
@@ -147,7 +148,7 @@
 // Guards against a promotion without a replica whose entry had expired shortly
 // before: it may still confirm commits of a primary that does not answer.
 TEST_F(PromotionPlanTest, ReplicaExpiredBefore_PrimarySilent_OrdersNothing) {
-  PromotionPlan later({Member("p"), Member("a")}, {{this->b, 1}}, this->p, 3,
+  PromotionPlan later({Member("p"), Member("a")}, {{this->b, 1}}, this->p, 3, 3,
                       kStart);
   later.OnStatus(this->p, Held(3, 10, 0), kStart);
   later.OnStatus(this->a, Held(3, 10, 0), kStart);
@@ -239,7 +240,7 @@
 // will lead: its replicas would stay cut off from it.
 TEST_F(PromotionPlanTest, HeldForTheSameTermBefore_Fence_KeepsTheTerm) {
   PromotionPlan later({Member("p"), Member("a"), Member("b")}, {}, this->p, 3,
-                      kStart);
+                      3, kStart);
   later.Begin(kStart);
   const common::SteadyTime late = kStart + milliseconds(400);
   std::vector<PromotionAction> all =
@@ -275,7 +276,7 @@
 // commits of the old one.
 TEST_F(PromotionPlanTest, HeldBefore_FencingTimeout_IsNotResumed) {
   PromotionPlan later({Member("p"), Member("a"), Member("b")}, {}, this->p, 3,
-                      kStart);
+                      3, kStart);
   later.Begin(kStart);
   later.OnStatus(this->a, Held(3, 10, 4), kStart);
   later.OnStatus(this->a, Held(3, 10, 5), kStart);
@@ -333,6 +334,67 @@
   EXPECT_EQ(step_down->endpoint, this->a);
 }
 
+// Guards against taking the holds of an earlier promotion, of which this daemon
+// does not know, for holds that stop its primary: a silent replica may lead the
+// term for which the members are held.
+TEST_F(PromotionPlanTest, HeldBefore_OtherReplicaSilent_IsHeldForALaterTerm) {
+  PromotionPlan later({Member("p"), Member("a"), Member("b")}, {}, this->p, 3,
+                      3, kStart);
+  later.Begin(kStart);
+  const common::SteadyTime late = kStart + milliseconds(400);
+  later.OnStatus(this->p, Held(3, 10, 4), late);
+  const auto actions = later.OnStatus(this->b, Held(3, 10, 4), late);
+  EXPECT_EQ(Find<OrderPromotion>(actions), nullptr);
+  const auto* hold = Find<SendHold>(actions);
+  ASSERT_NE(hold, nullptr);
+  EXPECT_EQ(hold->term, 5U);
+  // The answer to the step-down.
+  later.OnStatus(this->p, Held(3, 10, 4), late);
+  later.OnStatus(this->p, Held(3, 10, 5), late);
+  const auto ordered = later.OnStatus(this->b, Held(3, 10, 5), late);
+  const auto* order = Find<OrderPromotion>(ordered);
+  ASSERT_NE(order, nullptr);
+  EXPECT_EQ(order->endpoint, this->b);
+  // The earlier promotion had no effect: the holds would outlast this one.
+  const auto led = later.OnStatus(this->b, {GroupRole::kPrimary, 4, {4, 10}, 0},
+                                  kStart + milliseconds(900));
+  const auto* finished = Find<PromotionFinished>(led);
+  ASSERT_NE(finished, nullptr);
+  EXPECT_TRUE(finished->promoted);
+  bool resumed = false;
+  for (const PromotionAction& action : led) {
+    const auto* resume = std::get_if<SendResume>(&action);
+    resumed = resumed || (resume != nullptr && resume->endpoint == this->p);
+  }
+  EXPECT_TRUE(resumed);
+}
+
+// Guards against the same if the silent member is known to lead from its entry
+// only: it may lead the term for which the members are held.
+TEST_F(PromotionPlanTest, HeldBefore_PrimaryOfUnknownTermSilent_OrdersNothing) {
+  PromotionPlan later({Member("p"), Member("a"), Member("b")}, {}, this->p, 0,
+                      3, kStart);
+  later.Begin(kStart);
+  later.OnStatus(this->a, Held(3, 10, 4), kStart);
+  later.OnStatus(this->b, Held(3, 10, 4), kStart);
+  for (int ms = 100; ms < 2000; ms += 100) {
+    EXPECT_EQ(Find<OrderPromotion>(later.OnTick(kStart + milliseconds(ms))),
+              nullptr);
+  }
+}
+
+// Guards against never promoting after a promoter that has ended midway: all
+// members have answered, so none leads the term for which they were held.
+TEST_F(PromotionPlanTest, HeldBefore_AllAnswer_Orders) {
+  PromotionPlan later({Member("p"), Member("a"), Member("b")}, {}, this->p, 0,
+                      3, kStart);
+  later.Begin(kStart);
+  later.OnStatus(this->a, Held(3, 10, 4), kStart);
+  later.OnStatus(this->b, Held(3, 10, 4), kStart);
+  const auto actions = later.OnStatus(this->p, Held(3, 10, 4), kStart);
+  EXPECT_NE(Find<OrderPromotion>(actions), nullptr);
+}
+
 // Guards against an order on a choice that no longer stands, and against
 // members that stay held because an order that was never sent counts as
 // outstanding.
@@ -436,7 +498,7 @@
     group.Commit(*rc::gen::arbitrary<bool>());
   }
   PromotionPlan plan({Member("p"), Member("a"), Member("b")}, {},
-                     common::EndpointId("p"), 1, kStart);
+                     common::EndpointId("p"), 1, 1, kStart);
   std::vector<PromotionAction> open = plan.Begin(kStart);
   common::SteadyTime now = kStart;
   for (int step = 0; step < 60; ++step) {
--- a/Source/UnitTests/Platform/promotion_task_test.cc
+++ b/Source/UnitTests/Platform/promotion_task_test.cc
@@ -47,6 +47,7 @@
     };
     callbacks.former_members = [] { return session::FormerMembers(); };
     callbacks.primary = [] { return common::EndpointId("p"); };
+    callbacks.primary_term = [] { return 1; };
     callbacks.highest_term = [] { return 1; };
     callbacks.still_needed = [] { return true; };
     this->task = std::make_unique<session::PromotionTask>(
