--- a/Source/Core/Session/primary_view.cc
+++ b/Source/Core/Session/primary_view.cc
@@ -73,4 +73,9 @@
   return best;
 }
 
+common::Term PrimaryView::PrimaryTerm() const {
+  const std::optional<common::EndpointId> primary = this->Primary();
+  return primary.has_value() ? this->claims.at(*primary).term.value_or(0) : 0;
+}
+
 }  // namespace camphorferry::session
--- a/Source/Core/Session/primary_view.h
+++ b/Source/Core/Session/primary_view.h
@@ -29,6 +29,10 @@
   /// or if the one that did was replaced by a member that is not known yet.
   std::optional<common::EndpointId> Primary() const;
 
+  /// Term that the primary has reported to lead; 0 if it is known from its
+  /// entry only, so that it may lead a term that no member has reported yet.
+  common::Term PrimaryTerm() const;
+
   /// Highest term that any member has reported.
   common::Term HighestTerm() const { return this->highest_term; }
 
--- a/Source/Core/Session/promotion_plan.h
+++ b/Source/Core/Session/promotion_plan.h
@@ -81,10 +81,12 @@
 /// has lost what it had confirmed. Both count as members that are not held.
 class PromotionPlan {
  public:
-  /// The former members are those that have disappeared recently.
+  /// The former members are those that have disappeared recently. The primary's
+  /// term is the one that it has reported to lead; 0 if it has reported none.
   PromotionPlan(const std::vector<GroupMember>& members, FormerMembers former,
                 const std::optional<common::EndpointId>& primary,
-                common::Term highest_term, common::SteadyTime now);
+                common::Term primary_term, common::Term highest_term,
+                common::SteadyTime now);
 
   /// Returns the first actions of the plan.
   std::vector<PromotionAction> Begin(common::SteadyTime now);
@@ -121,8 +123,9 @@
     bool has_answered = false;
     /// The member was held when it first answered.
     bool held_before = false;
-    /// The plan has sent a hold to the member.
-    bool held_by_plan = false;
+    /// Highest term of the holds that the plan has sent to the member; 0 if it
+    /// has sent none.
+    common::Term hold_term = 0;
     /// The member has been held for this plan.
     bool was_fenced = false;
     /// Commands sent since the last tick. A command without effect is repeated
@@ -152,6 +155,12 @@
   std::vector<PromotionAction> TakeStatus(const common::EndpointId& id,
                                           const EndpointStatus& status);
   std::vector<PromotionAction> OrderIfPossible(common::SteadyTime now);
+  /// Members that are not held, among them those that have disappeared.
+  std::set<common::EndpointId> Missing() const;
+  /// Whether an earlier promotion, of which only a hold is known, may have made
+  /// a member the primary that is not held and not the one to replace. The
+  /// holds for its term do not stop it.
+  bool OtherMayLead() const;
   std::optional<common::EndpointId> ChooseCandidate(
       common::SteadyTime now) const;
   /// The held member with the most advanced log, apart from the named one.
@@ -160,19 +169,39 @@
   OrderPromotion Order(common::SteadyTime now);
   /// Whether an order that was given may still take effect.
   bool OrderMayExecute(common::SteadyTime now) const;
-  /// Ends the plan because another member has been promoted. The holds end with
-  /// that promotion; where it has not arrived yet, they stop the old primary.
-  std::vector<PromotionAction> FinishSuperseded(common::SteadyTime now);
-  std::vector<PromotionAction> Finish(bool promoted, const char* reason,
+  /// Ends the plan because another member has been promoted: this one, or the
+  /// one that it follows, leads the given term. Holds up to that term end with
+  /// the promotion; where it has not arrived yet, they stop the old primary.
+  /// Later ones would cut the replicas off from the new primary.
+  std::vector<PromotionAction> FinishSuperseded(const common::EndpointId& id,
+                                                common::Term led,
+                                                common::SteadyTime now);
+  /// Ends the plan because its promotion has taken effect.
+  std::vector<PromotionAction> FinishPromoted(const common::EndpointId& id,
+                                              common::Term led);
+  /// Ends the plan without a promotion.
+  std::vector<PromotionAction> Finish(const char* reason,
                                       common::SteadyTime now);
+  /// Resumes the members that the plan has held for a later term than the one
+  /// that is led now.
+  std::vector<PromotionAction> ResumeHeldAbove(const common::EndpointId& leader,
+                                               common::Term led) const;
 
   std::map<common::EndpointId, Member> members;
   FormerMembers former;
   std::optional<common::EndpointId> primary;
+  /// Term that the primary has reported to lead; 0 if it has reported none.
+  common::Term primary_term;
+  /// Highest term known when the plan was made.
+  common::Term term_before;
   /// Highest term known to have a primary before this promotion.
   common::Term newest_term;
+  /// Highest term of the holds that members had before this plan; 0 if there
+  /// were none above the newest term.
+  common::Term earlier_hold = 0;
   /// Term for which the members are held: the one that the promoted member will
-  /// lead. A hold for a higher term would outlast the promotion.
+  /// lead, or a later one if an earlier promotion may have used that term.
+  /// Holds that outlast the promotion end with the plan.
   common::Term term;
   common::SteadyTime started;
   Phase phase = Phase::kFencing;
