Session: Keep an ended call listed no longer than its context lives

The callback now holds the lock of the list from before it posts the result until the call is removed.

--- a/Source/Core/Session/grpc_fleet_transport.cc
+++ b/Source/Core/Session/grpc_fleet_transport.cc
@@ -312,6 +312,9 @@
           [this, still_alive = this->alive, state = std::move(state),
            done = std::move(done)](const grpc::Status& status) mutable {
             grpc::ClientContext* ended = &state->context;
+            // The event loop may release the context at once, so it must not be
+            // listed any more when the lock is released.
+            const std::scoped_lock lock(this->calls_mutex);
             // The context may hold the last reference to its channel. gRPC
             // joins its threads when the last channel is released, so this
             // thread must not release it.
@@ -322,7 +325,6 @@
               done(answered ? std::optional(FromMessage(state->reply))
                             : std::nullopt);
             });
-            const std::scoped_lock lock(this->calls_mutex);
             this->calls.erase(ended);
             if (this->calls.empty()) this->calls_ended.notify_all();
           });
