Session: Resume members that an earlier promotion has held for a later term

What callers would see: no commit is acknowledged for 3.5 s after a promotion, until the held replicas lead to another one.

Cause: a plan that holds members for a later term, because another member may lead, can end without a promotion. The next plan found these holds, relied on them and ordered, but resumed only members that it had held itself; the promotion does not end holds for a later term than it leads.

Fix: once the promoted member leads, the plan also resumes the members that it found held for a later term. Only one daemon promotes at a time, so these holds are of promotions that have ended.

Evidence: PromotionPlanTest.HeldBeforeForALaterTerm_ChosenLeads_IsResumed failed before (nothing resumed).

Two names and three comments of the plan say more exactly what they stand for.

--- a/Source/Core/Session/promotion_plan.cc
+++ b/Source/Core/Session/promotion_plan.cc
@@ -48,7 +48,7 @@
     : former(std::move(former)),
       primary(primary),
       primary_term(primary_term),
-      term_before(highest_term),
+      initial_term(highest_term),
       newest_term(highest_term),
       term(highest_term + 1),
       started(now) {
@@ -112,7 +112,7 @@
   }
   // Another daemon has promoted a member in the meantime, or the term was out
   // of date. A replica may have told of the newer term before.
-  if (status.role == GroupRole::kPrimary && status.term > this->term_before &&
+  if (status.role == GroupRole::kPrimary && status.term > this->initial_term &&
       status.term >= this->newest_term) {
     return this->FinishSuperseded(id, status.term, now);
   }
@@ -246,9 +246,9 @@
   // A reachable primary steps down first, so that clients of other daemons
   // learn of the change from its refusals.
   if (this->primary.has_value() && missing.contains(*this->primary)) {
-    // Only its entry tells that it leads, so it may lead the earlier
-    // promotion's term. If it leads an older one, it must not meet members that
-    // were held for a later term and have to be resumed.
+    // It has not reported to lead the newest known term, so it may lead the
+    // earlier promotion's. If it leads an older one, it must not meet members
+    // that were held for a later term and have to be resumed.
     if (this->earlier_hold >= this->term &&
         this->primary_term < this->newest_term) {
       return std::nullopt;
@@ -373,6 +373,12 @@
 
 std::vector<PromotionAction> PromotionPlan::FinishPromoted(
     const common::EndpointId& id, common::Term led) {
+  // Holds that the plan has found are of promotions that have ended. If they
+  // are for a later term, this promotion doesn't end them either.
+  for (auto& [held, member] : this->members) {
+    if (!member.fenced.has_value()) continue;
+    member.hold_term = std::max(member.hold_term, member.fenced->held);
+  }
   std::vector<PromotionAction> actions = this->ResumeHeldAbove(id, led);
   this->phase = Phase::kFinished;
   actions.emplace_back(
@@ -391,10 +397,10 @@
 }
 
 std::vector<PromotionAction> PromotionPlan::ResumeHeldAbove(
-    const common::EndpointId& leader, common::Term led) const {
+    const common::EndpointId& informant, common::Term led) const {
   std::vector<PromotionAction> actions;
   for (const auto& [id, member] : this->members) {
-    if (id == leader || member.hold_term <= led) continue;
+    if (id == informant || member.hold_term <= led) continue;
     actions.emplace_back(SendResume{id});
   }
   return actions;
--- a/Source/Core/Session/promotion_plan.h
+++ b/Source/Core/Session/promotion_plan.h
@@ -182,26 +182,26 @@
   /// Ends the plan without a promotion.
   std::vector<PromotionAction> Finish(const char* reason,
                                       common::SteadyTime now);
-  /// Resumes the members that the plan has held for a later term than the one
-  /// that is led now.
-  std::vector<PromotionAction> ResumeHeldAbove(const common::EndpointId& leader,
-                                               common::Term led) const;
+  /// Resumes the members that are held for a later term than the one that is
+  /// led now, apart from the member that has told of it.
+  std::vector<PromotionAction> ResumeHeldAbove(
+      const common::EndpointId& informant, common::Term led) const;
 
   std::map<common::EndpointId, Member> members;
   FormerMembers former;
   std::optional<common::EndpointId> primary;
-  /// Term that the primary has reported to lead; 0 if it has reported none.
+  /// Term that the primary was last heard to lead; 0 if it has reported none.
   common::Term primary_term;
   /// Highest term known when the plan was made.
-  common::Term term_before;
+  common::Term initial_term;
   /// Highest term known to have a primary before this promotion.
   common::Term newest_term;
   /// Highest term of the holds that members had before this plan; 0 if there
   /// were none above the newest term.
   common::Term earlier_hold = 0;
   /// Term for which the members are held: the one that the promoted member will
-  /// lead, or a later one if an earlier promotion may have used that term.
-  /// Holds that outlast the promotion end with the plan.
+  /// lead, or a later one if an earlier promotion may have used that term. The
+  /// plan resumes members whose hold would outlast the promotion.
   common::Term term;
   common::SteadyTime started;
   Phase phase = Phase::kFencing;
--- a/Source/UnitTests/Core/Session/promotion_plan_test.cc
+++ b/Source/UnitTests/Core/Session/promotion_plan_test.cc
@@ -395,6 +395,29 @@
   EXPECT_NE(Find<OrderPromotion>(actions), nullptr);
 }
 
+// Guards against replicas that stay cut off from the promoted member: they were
+// held for a later term by an earlier promotion that was not carried out.
+TEST_F(PromotionPlanTest, HeldBeforeForALaterTerm_ChosenLeads_IsResumed) {
+  PromotionPlan later({Member("p"), Member("a"), Member("b")}, {}, this->p, 3,
+                      3, kStart);
+  later.Begin(kStart);
+  later.OnStatus(this->a, Held(3, 11, 6), kStart);
+  later.OnStatus(this->b, Held(3, 10, 6), kStart);
+  const auto ordered = later.OnStatus(this->p, Held(3, 10, 6), kStart);
+  const auto* order = Find<OrderPromotion>(ordered);
+  ASSERT_NE(order, nullptr);
+  ASSERT_EQ(order->endpoint, this->a);
+  later.OnOrderAnswer(PromotionAnswer::kAccepted, kStart);
+  const auto actions =
+      later.OnStatus(this->a, {GroupRole::kPrimary, 4, {4, 11}, 0}, kStart);
+  std::set<common::EndpointId> resumed;
+  for (const auto& action : actions) {
+    const auto* resume = std::get_if<SendResume>(&action);
+    if (resume != nullptr) resumed.insert(resume->endpoint);
+  }
+  EXPECT_EQ(resumed, (std::set<common::EndpointId>{this->b, this->p}));
+}
+
 // Guards against an order on a choice that no longer stands, and against
 // members that stay held because an order that was never sent counts as
 // outstanding.
