Session: Build the set of former members in one place

The callback of the promotion task and UpdateFormer each copied the processes out of the map with their expiry times. RecentFormerMembers serves both. No change of behaviour.

--- a/Source/Core/Session/service_group.cc
+++ b/Source/Core/Session/service_group.cc
@@ -65,13 +65,7 @@
     this->SendCommand(id, command, kStatusTimeout, std::move(done));
   };
   callbacks.members = [this] { return this->Entries(); };
-  callbacks.former_members = [this] {
-    FormerMembers former;
-    for (const auto& [process, until] : this->former_members) {
-      former.insert(process);
-    }
-    return former;
-  };
+  callbacks.former_members = [this] { return this->RecentFormerMembers(); };
   callbacks.primary = [this] { return this->primary; };
   callbacks.primary_term = [this] { return this->view.PrimaryTerm(); };
   callbacks.highest_term = [this] { return this->view.HighestTerm(); };
@@ -84,12 +78,17 @@
 
 ServiceGroup::~ServiceGroup() { *this->alive = false; }
 
-void ServiceGroup::UpdateFormer(const std::vector<GroupMember>& present,
-                                common::SteadyTime now) {
+FormerMembers ServiceGroup::RecentFormerMembers() const {
   FormerMembers former;
   for (const auto& [process, until] : this->former_members) {
     former.insert(process);
   }
+  return former;
+}
+
+void ServiceGroup::UpdateFormer(const std::vector<GroupMember>& present,
+                                common::SteadyTime now) {
+  FormerMembers former = this->RecentFormerMembers();
   UpdateFormerMembers(this->Entries(), present, &former);
   std::erase_if(this->former_members,
                 [&](const auto& item) { return !former.contains(item.first); });
--- a/Source/Core/Session/service_group.h
+++ b/Source/Core/Session/service_group.h
@@ -147,6 +147,7 @@
   void OnCommandResult(std::uint64_t number, const ChannelResult& result);
   void EndCommand(std::uint64_t number, const CommandResult& result);
   std::vector<GroupMember> Entries() const;
+  FormerMembers RecentFormerMembers() const;
   /// Updates the former members for a new set of members.
   void UpdateFormer(const std::vector<GroupMember>& present,
                     common::SteadyTime now);
