Session: Create a plan's commands in one place

FenceUnanswered and TakeStatus each sent step-downs and holds and set the same fields. StepDown and Hold serve both.

--- a/Source/Core/Session/promotion_plan.cc
+++ b/Source/Core/Session/promotion_plan.cc
@@ -67,12 +67,9 @@
   for (auto& [id, member] : this->members) {
     if (member.fenced.has_value()) continue;
     if (this->primary == id) {
-      member.step_down_sent = true;
-      actions.emplace_back(SendStepDown{id, this->term});
+      actions.emplace_back(this->StepDown(id, &member));
     } else if (this->MayHold(member)) {
-      member.hold_sent = true;
-      member.hold_term = this->term;
-      actions.emplace_back(SendHold{id, this->term});
+      actions.emplace_back(this->Hold(id, &member));
     } else {
       actions.emplace_back(SendStatus{id});
     }
@@ -80,6 +77,19 @@
   return actions;
 }
 
+SendStepDown PromotionPlan::StepDown(const common::EndpointId& id,
+                                     Member* member) const {
+  member->step_down_sent = true;
+  return {id, this->term};
+}
+
+SendHold PromotionPlan::Hold(const common::EndpointId& id,
+                             Member* member) const {
+  member->hold_sent = true;
+  member->hold_term = this->term;
+  return {id, this->term};
+}
+
 std::vector<PromotionAction> PromotionPlan::CheckMembers() {
   for (auto& [id, member] : this->members) {
     member.step_down_sent = false;
@@ -149,17 +159,14 @@
     // A hold has no effect on a primary.
     this->primary = id;
     this->primary_term = status.term;
-    if (std::exchange(member.step_down_sent, true)) return {};
-    return {SendStepDown{id, this->term}};
+    if (member.step_down_sent) return {};
+    return {this->StepDown(id, &member)};
   }
   if (status.held < this->term) {
     // A primary that has stepped down follows any other primary and confirms
     // its commits, so it is held as well.
-    if (!this->MayHold(member) || std::exchange(member.hold_sent, true)) {
-      return {};
-    }
-    member.hold_term = this->term;
-    return {SendHold{id, this->term}};
+    if (!this->MayHold(member) || member.hold_sent) return {};
+    return {this->Hold(id, &member)};
   }
   member.fenced = status;
   member.was_fenced = true;
--- a/Source/Core/Session/promotion_plan.h
+++ b/Source/Core/Session/promotion_plan.h
@@ -140,6 +140,9 @@
   static bool IsLeaving(const Member& member);
   /// Whether a member that is not held may be held now.
   bool MayHold(const Member& member) const;
+  /// Commands to a member for the plan's term. They are recorded as sent.
+  SendStepDown StepDown(const common::EndpointId& id, Member* member) const;
+  SendHold Hold(const common::EndpointId& id, Member* member) const;
   /// Fences the members that are not held. A member is asked for its status
   /// before its hold, whose answer would not show an earlier hold.
   std::vector<PromotionAction> FenceUnanswered();
