--- a/Source/UnitTests/Platform/proxy_fixture.h
+++ b/Source/UnitTests/Platform/proxy_fixture.h
@@ -165,6 +165,21 @@
     return answer;
   }
 
+  /// Connects a client, has it read a row and stops the store.
+  std::unique_ptr<TestClient> ConnectBeforeOutage() {
+    auto client = this->Connect("latest");
+    EXPECT_TRUE(HasLine(client->Ask("QUERY 0 READ item"), "ROW data"));
+    this->platform.store_down = true;
+    return client;
+  }
+
+  /// Checks that a write is committed within 3 s, and at replica b.
+  void ExpectWriteReachesB(TestClient* client) {
+    const common::SteadyTime start = common::SteadyNow();
+    EXPECT_TRUE(HasLine(this->WriteUntilCommitted(client), "COMPLETE sig.b"));
+    EXPECT_LT(common::SteadyNow() - start, std::chrono::seconds(3));
+  }
+
   std::vector<StatementRecord> AllExecuted() const {
     std::vector<StatementRecord> all;
     for (const FakeDatabase* database :
--- a/Source/UnitTests/Platform/proxy_group_test.cc
+++ b/Source/UnitTests/Platform/proxy_group_test.cc
@@ -250,53 +250,38 @@
 // daemon asks only the primary that was replaced and one replica that follows
 // the new one.
 TEST_F(ProxyTest, Writes_StoreDownAndPrimaryReplaced_ReachNewPrimary) {
-  const auto client = this->Connect("latest");
-  ASSERT_TRUE(HasLine(client->Ask("QUERY 0 READ item"), "ROW data"));
-  this->platform.store_down = true;
+  const auto client = this->ConnectBeforeOutage();
   this->primary_database.command_behavior = [](const std::string&) {
     return CommandBehavior::kClose;
   };
   this->replica_a.term = 2;
   this->replica_b.term = 2;
   this->replica_b.primary = true;
-  const common::SteadyTime start = common::SteadyNow();
-  EXPECT_TRUE(
-      HasLine(this->WriteUntilCommitted(client.get()), "COMPLETE sig.b"));
-  EXPECT_LT(common::SteadyNow() - start, seconds(3));
+  this->ExpectWriteReachesB(client.get());
 }
 
 // Guards against writes that fail until the store answers again, because the
 // only replica that a daemon asks doesn't follow the new primary yet.
 TEST_F(ProxyTest, Writes_StoreDownAndNearestReplicaHeld_ReachNewPrimary) {
-  const auto client = this->Connect("latest");
-  ASSERT_TRUE(HasLine(client->Ask("QUERY 0 READ item"), "ROW data"));
-  this->platform.store_down = true;
+  const auto client = this->ConnectBeforeOutage();
   this->primary_database.command_behavior = [](const std::string&) {
     return CommandBehavior::kClose;
   };
   this->replica_a.held = 2;
   this->replica_b.term = 2;
   this->replica_b.primary = true;
-  const common::SteadyTime start = common::SteadyNow();
-  EXPECT_TRUE(
-      HasLine(this->WriteUntilCommitted(client.get()), "COMPLETE sig.b"));
-  EXPECT_LT(common::SteadyNow() - start, seconds(3));
+  this->ExpectWriteReachesB(client.get());
 }
 
 // Guards against the same if the replaced primary still answers, but without
 // acknowledging commits.
 TEST_F(ProxyTest, Writes_StoreDownAndOldPrimaryAnswers_ReachNewPrimary) {
-  const auto client = this->Connect("latest");
-  ASSERT_TRUE(HasLine(client->Ask("QUERY 0 READ item"), "ROW data"));
-  this->platform.store_down = true;
+  const auto client = this->ConnectBeforeOutage();
   this->primary_database.acknowledges = [] { return false; };
   this->replica_a.held = 2;
   this->replica_b.term = 2;
   this->replica_b.primary = true;
-  const common::SteadyTime start = common::SteadyNow();
-  EXPECT_TRUE(
-      HasLine(this->WriteUntilCommitted(client.get()), "COMPLETE sig.b"));
-  EXPECT_LT(common::SteadyNow() - start, seconds(3));
+  this->ExpectWriteReachesB(client.get());
 }
 
 // Guards against operations that wait for a primary and then reach it all at
