Session: Keep replicas held after an accepted promotion order without a visible effect

What callers saw: in the model, an old primary that is alive got commits acknowledged after another member had been promoted. Cause: a plan whose order was accepted, and whose new primary it could not reach, ended with no_effect after 6 s and resumed the other replica, which still followed the old primary. An accepted order may have taken effect unseen, so Finish resumes nothing then; the next plan finds the holds. Ruled out: a late resume of another daemon (the trace has one promoter).

--- a/Source/Core/Session/promotion_plan.cc
+++ b/Source/Core/Session/promotion_plan.cc
@@ -365,8 +365,9 @@
   const bool open = this->OrderMayExecute(now);
   std::vector<PromotionAction> actions;
   // An order that may still be executed must not meet replicas that have
-  // confirmed commits since their positions were read.
-  if (!open) {
+  // confirmed commits since their positions were read. An accepted one may have
+  // taken effect unseen, and the old primary must not get commits confirmed.
+  if (!open && !this->accepted_at.has_value()) {
     for (const auto& [id, member] : this->members) {
       // The hold of an earlier promotion may be what stops an old primary.
       if (member.hold_term == 0 || member.held_before) continue;
--- a/Source/UnitTests/Core/Session/promotion_model_test.cc
+++ b/Source/UnitTests/Core/Session/promotion_model_test.cc
@@ -232,6 +232,27 @@
   }
 }
 
+// Guards against resuming a replica that still follows the old primary, after
+// a promotion whose new primary can't be reached by the plan.
+TEST_F(PromotionLossTest, OrderAccepted_EffectNeverSeen_DoesNotResume) {
+  this->Answer(this->a, Replica(3, 10, 4));
+  this->Answer(this->b, Replica(3, 10, 4));
+  const common::EndpointId other =
+      *this->ordered == this->a ? this->b : this->a;
+  this->OrderAnswer(PromotionAnswer::kAccepted, milliseconds(450));
+  for (milliseconds age(500); age <= milliseconds(12000);
+       age += kPromotionTickInterval) {
+    this->Answer(other, Replica(3, 10, 4), age);
+    const auto actions = this->TickUntil(age);
+    EXPECT_EQ(Find<SendResume>(actions), nullptr);
+    if (Find<OrderPromotion>(actions) != nullptr) {
+      this->OrderAnswer(PromotionAnswer::kAccepted, age);
+    }
+    if (Find<PromotionFinished>(actions) != nullptr) return;
+  }
+  FAIL() << "The plan has not ended.";
+}
+
 // Guards against resuming replicas after one order was rejected, while an
 // earlier order without an answer may still be executed.
 TEST_F(PromotionLossTest, RetryRejected_FirstOrderUnanswered_DoesNotResume) {
