Session: Renew the promotion lease while an order is outstanding

What callers saw: in the model, acknowledged commits missing after a promotion that the platform executed seconds after its order. Cause: a promoter whose order was unanswered did not change the lease record while it waited; after 3 s another daemon took it over, found the replicas held and ordered another member, and both orders took effect. The promotion task renews the lease every second from its order to its end. Ruled out: orders after the end of a plan (it ends 3 s after the last order at the earliest).

--- a/Source/Core/Session/promotion_plan.h
+++ b/Source/Core/Session/promotion_plan.h
@@ -83,6 +83,7 @@
  public:
   /// The former members are those that have disappeared recently. The primary's
   /// term is the one that it has reported to lead; 0 if it has reported none.
+  /// If the log of the group has entries, a member without any has lost them.
   PromotionPlan(const std::vector<GroupMember>& members, FormerMembers former,
                 const std::optional<common::EndpointId>& primary,
                 common::Term primary_term, common::Term highest_term,
@@ -108,6 +109,10 @@
   /// all others that the choice relies on.
   bool IsChosen(const common::EndpointId& id, common::SteadyTime now) const;
 
+  /// Whether an order has been given, so that the lease must not pass to another
+  /// daemon until the plan ends.
+  bool HasOrdered() const { return this->phase == Phase::kOrdered; }
+
   /// Handles that an order was not sent. The plan fences and chooses again.
   void OnOrderNotSent();
 
--- a/Source/Core/Session/promotion_task.cc
+++ b/Source/Core/Session/promotion_task.cc
@@ -15,6 +15,9 @@
 /// Daemons that detect a loss at the same time each wait for a random part of
 /// this before they request the lease, so that usually only one of them does.
 constexpr std::chrono::milliseconds kMaxStartJitter(150);
+/// Interval at which the lease is renewed while an order is outstanding. Well
+/// below the time after which another daemon takes it over.
+constexpr std::chrono::milliseconds kRenewalInterval(1000);
 
 }  // namespace
 
@@ -83,7 +86,17 @@
 }
 
 void PromotionTask::Tick(common::SteadyTime now) {
-  if (this->plan != nullptr) this->Perform(this->plan->OnTick(now));
+  if (this->plan == nullptr) return;
+  this->Perform(this->plan->OnTick(now));
+  this->RenewLease(now);
+}
+
+void PromotionTask::RenewLease(common::SteadyTime now) {
+  if (this->plan == nullptr || !this->plan->HasOrdered()) return;
+  if (now < this->next_renewal) return;
+  this->next_renewal = now + kRenewalInterval;
+  this->context.promotion_lease->Confirm(
+      [](const std::optional<PromotionLeaseRecord>& /*record*/) {});
 }
 
 void PromotionTask::Perform(const std::vector<PromotionAction>& actions) {
--- a/Source/Core/Session/promotion_task.h
+++ b/Source/Core/Session/promotion_task.h
@@ -67,6 +67,9 @@
   void SendOrder(const OrderPromotion& order);
   /// Resumes the held replicas if this daemon still holds the lease, and ends
   /// the promotion.
+  /// Renews the lease while an order is outstanding, so that no other daemon
+  /// orders the promotion of another member meanwhile.
+  void RenewLease(common::SteadyTime now);
   void ResumeAndEnd(const std::vector<common::EndpointId>& held,
                     const PromotionFinished& finished);
   /// Resumes the held replicas and ends the promotion once all have answered or
@@ -89,6 +92,7 @@
   common::SteadyTime next_start;
   common::SteadyTime phase_started_at;
   std::mt19937_64 random;
+  common::SteadyTime next_renewal;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
--- a/Source/UnitTests/Core/Session/promotion_model.cc
+++ b/Source/UnitTests/Core/Session/promotion_model.cc
@@ -18,6 +18,8 @@
 constexpr int kMaxStartJitter = 150;
 /// As in ServiceGroup.
 constexpr milliseconds kFormerMemberRetention(10000);
+/// As in PromotionTask.
+constexpr milliseconds kRenewalInterval(1000);
 /// As in PromotionLease.
 constexpr milliseconds kOrderWindow(600);
 constexpr milliseconds kTakeoverDelay(3000);
@@ -631,6 +633,11 @@
                 [now](const auto& item) { return item.second <= now; });
   if (this->store_reachable) this->UpdateMembers();
   if (this->plan != nullptr) this->Perform(this->plan->OnTick(now));
+  if (this->plan != nullptr && this->plan->HasOrdered() &&
+      now >= this->next_renewal) {
+    this->next_renewal = now + kRenewalInterval;
+    this->Confirm();
+  }
   if (this->running || now < this->next_start || now > this->wanted_until) {
     return;
   }
--- a/Source/UnitTests/Core/Session/promotion_model.h
+++ b/Source/UnitTests/Core/Session/promotion_model.h
@@ -308,6 +308,7 @@
   bool running = false;
   std::shared_ptr<PromotionPlan> plan;
   common::SteadyTime next_start;
+  common::SteadyTime next_renewal;
   common::SteadyTime wanted_until;
 
   ModelLeaseRecord record;
--- a/Source/UnitTests/Platform/promotion_task_test.cc
+++ b/Source/UnitTests/Platform/promotion_task_test.cc
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <set>
 
 #include "fake_platform.h"
 #include "wire_format.h"
@@ -29,7 +30,7 @@
       this->commands.push_back(id.Value() + " " + command);
       if (command.find("RESUME") != std::string::npos) {
         this->resumes.push_back(done);
-      } else if (id.Value() == "a") {
+      } else if (this->responsive.contains(id.Value())) {
         const bool held = command.find("PAUSE") != std::string::npos;
         done({EndpointStatus{session::GroupRole::kReplica,
                              1,
@@ -76,6 +77,8 @@
                                           common::HostId("own")};
   std::vector<std::string> commands;
   /// Callbacks of the resumes that the test has to answer.
+  /// Members that answer commands.
+  std::set<std::string> responsive{"a"};
   std::vector<session::CommandCallback> resumes;
   std::unique_ptr<session::PromotionTask> task;
 };
@@ -92,6 +95,20 @@
 }
 
 // Guards against a resume that arrives after the next holder of the lease has
+// Guards against another daemon that takes the lease over and orders another
+// member while an order of this daemon may still take effect.
+TEST_F(PromotionTaskTest, Promotion_OrderOutstanding_RenewsTheLease) {
+  this->responsive.insert("b");
+  this->RunFor(milliseconds(300));
+  this->task->Tick(common::SteadyNow());
+  this->task->Tick(common::SteadyNow());
+  const std::uint64_t ordered = this->platform.lease_record.revision.number;
+  this->RunFor(milliseconds(1200));
+  this->task->Tick(common::SteadyNow());
+  EXPECT_GT(this->platform.lease_record.revision.number, ordered);
+  EXPECT_TRUE(this->platform.lease_record.active);
+}
+
 // held the same replica.
 TEST_F(PromotionTaskTest, Promotion_ResumeOutstanding_KeepsTheLease) {
   this->task->Tick(common::SteadyNow() + milliseconds(2500));
