--- a/Source/Core/Session/promotion_plan.cc
+++ b/Source/Core/Session/promotion_plan.cc
@@ -44,10 +44,12 @@
                              FormerMembers former,
                              const std::optional<common::EndpointId>& primary,
                              common::Term primary_term,
-                             common::Term highest_term, common::SteadyTime now)
+                             common::Term highest_term, common::SteadyTime now,
+                             bool log_has_entries)
     : former(std::move(former)),
       primary(primary),
       primary_term(primary_term),
+      log_has_entries(log_has_entries),
       initial_term(highest_term),
       newest_term(highest_term),
       term(highest_term + 1),
@@ -148,6 +150,7 @@
 std::vector<PromotionAction> PromotionPlan::TakeStatus(
     const common::EndpointId& id, const EndpointStatus& status) {
   Member& member = this->members.at(id);
+  this->log_has_entries |= status.received.index > 0;
   member.fenced.reset();
   if (!std::exchange(member.has_answered, true)) {
     member.held_before = status.held > this->newest_term;
@@ -235,6 +238,15 @@
   return missing;
 }
 
+std::size_t PromotionPlan::CountEmptyLogs() const {
+  if (!this->log_has_entries) return 0;
+  return std::count_if(
+      this->members.begin(), this->members.end(), [](const auto& entry) {
+        const std::optional<EndpointStatus>& fenced = entry.second.fenced;
+        return fenced.has_value() && fenced->received.index == 0;
+      });
+}
+
 bool PromotionPlan::OtherMayLead() const {
   if (this->earlier_hold < this->term) return false;
   const std::set<common::EndpointId> missing = this->Missing();
@@ -249,6 +261,11 @@
   // Every acknowledged commit is on two members. With at most one member
   // missing, the other one is held, and no commit can be confirmed any more.
   if (missing.size() > 1) return std::nullopt;
+  // The pair that acknowledged a commit may have been the missing member and
+  // one that has lost its log since.
+  if (missing.size() + this->CountEmptyLogs() > 1 && !missing.empty()) {
+    return std::nullopt;
+  }
   const common::Duration age = now - this->started;
   // A reachable primary steps down first, so that clients of other daemons
   // learn of the change from its refusals.
--- a/Source/UnitTests/Core/Session/promotion_model_test.cc
+++ b/Source/UnitTests/Core/Session/promotion_model_test.cc
@@ -184,6 +184,26 @@
   EXPECT_FALSE(this->ordered.has_value());
 }
 
+// Guards against choosing one of two replicas that have started again without
+// their logs, after former processes are no longer remembered.
+TEST_F(PromotionLossTest, ReplicasHaveLostLogs_OtherSilent_OrdersNothing) {
+  PromotionPlan restarted({Member("p"), Member("a", 2), Member("b", 2)}, {},
+                          std::nullopt, 0, 3, kStart, true);
+  this->Record(restarted.Begin(kStart), milliseconds(0));
+  for (const common::EndpointId& id : {this->a, this->b}) {
+    restarted.OnStatus(id, Replica(3, 0, 0), kStart + kFencePause);
+    this->Record(restarted.OnStatus(id, Replica(3, 0, 4), kStart + kFencePause),
+                 kFencePause);
+  }
+  EXPECT_FALSE(this->ordered.has_value());
+  // The third member has the commits.
+  restarted.OnStatus(this->p, Replica(3, 10, 0), kStart + kFencePause);
+  this->Record(
+      restarted.OnStatus(this->p, Replica(3, 10, 4), kStart + kFencePause),
+      kFencePause);
+  EXPECT_EQ(this->ordered, this->p);
+}
+
 // Guards against choosing a replica that lacks a commit which another replica
 // has reported before it was restarted.
 TEST_F(PromotionLossTest, ReportedReplicaReborn_PrimarySilent_OrdersNothing) {
