Session: Leave replicas held that an earlier promotion has held for the present term

What callers saw: in the model, an old primary got commits acknowledged after a promotion. Cause: a plan resumed a replica that was held for the term that is led now and had not met its primary yet, because only holds above the newest known term counted as earlier ones. Any hold found before the plan's own is now left to the next promotion.

--- a/Source/Core/Session/promotion_plan.cc
+++ b/Source/Core/Session/promotion_plan.cc
@@ -153,8 +153,8 @@
   this->log_has_entries |= status.received.index > 0;
   member.fenced.reset();
   if (!std::exchange(member.has_answered, true)) {
-    member.held_before = status.held > this->newest_term;
-    if (member.held_before) {
+    member.held_before = status.held > 0;
+    if (status.held > this->newest_term) {
       this->earlier_hold = std::max(this->earlier_hold, status.held);
     }
   }
--- a/Source/Core/Session/promotion_task.h
+++ b/Source/Core/Session/promotion_task.h
@@ -67,11 +67,11 @@
   void Begin(FailoverReason reason);
   void Perform(const std::vector<PromotionAction>& actions);
   void SendOrder(const OrderPromotion& order);
-  /// Resumes the held replicas if this daemon still holds the lease, and ends
-  /// the promotion.
   /// Renews the lease while an order is outstanding, so that no other daemon
   /// orders the promotion of another member meanwhile.
   void RenewLease(common::SteadyTime now);
+  /// Resumes the held replicas if this daemon still holds the lease, and ends
+  /// the promotion.
   void ResumeAndEnd(const std::vector<common::EndpointId>& held,
                     const PromotionFinished& finished);
   /// Resumes the held replicas and ends the promotion once all have answered or
@@ -92,9 +92,9 @@
   bool running = false;
   std::shared_ptr<PromotionPlan> plan;
   common::SteadyTime next_start;
+  common::SteadyTime next_renewal;
   common::SteadyTime phase_started_at;
   std::mt19937_64 random;
-  common::SteadyTime next_renewal;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
--- a/Source/UnitTests/Core/Session/promotion_model_test.cc
+++ b/Source/UnitTests/Core/Session/promotion_model_test.cc
@@ -375,6 +375,17 @@
   EXPECT_EQ(this->ordered_at, kFencePause);
 }
 
+// Guards against resuming a replica that an earlier promotion has held and that
+// does not follow its primary yet: an older primary would confirm with it.
+TEST_F(PromotionLossTest, HeldForPresentTerm_MembersSilent_DoesNotResume) {
+  this->introduced.insert(this->b);
+  this->Answer(this->b, Replica(1, 0, 3));
+  this->Answer(this->b, Replica(1, 0, 4));
+  const auto actions = this->TickUntil(milliseconds(2500));
+  ASSERT_NE(Find<PromotionFinished>(actions), nullptr);
+  EXPECT_EQ(Find<SendResume>(actions), nullptr);
+}
+
 // Guards against a member that registers after the order and confirms commits
 // of the old primary until the promotion takes effect.
 TEST_F(PromotionLossTest, MemberJoins_OrderPending_IsHeld) {
--- a/Source/UnitTests/Platform/promotion_task_test.cc
+++ b/Source/UnitTests/Platform/promotion_task_test.cc
@@ -77,9 +77,9 @@
   session::PromotionLease promotion_lease{&this->platform,
                                           common::HostId("own")};
   std::vector<std::string> commands;
-  /// Callbacks of the resumes that the test has to answer.
   /// Members that answer commands.
   std::set<std::string> responsive{"a"};
+  /// Callbacks of the resumes that the test has to answer.
   std::vector<session::CommandCallback> resumes;
   std::unique_ptr<session::PromotionTask> task;
 };
@@ -95,7 +95,6 @@
             std::string::npos);
 }
 
-// Guards against a resume that arrives after the next holder of the lease has
 // Guards against another daemon that takes the lease over and orders another
 // member while an order of this daemon may still take effect.
 TEST_F(PromotionTaskTest, Promotion_OrderOutstanding_RenewsTheLease) {
@@ -110,6 +109,7 @@
   EXPECT_TRUE(this->platform.lease_record.active);
 }
 
+// Guards against a resume that arrives after the next holder of the lease has
 // held the same replica.
 TEST_F(PromotionTaskTest, Promotion_ResumeOutstanding_KeepsTheLease) {
   this->task->Tick(common::SteadyNow() + milliseconds(2500));
