Connection: Let responses that make progress arrive after the timeout

Cause: the store's answer with 1,680 added routes takes longer than a second over the hosts' links, the call was given up after a second in total, and the next one began anew. The timeout now bounds the time until the answer begins and each pause; 30 s bound the whole transfer.

--- a/Source/Core/Connection/http_client.cc
+++ b/Source/Core/Connection/http_client.cc
@@ -25,6 +25,9 @@
 constexpr int kKeepAliveIntervalSeconds = 1;
 constexpr int kKeepAliveMaxProbes = 2;
 
+/// Longest time in which a response may arrive, however slowly.
+constexpr std::chrono::seconds kMaxResponseTime(30);
+
 /// Makes the kernel detect a peer that disappeared without closing the
 /// connection. Errors are ignored because every request has a timeout as well.
 void EnableTcpKeepAlive(evhttp_connection* connection) {
@@ -112,6 +115,30 @@
     delete std::exchange(this->context, nullptr);
   }
 
+  /// Fails the request if nothing has arrived since the last check.
+  void CheckProgress(common::Duration pause) {
+    const bool progress = std::exchange(this->received, false);
+    if (progress && common::SteadyNow() < this->give_up_at) {
+      this->StartTimeout(pause);
+      return;
+    }
+    this->CloseLater();
+    this->Finish(HttpFailure::kNoAnswer);
+  }
+
+  void StartTimeout(common::Duration pause) {
+    this->timeout =
+        this->loop->After(pause, [weak = this->weak_from_this(), pause] {
+          const std::shared_ptr<State> state = weak.lock();
+          if (state != nullptr) state->CheckProgress(pause);
+        });
+  }
+
+  static void OnInput(evbuffer* /*buffer*/, const evbuffer_cb_info* info,
+                      void* context) {
+    if (info->n_added > 0) static_cast<State*>(context)->received = true;
+  }
+
   void CloseLater() {
     this->usable = false;
     // The connection is closed when the posted action is destroyed, because a
@@ -129,6 +156,9 @@
   /// called back.
   std::shared_ptr<State>* context = nullptr;
   std::unique_ptr<Timer> timeout;
+  /// Bytes have arrived since the timeout was started.
+  bool received = false;
+  common::SteadyTime give_up_at;
   bool usable = true;
 };
 
@@ -138,6 +168,9 @@
   this->state->connection = evhttp_connection_base_new(
       loop->Base(), nullptr, this->state->address.ip.c_str(),
       this->state->address.port);
+  evbuffer_add_cb(bufferevent_get_input(evhttp_connection_get_bufferevent(
+                      this->state->connection)),
+                  State::OnInput, this->state.get());
 }
 
 HttpClientConnection::~HttpClientConnection() {
@@ -182,13 +215,9 @@
   }
   evbuffer* body = evhttp_request_get_output_buffer(outgoing);
   evbuffer_add(body, request.body.data(), request.body.size());
-  this->state->timeout =
-      this->state->loop->After(timeout, [weak = std::weak_ptr(this->state)] {
-        const std::shared_ptr<State> state = weak.lock();
-        if (state == nullptr) return;
-        state->CloseLater();
-        state->Finish(HttpFailure::kNoAnswer);
-      });
+  this->state->received = false;
+  this->state->give_up_at = common::SteadyNow() + timeout + kMaxResponseTime;
+  this->state->StartTimeout(timeout);
   evhttp_make_request(this->state->connection, outgoing,
                       MethodType(request.method),
                       EncodeTarget(request).c_str());
--- a/Source/Core/Connection/http_client.h
+++ b/Source/Core/Connection/http_client.h
@@ -26,8 +26,9 @@
   HttpClientConnection(const HttpClientConnection&) = delete;
   HttpClientConnection& operator=(const HttpClientConnection&) = delete;
 
-  /// Sends a request. The connection must be usable and not busy. The callback
-  /// is called once from the event loop, never from within Send.
+  /// Sends a request. The connection must be usable and not busy. The timeout
+  /// bounds the time until the response begins and each pause while it arrives.
+  /// The callback is called once from the event loop, never from within Send.
   void Send(const HttpRequest& request, common::Duration timeout,
             Callback callback);
 
