Session: Pace exchanges of reports and bound peer channels in large fleets

Cause: a daemon contacted all 294 peers it learned of at once, and kept a channel to each; a peer that was silent was called every 2 s, 80 calls a second after half of the fleet was lost. TakeDuePeers now starts at most ten exchanges a second in fleets above eight peers, those due for longest first and in an order of each daemon's own; the transport keeps 80 channels. A request for admission counts as a sign of life of the requester, as its turn may come a minute later. Tests: FleetMembershipTest.LargeFleetStarts_*, LargeFleetLosesHalf_* and TwoDaemonsStart_* failed before.

--- a/Source/Core/Session/fleet_membership.cc
+++ b/Source/Core/Session/fleet_membership.cc
@@ -1,6 +1,7 @@
 #include "Session/fleet_membership.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 #include "Common/common.h"
@@ -20,6 +21,9 @@
 /// Number of peers per interval in a larger fleet. Each peer's turn comes less
 /// often there, so that the cost per daemon does not grow with the fleet.
 constexpr std::size_t kPeersPerInterval = 4;
+/// In a larger fleet, one exchange may be started in each of these intervals,
+/// which is more often than the turns of all peers require.
+constexpr std::chrono::milliseconds kAllowanceInterval(100);
 /// Interval of exchanges with a silent daemon.
 constexpr std::chrono::milliseconds kSilentInterval(2000);
 /// Unanswered calls in a row after which a daemon counts as silent.
@@ -39,7 +43,8 @@
 
 }  // namespace
 
-FleetMembership::FleetMembership(HostLocation own) : own(std::move(own)) {}
+FleetMembership::FleetMembership(HostLocation own)
+    : own(std::move(own)), allowance(kSmallFleet) {}
 
 void FleetMembership::Add(const FleetHost& host, common::SteadyTime now) {
   if (host.id == this->own.host || host.id.Empty()) return;
@@ -48,6 +53,7 @@
   if (is_new || peer.host.peer_address != host.peer_address) {
     peer.last_reply = now;
     peer.due = now;
+    peer.rank = common::RendezvousScore(this->own.host.Value(), host.id);
     peer.misses = 0;
     peer.has_replied = false;
     this->owners.clear();
@@ -116,24 +122,46 @@
 }
 
 common::Duration FleetMembership::IntervalOf(const Peer& peer) const {
-  if (IsSilent(peer)) return kSilentInterval;
   const std::size_t rounds =
       this->peers.size() <= kSmallFleet
           ? 1
           : (this->peers.size() + kPeersPerInterval - 1) / kPeersPerInterval;
-  return (this->own.InSameRegion(peer.host.domain) ? kNearInterval
-                                                   : kFarInterval) *
-         rounds;
+  const common::Duration interval =
+      (this->own.InSameRegion(peer.host.domain) ? kNearInterval
+                                                : kFarInterval) *
+      rounds;
+  return IsSilent(peer) ? std::max<common::Duration>(interval, kSilentInterval)
+                        : interval;
+}
+
+std::size_t FleetMembership::TakeAllowance(common::SteadyTime now,
+                                           std::size_t wanted) {
+  if (this->peers.size() <= kSmallFleet) return wanted;
+  const common::SteadyTime counted = this->allowance_counted_at.value_or(now);
+  const auto intervals = (now - counted) / kAllowanceInterval;
+  this->allowance_counted_at = counted + intervals * kAllowanceInterval;
+  this->allowance = std::min<std::size_t>(
+      this->allowance + static_cast<std::size_t>(intervals), kSmallFleet);
+  const std::size_t taken = std::min(wanted, this->allowance);
+  this->allowance -= taken;
+  return taken;
 }
 
 std::vector<FleetHost> FleetMembership::TakeDuePeers(common::SteadyTime now) {
-  std::vector<FleetHost> due;
+  std::vector<Peer*> due;
   for (auto& [id, peer] : this->peers) {
-    if (peer.due > now) continue;
-    peer.due = now + this->IntervalOf(peer);
-    due.push_back(peer.host);
+    if (peer.due <= now) due.push_back(&peer);
+  }
+  std::sort(due.begin(), due.end(), [](const Peer* one, const Peer* other) {
+    return std::tie(one->due, one->rank) < std::tie(other->due, other->rank);
+  });
+  due.resize(this->TakeAllowance(now, due.size()));
+  std::vector<FleetHost> taken;
+  for (Peer* peer : due) {
+    peer->due = now + this->IntervalOf(*peer);
+    taken.push_back(peer->host);
   }
-  return due;
+  return taken;
 }
 
 std::optional<FleetHost> FleetMembership::NextResponsive() {
--- a/Source/Core/Session/fleet_membership.h
+++ b/Source/Core/Session/fleet_membership.h
@@ -2,6 +2,7 @@
 #define CAMPHORFERRY_SESSION_FLEET_MEMBERSHIP_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <vector>
@@ -34,8 +35,10 @@
   /// The daemon that owns a workspace's rate; none if it is this one.
   std::optional<FleetHost> RateOwnerOf(const common::WorkspaceId& workspace);
 
-  /// The daemons to exchange reports with now. Each is due again after its
-  /// interval.
+  /// The daemons to exchange reports with now, those that are due for longest
+  /// first. Each is due again after its interval. In a fleet that is not small
+  /// their number is bounded over time, however many become known, or fall
+  /// silent, at once. Daemons that start together contact different peers.
   std::vector<FleetHost> TakeDuePeers(common::SteadyTime now);
 
   /// The next responsive daemon in round-robin order; none if there is no
@@ -61,6 +64,8 @@
     FleetHost host;
     common::SteadyTime last_reply;
     common::SteadyTime due;
+    /// Order among peers that are due at the same time.
+    std::uint64_t rank = 0;
     int misses = 0;
     /// Has answered or reported itself; false if it is only named by the
     /// directory.
@@ -68,12 +73,17 @@
   };
 
   common::Duration IntervalOf(const Peer& peer) const;
+  /// Number of exchanges that may be started now.
+  std::size_t TakeAllowance(common::SteadyTime now, std::size_t wanted);
   static bool IsSilent(const Peer& peer);
 
   HostLocation own;
   std::map<common::HostId, Peer> peers;
   /// Empty when the owners have to be chosen again.
   std::vector<common::HostId> owners;
+  /// Exchanges that may be started at once, and since when it has been counted.
+  std::size_t allowance;
+  std::optional<common::SteadyTime> allowance_counted_at;
   /// The daemon that NextResponsive returned last.
   common::HostId last_returned;
 };
--- a/Source/Core/Session/fleet_task.cc
+++ b/Source/Core/Session/fleet_task.cc
@@ -42,6 +42,7 @@
     return this->OnPeerReport(report);
   };
   handlers.admit = [this](const AdmissionRequest& request) {
+    this->OnReply(request.requester);
     return this->callbacks.admit(request);
   };
   handlers.read_directory = [this](const DirectoryQuery& query) {
--- a/Source/Core/Session/grpc_fleet_transport.cc
+++ b/Source/Core/Session/grpc_fleet_transport.cc
@@ -1,6 +1,8 @@
 #include <grpcpp/grpcpp.h>
 
+#include <algorithm>
 #include <condition_variable>
+#include <map>
 #include <mutex>
 #include <set>
 #include <utility>
@@ -120,6 +122,10 @@
   return reply;
 }
 
+/// Largest number of peers with an open channel. Each channel takes about 70 KB
+/// at both ends together.
+constexpr std::size_t kMaxChannels = 80;
+
 std::shared_ptr<grpc::Channel> NewChannel(const std::string& address) {
   // A peer that has restarted is reconnected within two exchanges.
   constexpr int kReconnectMs = 500;
@@ -280,18 +286,37 @@
   std::uint16_t Port() const override { return this->port; }
 
   void Disconnect(const std::string& address) override {
-    this->stubs.erase(address);
+    this->channels.erase(address);
   }
 
  private:
+  struct PeerChannel {
+    std::unique_ptr<fleet::v1::Fleet::Stub> stub;
+    /// Rises with each use of any channel.
+    std::uint64_t last_use = 0;
+  };
+
+  /// Closes the channel that has not been used for longest, if there are too
+  /// many. A call in progress keeps its channel open.
+  void CloseExcessChannels() {
+    if (this->channels.size() <= kMaxChannels) return;
+    this->channels.erase(
+        std::min_element(this->channels.begin(), this->channels.end(),
+                         [](const auto& one, const auto& other) {
+                           return one.second.last_use < other.second.last_use;
+                         }));
+  }
+
   /// Starts a call. The result is delivered by the event loop.
   template <typename Request, typename Reply, typename Result, typename Start>
   void Call(const std::string& address, Request request,
             common::Duration timeout,
             std::function<void(std::optional<Result>)> done, Start start) {
-    auto& stub = this->stubs[address];
-    if (stub == nullptr) {
-      stub = fleet::v1::Fleet::NewStub(NewChannel(address));
+    PeerChannel& peer = this->channels[address];
+    peer.last_use = ++this->uses;
+    if (peer.stub == nullptr) {
+      peer.stub = fleet::v1::Fleet::NewStub(NewChannel(address));
+      this->CloseExcessChannels();
     }
     struct CallState {
       grpc::ClientContext context;
@@ -308,7 +333,7 @@
       this->calls.insert(&state->context);
     }
     CallState* started = state.get();
-    start(stub->async(), started,
+    start(peer.stub->async(), started,
           [this, still_alive = this->alive, state = std::move(state),
            done = std::move(done)](const grpc::Status& status) mutable {
             grpc::ClientContext* ended = &state->context;
@@ -334,7 +359,8 @@
   FleetService service;
   std::unique_ptr<grpc::Server> server;
   std::uint16_t port = 0;
-  std::map<std::string, std::unique_ptr<fleet::v1::Fleet::Stub>> stubs;
+  std::map<std::string, PeerChannel> channels;
+  std::uint64_t uses = 0;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
   std::mutex calls_mutex;
   std::condition_variable calls_ended;
--- a/Source/UnitTests/Core/Session/fleet_membership_test.cc
+++ b/Source/UnitTests/Core/Session/fleet_membership_test.cc
@@ -1,5 +1,10 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <set>
+#include <string>
+#include <vector>
+
 #include "Session/session.h"
 
 namespace camphorferry::session {
@@ -94,6 +99,70 @@
   EXPECT_LE(exchanges, 20U * 2 * 8 + 160);
 }
 
+// Guards against a burst of exchanges with the whole fleet at the start, which
+// takes all processor time of small hosts (295 daemons on 0.12 cores).
+TEST_F(FleetMembershipTest, LargeFleetStarts_TakeDuePeers_IsPaced) {
+  for (int count = 0; count < 294; ++count) {
+    this->membership.Add(Host("h" + std::to_string(count), "east"), kStart);
+  }
+  std::size_t exchanges = 0;
+  std::set<std::string> contacted;
+  for (int ms = 0; ms <= 40000; ms += 100) {
+    for (const FleetHost& peer :
+         this->membership.TakeDuePeers(kStart + milliseconds(ms))) {
+      contacted.insert(peer.id.Value());
+      ++exchanges;
+    }
+    ASSERT_LE(exchanges, 8U + ms / 100U) << ms;
+  }
+  EXPECT_EQ(contacted.size(), 294U);
+}
+
+// Guards against calls to hundreds of hosts that are down, every two seconds.
+TEST_F(FleetMembershipTest, LargeFleetLosesHalf_TakeDuePeers_IsPaced) {
+  for (int count = 0; count < 294; ++count) {
+    const FleetHost host = Host("h" + std::to_string(count), "east");
+    this->membership.Add(host, kStart);
+    if (count < 160) {
+      this->membership.OnNoReply(host.id);
+      this->membership.OnNoReply(host.id);
+    } else {
+      this->membership.OnReply(host.id, kStart);
+    }
+  }
+  std::size_t exchanges = 0;
+  std::size_t with_responsive = 0;
+  for (int ms = 0; ms <= 20000; ms += 100) {
+    for (const FleetHost& peer :
+         this->membership.TakeDuePeers(kStart + milliseconds(ms))) {
+      ++exchanges;
+      if (std::stoi(peer.id.Value().substr(1)) >= 160) ++with_responsive;
+    }
+  }
+  EXPECT_LE(exchanges, 8U + 200U);
+  // The others still have their turns.
+  EXPECT_GE(with_responsive, 60U);
+}
+
+// Guards against daemons that start together and all contact the same peers.
+TEST_F(FleetMembershipTest, TwoDaemonsStart_TakeDuePeers_ContactOthers) {
+  HostLocation other_location = Location();
+  other_location.host = common::HostId("other");
+  FleetMembership other(other_location);
+  for (int count = 0; count < 294; ++count) {
+    const FleetHost host = Host("h" + std::to_string(count), "east");
+    this->membership.Add(host, kStart);
+    other.Add(host, kStart);
+  }
+  const std::vector<FleetHost> first = this->membership.TakeDuePeers(kStart);
+  const std::vector<FleetHost> second = other.TakeDuePeers(kStart);
+  std::size_t common_peers = 0;
+  for (const FleetHost& host : first) {
+    common_peers += std::count(second.begin(), second.end(), host);
+  }
+  EXPECT_LT(common_peers, first.size() / 2);
+}
+
 // Guards against removing peers only because their turn comes rarely in a large
 // fleet, which would make the fleet seem smaller than it is.
 TEST_F(FleetMembershipTest, LargeFleetReplies_RemoveLost_RemovesNone) {
