--- a/Source/Core/Session/endpoint_pool.h
+++ b/Source/Core/Session/endpoint_pool.h
@@ -114,9 +114,6 @@
   /// Whether the pool has an idle channel of the caller.
   bool HasIdle(const std::string& caller) const;
 
-  /// Whether a channel can be opened without closing that of another caller.
-  bool HasRoom() const { return this->Channels() < this->limits.max_channels; }
-
   std::size_t Channels() const {
     return this->idle.size() + this->leased + this->opening.size();
   }
--- a/Source/Core/Session/service_group.cc
+++ b/Source/Core/Session/service_group.cc
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "Session/reader_placement.h"
-
 namespace camphorferry::session {
 
 namespace {
@@ -47,6 +45,10 @@
 constexpr std::chrono::milliseconds kSameDomainRoundTrip(1);
 constexpr std::chrono::milliseconds kSameRegionRoundTrip(3);
 constexpr std::chrono::milliseconds kCrossRegionRoundTrip(40);
+/// Expected delay per request in a pool's queue; about one statement.
+constexpr std::chrono::milliseconds kDelayPerQueuedRequest(12);
+/// Expected delay of opening a connection.
+constexpr std::chrono::milliseconds kOpenDelay(14);
 
 }  // namespace
 
@@ -202,25 +204,23 @@
     const std::string& caller,
     const std::set<common::EndpointId>& without) const {
   const common::SteadyTime now = common::SteadyNow();
-  std::vector<ReaderCandidate> candidates;
+  std::optional<common::EndpointId> best;
+  common::Duration best_delay = common::Duration::max();
   for (const auto& [id, member] : this->members) {
     if (without.contains(id)) continue;
     if (member.entry.state == MemberState::kLeaving) continue;
-    ReaderCandidate candidate;
-    candidate.id = id;
-    candidate.round_trip = this->RoundTripTo(member.entry);
-    candidate.waiting = member.pool->Waiting();
-    candidate.has_idle = member.pool->HasIdle(caller);
-    candidate.has_room = member.pool->HasRoom();
-    candidate.expected_failure_delay =
-        std::chrono::duration_cast<common::Duration>(
-            kFailureDelay * member.failures.Probability(now));
-    if (member.avoid_until > now) {
-      candidate.expected_failure_delay += kAvoidDuration;
+    common::Duration delay = this->RoundTripTo(member.entry) +
+                             kDelayPerQueuedRequest * member.pool->Waiting();
+    if (!member.pool->HasIdle(caller)) delay += kOpenDelay;
+    if (member.avoid_until > now) delay += kAvoidDuration;
+    delay += std::chrono::duration_cast<common::Duration>(
+        kFailureDelay * member.failures.Probability(now));
+    if (delay < best_delay) {
+      best_delay = delay;
+      best = id;
     }
-    candidates.push_back(std::move(candidate));
   }
-  return PlaceRead(caller, candidates);
+  return best;
 }
 
 void ServiceGroup::SendCommand(const common::EndpointId& id,
--- a/Source/Core/Session/session.h
+++ b/Source/Core/Session/session.h
@@ -27,7 +27,6 @@
 #include "Session/promotion_task.h"
 #include "Session/proxy.h"
 #include "Session/proxy_metrics.h"
-#include "Session/reader_placement.h"
 #include "Session/service_group.h"
 #include "Session/session_state.h"
 #include "Session/statement.h"
