--- a/Source/Core/Session/promotion_plan.h
+++ b/Source/Core/Session/promotion_plan.h
@@ -109,8 +109,8 @@
   /// all others that the choice relies on.
   bool IsChosen(const common::EndpointId& id, common::SteadyTime now) const;
 
-  /// Whether an order has been given, so that the lease must not pass to another
-  /// daemon until the plan ends.
+  /// Whether an order has been given, so that the lease must not pass to
+  /// another daemon until the plan ends.
   bool HasOrdered() const { return this->phase == Phase::kOrdered; }
 
   /// Handles that an order was not sent. The plan fences and chooses again.
@@ -166,7 +166,8 @@
   /// Members that are not held, among them those that have disappeared.
   std::set<common::EndpointId> Missing() const;
   /// Number of held members without log entries although the group's log has
-  /// some. They hold nothing that they have confirmed before they started again.
+  /// some. They hold nothing that they have confirmed before they started
+  /// again.
   std::size_t CountEmptyLogs() const;
   /// Whether an earlier promotion, of which only a hold is known, may have made
   /// a member the primary that is not held and not the one to replace. The
