Session: Let watches of the configuration lag where rate owners watch closely

Cause: each change of the configuration ends the watch of every daemon, which starts another one at the full price. First listings don't lag. Test: DirectoryWatcherTest.WatchesMayLag_Configuration_OnlyWatchesLag (new setting).

--- a/Source/Core/Session/directory_watcher.cc
+++ b/Source/Core/Session/directory_watcher.cc
@@ -95,9 +95,11 @@
 
 void DirectoryWatcher::Watch() {
   const StoreRevision after = *this->revision;
+  const bool may_lag =
+      this->settings.watches_may_lag && this->TrustsLaggingReads();
   this->platform->Watch(
       this->settings.kind, after, this->settings.watch_length,
-      this->Freshness(),
+      may_lag ? DirectoryFreshness::kAllowStale : this->Freshness(),
       [this, still_alive = this->alive, call = ++this->last_call,
        after](const DirectoryResult& result) {
         if (!*still_alive || call != this->last_call) return;
--- a/Source/Core/Session/directory_watcher.h
+++ b/Source/Core/Session/directory_watcher.h
@@ -22,6 +22,8 @@
   /// Length of one watch call. A connection or a store that has lost the call
   /// without a trace is noticed after this time.
   common::Duration watch_length = std::chrono::seconds(6);
+  /// Watches of any kind of object may lag; listings of configurations never.
+  bool watches_may_lag = false;
 };
 
 /// Follows all objects of one kind in the platform's store. Lists them once,
@@ -47,6 +49,12 @@
     this->settings.watch_length = length;
   }
 
+  /// Sets whether watches that start later may lag by seconds, at a lower cost,
+  /// because other daemons tell of changes.
+  void SetWatchesMayLag(bool may_lag) {
+    this->settings.watches_may_lag = may_lag;
+  }
+
   /// Starts to follow the store. Must be called once.
   void Start();
 
--- a/Source/Core/Session/proxy.cc
+++ b/Source/Core/Session/proxy.cc
@@ -251,6 +251,8 @@
         this->fleet->IsRateOwner() ? length - kRelayDelay : kRelayedWatchLength;
   }
   this->configuration_watcher->SetWatchLength(length);
+  this->configuration_watcher->SetWatchesMayLag(
+      !this->fleet->AllAreRateOwners() && !this->fleet->IsRateOwner());
 }
 
 void Proxy::UpdateRateOwners() {
@@ -410,6 +412,7 @@
       this->configuration == nullptr ? 0 : this->configuration->version;
   if (report.configuration_version > own) {
     this->configuration_watcher->OnPeerAhead(common::SteadyNow());
+    this->peer_ahead = report.host;
   }
   if (!this->initial_check.has_value()) return;
   this->initial_check->OnPeerVersion(report.host, report.configuration_version);
@@ -428,11 +431,18 @@
        {DirectoryKind::kConfiguration, DirectoryKind::kMembers}) {
     const DirectoryWatcher* watcher = this->WatcherOf(kind);
     if (!watcher->NeedsPeers(now)) continue;
-    this->fleet->QueryDirectory(this->NewQuery(kind),
-                                [this, kind](const common::HostId& peer,
-                                             const SharedDirectory& shared) {
-                                  this->OnDirectoryRelayed(kind, peer, shared);
-                                });
+    const auto receive = [this, kind](const common::HostId& peer,
+                                      const SharedDirectory& shared) {
+      this->OnDirectoryRelayed(kind, peer, shared);
+    };
+    // In a large fleet, few others may know the newer state yet.
+    if (kind == DirectoryKind::kConfiguration && this->peer_ahead.has_value()) {
+      this->fleet->QueryDirectory(*this->peer_ahead, this->NewQuery(kind),
+                                  receive);
+      this->peer_ahead.reset();
+      continue;
+    }
+    this->fleet->QueryDirectory(this->NewQuery(kind), receive);
   }
 }
 
--- a/Source/Core/Session/proxy.h
+++ b/Source/Core/Session/proxy.h
@@ -141,6 +141,8 @@
   /// Latest known era of the store; none before the first answer.
   std::optional<std::uint64_t> store_era;
   common::SteadyTime next_directory_query;
+  /// The last daemon that has reported a newer configuration.
+  std::optional<FleetHost> peer_ahead;
   bool tick_odd = false;
   std::optional<common::SteadyTime> stopping_since;
   std::unique_ptr<DirectoryWatcher> configuration_watcher;
--- a/Source/UnitTests/Core/Session/directory_watcher_test.cc
+++ b/Source/UnitTests/Core/Session/directory_watcher_test.cc
@@ -86,6 +86,22 @@
   EXPECT_EQ(this->names, (std::vector<std::string>{"a"}));
 }
 
+// Guards against a fleet of which every daemon pays the full price of a watch
+// for each change, and against a first listing that may be old.
+TEST_F(DirectoryWatcherTest, WatchesMayLag_Configuration_OnlyWatchesLag) {
+  DirectoryWatcherSettings settings;
+  settings.kind = DirectoryKind::kConfiguration;
+  DirectoryWatcher configurations(&this->loop, &this->platform, &this->metrics,
+                                  settings, [](const auto&) {});
+  configurations.SetWatchesMayLag(true);
+  configurations.Start();
+  EXPECT_EQ(this->platform.list_freshness[settings.kind].front(),
+            DirectoryFreshness::kLatest);
+  this->platform.lists[settings.kind].front()(DirectoryChanges{{}, {0, 5}});
+  EXPECT_EQ(this->platform.watches[settings.kind].front().freshness,
+            DirectoryFreshness::kAllowStale);
+}
+
 // Guards against a removed database that stays in the routing table.
 TEST_F(DirectoryWatcherTest, RemovedPermanently_Objects_DropItAfterTheGrace) {
   this->AnswerList({Change("a", 1)}, 5);
