--- a/review/5/run.sh
+++ b/review/4/run.sh
@@ -2,7 +2,7 @@
 # Exit code: 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
-program=review/build/review-lost_logs
+program=review/build/review-withdrawn_key
 [ -x "$program" ] && [ -x target/platform/camphorferry-proxy ] || exit 2
 folder=$(mktemp -d) || exit 2
 trap 'rm -rf "$folder"' EXIT
