--- a/review/stand_ins/lost_logs.cc
+++ b/review/stand_ins/lost_logs.cc
@@ -1,8 +1,8 @@
-// Runs camphorferry-proxy processes before stand-ins of the store and of one group
-// of three databases. The databases crash: the primary is dark for seven seconds,
-// both replicas start again under their ids without their logs. All proxies are
-// killed and started again. Checks that no database is promoted whose log lacks
-// an acknowledged commit.
+// Runs camphorferry-proxy processes before stand-ins of the store and of one
+// group of three databases. The databases crash: the primary is dark for seven
+// seconds, both replicas start again under their ids without their logs. All
+// proxies are killed and started again. Checks that no database is promoted
+// whose log lacks an acknowledged commit.
 
 #include <fcntl.h>
 #include <signal.h>
@@ -168,7 +168,8 @@
 
 class Group {
  public:
-  Group(connection::EventLoop* loop, Record* record) : loop(loop), record(record) {
+  Group(connection::EventLoop* loop, Record* record)
+      : loop(loop), record(record) {
     for (int index = 0; index < kDatabases; ++index) this->Start(index);
     this->databases[0]->primary = true;
     for (const auto& database : this->databases) {
@@ -334,8 +335,9 @@
   if (in_time) {
     if (trouble) {
       steps.push_back(loop.After(kTroubleAt, [&] {
-        record.Add("db-0, the primary, goes dark; db-1 and db-2 start again "
-                   "without their logs; all proxies are killed");
+        record.Add(
+            "db-0, the primary, goes dark; db-1 and db-2 start again "
+            "without their logs; all proxies are killed");
         group.SetPrimaryDark(true);
         for (const pid_t proxy : proxies) StopProxy(proxy);
         proxies.clear();
--- a/review/stand_ins/withdrawn_key.cc
+++ b/review/stand_ins/withdrawn_key.cc
@@ -1,6 +1,6 @@
 // Runs camphorferry-proxy processes before stand-ins of the store and of three
-// databases. The store is unreachable and then silent for a moment; after that a
-// key is withdrawn. Checks that no request with this key runs later than the
+// databases. The store is unreachable and then silent for a moment; after that
+// a key is withdrawn. Checks that no request with this key runs later than the
 // rule CONFIG allows.
 
 #include <fcntl.h>
@@ -299,8 +299,8 @@
     const Client& client = *clients[index];
     if (index % 2 == 0) {
       // The key that stays is still served at the end.
-      control = control && common::SteadyNow() - client.LastSuccess() <
-                               seconds(2);
+      control =
+          control && common::SteadyNow() - client.LastSuccess() < seconds(2);
       continue;
     }
     for (const auto& [request, time] : client.sent) {
