Session: End lost watches of the configuration within the settling time

Cause: a store that is silent loses a watch without a trace, which is noticed at its end, 7 s later. Its length was the sum of the settling time and the bound of a change, though the two run at the same time. After a failed call the next one was a watch of full length again, at all daemons at once.

Evidence: the same loss without any failure before shows it too, when the store goes silent for 300 ms right after a change, since all daemons watch again at the same moment.

Ruled out: asking peers, as all watches are lost together; keep-alive probes, as the connection is sound.

Why this works: the length follows from the settling time alone, less a failed call and the next one, so a watch that is lost in the last moment of an outage is made good in time. While the store does not answer, watches last 0.5 s. In a fleet of more than twelve, where most daemons hear of changes from the rate owners, the first watches after a change or a failure end one after the other.

--- a/Source/Core/Session/directory.h
+++ b/Source/Core/Session/directory.h
@@ -198,6 +198,11 @@
 /// The platform's answer to a promotion order.
 enum class PromotionAnswer { kAccepted, kRejected, kNoAnswer };
 
+/// Limit of a call to the store or of an order, apart from the time that a
+/// watch waits. The store normally responds within 4 ms plus 40 ms of network
+/// latency, and fifty times slower when it is degraded.
+inline constexpr std::chrono::milliseconds kStoreCallTimeout(1000);
+
 /// Interface to the platform: directory, lease record and promotions. Callbacks
 /// are called once, from the event loop.
 class Platform {
--- a/Source/Core/Session/directory_watcher.cc
+++ b/Source/Core/Session/directory_watcher.cc
@@ -18,6 +18,9 @@
 /// has a cost, even while the store is down.
 constexpr std::chrono::milliseconds kInitialBackoff(150);
 constexpr std::chrono::milliseconds kMaxBackoff(600);
+/// Longest watch while the store has not answered the last call. It shows soon
+/// whether the store has returned, and is soon noticed if the store loses it.
+constexpr std::chrono::milliseconds kMaxProbeLength(500);
 /// Longest pause between listings while no watch succeeds because the store
 /// lacks its history. Below the bound within which a change must be in force
 /// (4,000 ms), since changes are then learned from the listings alone.
@@ -98,7 +101,7 @@
   const bool may_lag =
       this->settings.watches_may_lag && this->TrustsLaggingReads();
   this->platform->Watch(
-      this->settings.kind, after, this->settings.watch_length,
+      this->settings.kind, after, this->TakeWatchLength(),
       may_lag ? DirectoryFreshness::kAllowStale : this->Freshness(),
       [this, still_alive = this->alive, call = ++this->last_call,
        after](const DirectoryResult& result) {
@@ -107,6 +110,15 @@
       });
 }
 
+common::Duration DirectoryWatcher::TakeWatchLength() {
+  const WatchLengths& lengths = this->settings.watch_lengths;
+  if (this->backoff != common::Duration::zero()) {
+    return std::min<common::Duration>(kMaxProbeLength, lengths.regular);
+  }
+  return std::exchange(this->first_watch, false) ? lengths.first
+                                                 : lengths.regular;
+}
+
 DirectoryFreshness DirectoryWatcher::Freshness() const {
   return this->TrustsLaggingReads() ? FreshnessOf(this->settings.kind)
                                     : DirectoryFreshness::kLatest;
@@ -173,6 +185,7 @@
     return;
   }
   this->needs_listing = false;
+  this->first_watch = true;
   std::set<std::string> present;
   for (const DirectoryChange& change : changes->changes) {
     present.insert(change.name);
@@ -205,6 +218,7 @@
               this->Watch();
               return;
             }
+            this->first_watch = true;
             this->NotifyObserver();
             this->timer =
                 this->loop->After(kBatchPause, [this] { this->Watch(); });
@@ -225,6 +239,7 @@
 }
 
 void DirectoryWatcher::OnUnavailable(const StoreUnavailable& failure) {
+  this->first_watch = true;
   if (this->backoff == common::Duration::zero()) {
     common::Log(
         Subsystem::kVersion, LogLevel::kWarning, "store_lost",
--- a/Source/Core/Session/directory_watcher.h
+++ b/Source/Core/Session/directory_watcher.h
@@ -11,6 +11,7 @@
 #include "Connection/connection.h"
 #include "Session/directory.h"
 #include "Session/proxy_metrics.h"
+#include "Session/watch_lengths.h"
 
 namespace camphorferry::session {
 
@@ -19,9 +20,9 @@
   DirectoryKind kind = DirectoryKind::kMembers;
   /// Removals are reported after this time, unless the object returns before.
   common::Duration removal_grace = common::Duration::zero();
-  /// Length of one watch call. A connection or a store that has lost the call
+  /// Lengths of the watch calls. A connection or a store that has lost a call
   /// without a trace is noticed after this time.
-  common::Duration watch_length = std::chrono::seconds(6);
+  WatchLengths watch_lengths;
   /// Watches of any kind of object may lag; listings of configurations never.
   bool watches_may_lag = false;
 };
@@ -44,9 +45,9 @@
   DirectoryWatcher(const DirectoryWatcher&) = delete;
   DirectoryWatcher& operator=(const DirectoryWatcher&) = delete;
 
-  /// Sets the length of watches that start later.
-  void SetWatchLength(common::Duration length) {
-    this->settings.watch_length = length;
+  /// Sets the lengths of watches that start later.
+  void SetWatchLengths(const WatchLengths& lengths) {
+    this->settings.watch_lengths = lengths;
   }
 
   /// Sets whether watches that start later may lag by seconds, at a lower cost,
@@ -102,6 +103,8 @@
   /// the first time, after a growing pause if no watch has succeeded since.
   void Relist();
   void Watch();
+  /// Length of the watch that starts now.
+  common::Duration TakeWatchLength();
   void OnListed(DirectoryFreshness freshness, const DirectoryResult& result);
   void OnWatched(StoreRevision after, const DirectoryResult& result);
   /// Whether a read that lags shows no objects of an earlier era.
@@ -135,6 +138,8 @@
   std::optional<common::SteadyTime> era_known_since;
   /// The next call must be a listing, although a revision is known.
   bool needs_listing = false;
+  /// The next watch is the first one after a change, a listing or a failure.
+  bool first_watch = true;
   /// A listing is in progress.
   bool listing = false;
   /// Number of the last call; answers to earlier ones are ignored.
--- a/Source/Core/Session/fleet_task.cc
+++ b/Source/Core/Session/fleet_task.cc
@@ -166,11 +166,14 @@
               {{"peer", peer}});
 }
 
-bool FleetTask::IsRateOwner() {
-  const std::vector<common::HostId>& rate_owners =
-      this->membership.RateOwners();
-  return std::find(rate_owners.begin(), rate_owners.end(), this->own.id) !=
-         rate_owners.end();
+WatchRole FleetTask::ConfigurationWatchRole() {
+  const std::vector<common::HostId>& owners = this->membership.RateOwners();
+  WatchRole role;
+  role.close_watchers = owners.size();
+  role.position = static_cast<std::size_t>(
+      std::find(owners.begin(), owners.end(), this->own.id) - owners.begin());
+  role.all_watch_closely = owners.size() == this->membership.Size();
+  return role;
 }
 
 bool FleetTask::OwnsRate(const common::WorkspaceId& workspace) {
--- a/Source/Core/Session/fleet_task.h
+++ b/Source/Core/Session/fleet_task.h
@@ -8,6 +8,7 @@
 #include "Session/directory.h"
 #include "Session/fleet_membership.h"
 #include "Session/fleet_transport.h"
+#include "Session/watch_lengths.h"
 #include "Session/workspace_limiter.h"
 
 namespace camphorferry::session {
@@ -55,13 +56,9 @@
   /// registration and those of others: registers again and lists the hosts.
   void OnStoreRestored();
 
-  /// Whether this daemon is a rate owner.
-  bool IsRateOwner();
-
-  /// Whether all known daemons are rate owners.
-  bool AllAreRateOwners() {
-    return this->membership.RateOwners().size() == this->membership.Size();
-  }
+  /// The part that this daemon has in watching the configuration: rate owners
+  /// watch closely.
+  WatchRole ConfigurationWatchRole();
 
   /// Whether this daemon owns the rate of a workspace.
   bool OwnsRate(const common::WorkspaceId& workspace);
--- a/Source/Core/Session/proxy.cc
+++ b/Source/Core/Session/proxy.cc
@@ -35,27 +35,9 @@
 /// The process ends this long before the platform would kill it.
 constexpr std::chrono::milliseconds kStopReserve(600);
 
-/// Part of the bound of a change that is reserved for noticing that a watch has
-/// failed (1,000 ms), for listing again, and for slow hosts.
-constexpr std::chrono::milliseconds kWatchReserve(3000);
-constexpr std::chrono::milliseconds kMinWatchLength(2500);
-/// Time in which a change spreads from the daemons that watch the store closely
-/// to all others: an exchange of reports with one that knows it (1 s), the
-/// delay before it is queried (1 s), and the query (0.5 s).
-constexpr std::chrono::milliseconds kRelayDelay(2500);
-/// Watch length of a daemon that learns of changes from others; below the
-/// longest watch that the platform accepts (30 s).
-constexpr std::chrono::milliseconds kRelayedWatchLength(25000);
-
-/// Watch length for a daemon that does not rely on others. A store that is down
-/// or disconnected may lose a watch without a trace, which is noticed only at
-/// its end. Changes must be in force within their bound once the disturbance
-/// has been over for the settling time.
-common::Duration WatchLength(const ProxySettings& settings) {
-  return std::max<common::Duration>(
-      settings.settling_time + settings.change_bound - kWatchReserve,
-      kMinWatchLength);
-}
+/// Length of the watches of members. A database serves for longer than this
+/// after it has announced that it leaves.
+constexpr std::chrono::milliseconds kMemberWatchLength(6000);
 
 }  // namespace
 
@@ -94,12 +76,14 @@
         });
   }
   DirectoryWatcherSettings watcher;
-  watcher.watch_length = WatchLength(this->settings);
   watcher.kind = DirectoryKind::kConfiguration;
+  watcher.watch_lengths =
+      ChooseWatchLengths(this->settings.settling_time, WatchRole());
   this->configuration_watcher = std::make_unique<DirectoryWatcher>(
       loop, platform, &this->metrics, watcher,
       [this](const auto& objects) { this->OnConfigurations(objects); });
   watcher.kind = DirectoryKind::kMembers;
+  watcher.watch_lengths = {kMemberWatchLength, kMemberWatchLength};
   watcher.removal_grace = kMemberRemovalGrace;
   this->member_watcher = std::make_unique<DirectoryWatcher>(
       loop, platform, &this->metrics, watcher,
@@ -242,22 +226,19 @@
                       "result", result);
 }
 
-void Proxy::UpdateWatchLength() {
-  common::Duration length = WatchLength(this->settings);
-  if (!this->fleet->AllAreRateOwners()) {
-    // Rate owners watch the store closely; the other daemons learn of changes
-    // from them.
-    length =
-        this->fleet->IsRateOwner() ? length - kRelayDelay : kRelayedWatchLength;
-  }
-  this->configuration_watcher->SetWatchLength(length);
-  this->configuration_watcher->SetWatchesMayLag(
-      !this->fleet->AllAreRateOwners() && !this->fleet->IsRateOwner());
+void Proxy::UpdateConfigurationWatch() {
+  // Rate owners watch the store closely; the other daemons learn of changes
+  // from them.
+  const WatchRole role = this->fleet->ConfigurationWatchRole();
+  this->configuration_watcher->SetWatchLengths(
+      ChooseWatchLengths(this->settings.settling_time, role));
+  this->configuration_watcher->SetWatchesMayLag(role.position >=
+                                                role.close_watchers);
 }
 
 void Proxy::UpdateRateOwners() {
   if (this->fleet == nullptr) return;
-  this->UpdateWatchLength();
+  this->UpdateConfigurationWatch();
   if (this->configuration == nullptr) return;
   const common::SteadyTime now = common::SteadyNow();
   for (const auto& [workspace, rate] : this->configuration->workspaces) {
--- a/Source/Core/Session/proxy.h
+++ b/Source/Core/Session/proxy.h
@@ -111,7 +111,7 @@
   DirectoryWatcher* WatcherOf(DirectoryKind kind);
   void OnFleetSize(std::size_t size, std::size_t responsive);
   void UpdateRateOwners();
-  void UpdateWatchLength();
+  void UpdateConfigurationWatch();
   void CountAdmission(const std::string& result);
   void UpdateChannelLimits();
   void Tick();
--- a/Source/Core/Session/session.h
+++ b/Source/Core/Session/session.h
@@ -31,6 +31,7 @@
 #include "Session/session_state.h"
 #include "Session/statement.h"
 #include "Session/statement_run.h"
+#include "Session/watch_lengths.h"
 #include "Session/wire_codec.h"
 #include "Session/workspace_limiter.h"
 
--- a/Source/UnitTests/Core/Session/directory_watcher_test.cc
+++ b/Source/UnitTests/Core/Session/directory_watcher_test.cc
@@ -6,6 +6,7 @@
 namespace {
 
 using std::chrono::milliseconds;
+using std::chrono::seconds;
 
 constexpr DirectoryKind kKind = DirectoryKind::kMembers;
 
@@ -136,13 +137,35 @@
                                              DirectoryFreshness::kLatest}));
 }
 
-TEST_F(DirectoryWatcherTest, WatchLengthChanged_NextWatch_HasIt) {
+TEST_F(DirectoryWatcherTest, WatchLengthsChanged_NextWatches_HaveThem) {
   this->AnswerList({Change("a", 1)}, 5);
-  this->watcher.SetWatchLength(std::chrono::seconds(25));
+  this->watcher.SetWatchLengths({seconds(25), seconds(10)});
   this->AnswerWatch(DirectoryChanges{{}, {0, 5}});
   ASSERT_EQ(this->platform.watches[kKind].size(), 1U);
-  EXPECT_EQ(this->platform.watches[kKind].front().wait,
-            std::chrono::seconds(25));
+  EXPECT_EQ(this->platform.watches[kKind].front().wait, seconds(25));
+  this->AnswerWatch(DirectoryChanges{{Change("b", 6)}, {0, 6}});
+  this->RunFor(milliseconds(400));
+  EXPECT_EQ(this->platform.watches[kKind].front().wait, seconds(10));
+  this->AnswerWatch(DirectoryChanges{{}, {0, 6}});
+  EXPECT_EQ(this->platform.watches[kKind].front().wait, seconds(25));
+}
+
+// Guards against a store that loses the first watch after an outage, which
+// would be noticed only after the whole length of a watch.
+TEST_F(DirectoryWatcherTest, StoreUnavailable_Watches_AreShortUntilAnswered) {
+  this->AnswerList({Change("a", 1)}, 5);
+  EXPECT_EQ(this->platform.watches[kKind].front().wait, seconds(6));
+  this->AnswerWatch(StoreUnavailable{"down"});
+  this->RunFor(milliseconds(200));
+  ASSERT_EQ(this->platform.watches[kKind].size(), 1U);
+  EXPECT_LE(this->platform.watches[kKind].front().wait, seconds(1));
+  this->AnswerWatch(StoreUnavailable{"still down"});
+  this->RunFor(milliseconds(400));
+  ASSERT_EQ(this->platform.watches[kKind].size(), 1U);
+  EXPECT_LE(this->platform.watches[kKind].front().wait, seconds(1));
+  this->AnswerWatch(DirectoryChanges{{}, {0, 5}});
+  ASSERT_EQ(this->platform.watches[kKind].size(), 1U);
+  EXPECT_EQ(this->platform.watches[kKind].front().wait, seconds(6));
 }
 
 // Guards against one call to the store per change when many changes come
--- /dev/null
+++ b/Source/UnitTests/Core/Session/watch_lengths_test.cc
@@ -0,0 +1,55 @@
+#include <gtest/gtest.h>
+
+#include "Session/session.h"
+
+namespace camphorferry::session {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr seconds kSettlingTime(5);
+/// Pause after a failed call, and the next call.
+constexpr milliseconds kNextCall(200);
+/// Time in which daemons hear of a change that one of them knows: a report (1
+/// s), the wait for the own watch (1 s) and the query (500 ms).
+constexpr milliseconds kRelay(2500);
+
+class WatchLengthsTest : public testing::Test {};
+
+// Guards against a lost watch that is noticed after the settling time.
+TEST_F(WatchLengthsTest, AllWatchClosely_LostWatch_IsMadeGoodInTime) {
+  const WatchLengths lengths = ChooseWatchLengths(kSettlingTime, WatchRole());
+  EXPECT_LE(lengths.regular + kStoreCallTimeout + kNextCall, kSettlingTime);
+  EXPECT_EQ(lengths.first, lengths.regular);
+}
+
+// Guards against watches of a large fleet that end together, too late for the
+// daemons that hear of changes from the close watchers.
+TEST_F(WatchLengthsTest, FewWatchClosely_LostWatches_OneIsNoticedEarly) {
+  constexpr std::size_t kWatchers = 12;
+  common::Duration earlier = common::Duration::zero();
+  for (std::size_t position = 0; position < kWatchers; ++position) {
+    const WatchLengths lengths =
+        ChooseWatchLengths(kSettlingTime, {kWatchers, position, false});
+    EXPECT_LE(lengths.regular + kStoreCallTimeout + kNextCall, kSettlingTime);
+    // Gaps between the ends of two watches.
+    EXPECT_LE(lengths.first - earlier + kStoreCallTimeout + kNextCall + kRelay,
+              kSettlingTime);
+    EXPECT_GE(lengths.first, earlier);
+    earlier = lengths.first;
+  }
+  EXPECT_EQ(earlier,
+            ChooseWatchLengths(kSettlingTime, {kWatchers, 0, false}).regular);
+}
+
+// Guards against the price of a close watch at each daemon of a large fleet.
+TEST_F(WatchLengthsTest, OthersWatchClosely_Watch_IsLong) {
+  const WatchLengths lengths =
+      ChooseWatchLengths(kSettlingTime, {12, 12, false});
+  EXPECT_GE(lengths.regular, seconds(20));
+  EXPECT_LE(lengths.regular, seconds(30));
+}
+
+}  // namespace
+}  // namespace camphorferry::session
--- a/Source/UnitTests/Platform/fake_store.cc
+++ b/Source/UnitTests/Platform/fake_store.cc
@@ -55,6 +55,11 @@
 void FakeStore::SetState(StoreState changed) {
   this->state = changed;
   if (changed != StoreState::kSilent) this->unanswered.clear();
+  if (changed != StoreState::kResets) return;
+  for (const Watcher& watcher : this->watchers) {
+    watcher.responder->CloseWithoutResponse();
+  }
+  this->watchers.clear();
 }
 
 void FakeStore::DropHistory() {
@@ -137,6 +142,12 @@
     case StoreState::kSilent:
       this->unanswered.push_back(responder);
       return;
+    case StoreState::kLosesCalls:
+      this->lost.push_back(responder);
+      return;
+    case StoreState::kResets:
+      responder->CloseWithoutResponse();
+      return;
     case StoreState::kSlow:
       this->loop->RunLater(kSlowResponseDelay, [this, request, responder] {
         this->Answer(request, responder);
@@ -188,7 +199,8 @@
 
 void FakeStore::AnswerWatchers() {
   // A store that is down does not answer its watches either.
-  if (this->state == StoreState::kBusy || this->state == StoreState::kSilent) {
+  if (this->state == StoreState::kBusy || this->state == StoreState::kSilent ||
+      this->state == StoreState::kLosesCalls) {
     return;
   }
   const common::SteadyTime now = common::SteadyNow();
--- a/Source/UnitTests/Platform/fake_store.h
+++ b/Source/UnitTests/Platform/fake_store.h
@@ -21,6 +21,10 @@
   kBusy,
   /// Calls get no response.
   kSilent,
+  /// Calls get no response, also after the state has changed.
+  kLosesCalls,
+  /// Connections are closed without a response, also those of watches.
+  kResets,
   /// Responses are delayed.
   kSlow,
   /// Writes take effect, and their responses are lost.
@@ -124,6 +128,8 @@
   std::list<Watcher> watchers;
   /// Calls that stay unanswered until the state changes.
   std::vector<Responder> unanswered;
+  /// Calls that are never answered.
+  std::vector<Responder> lost;
   std::size_t calls = 0;
   std::vector<std::uint64_t> promotion_tokens;
   std::unique_ptr<connection::HttpServer> server;
--- a/Source/UnitTests/Platform/proxy_start_test.cc
+++ b/Source/UnitTests/Platform/proxy_start_test.cc
@@ -1,17 +1,12 @@
-#include <gtest/gtest.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include <csignal>
-#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
 
-#include "fake_store.h"
-#include "store_client.h"
+#include "store_fixture.h"
 #include "test_clients.h"
-#include "wire_format.h"
 
 namespace camphorferry::platform {
 namespace {
@@ -42,55 +37,9 @@
   int socket;
 };
 
-/// Daemons of one fleet that start at a fake store, with all parts between
-/// them.
-class ProxyStartTest : public testing::Test {
+/// Daemons that start.
+class ProxyStartTest : public StoreTest {
  protected:
-  /// One daemon and its client of the store.
-  struct Daemon {
-    std::unique_ptr<StoreClient> client;
-    std::unique_ptr<session::Proxy> proxy;
-  };
-
-  // The fake store writes to sockets that it has shut down itself.
-  ProxyStartTest() { std::signal(SIGPIPE, SIG_IGN); }
-
-  ~ProxyStartTest() override { this->RunFor(milliseconds(1)); }
-
-  void RunFor(common::Duration time) {
-    const auto timer = this->loop.After(time, [this] { this->loop.Stop(); });
-    this->loop.Run();
-  }
-
-  Daemon NewDaemon(const std::string& host) {
-    session::ProxySettings settings;
-    settings.location.host = common::HostId(host);
-    settings.location.domain = common::FailureDomainId("zone");
-    settings.clients = {"127.0.0.1", 0};
-    settings.readiness = {"127.0.0.1", 0};
-    settings.readiness_path = "/ready";
-    settings.peers = {"127.0.0.1", 0};
-    Daemon daemon;
-    daemon.client = std::make_unique<StoreClient>(
-        &this->loop, this->store.Address(), this->store.Address());
-    daemon.proxy = std::make_unique<session::Proxy>(
-        &this->loop, &this->format, daemon.client.get(), settings);
-    return daemon;
-  }
-
-  /// Writes a configuration with a route of the version's name.
-  void PutConfiguration(std::uint64_t version) {
-    session::DirectoryConfiguration configuration;
-    configuration.version = version;
-    session::DatabaseRoute route;
-    route.service = common::ServiceId("svc");
-    configuration.routes["route" + std::to_string(version)] = route;
-    configuration.services[route.service].max_connections = 16;
-    configuration.workspaces[common::WorkspaceId("tenant")] = {100, 100};
-    configuration.workspace_of_key["key"] = common::WorkspaceId("tenant");
-    this->store.Put(configuration);
-  }
-
   /// Writes the registration of a daemon that has ended.
   void PutEndedHost(const std::string& host, const std::string& address) {
     bool done = false;
@@ -128,16 +77,6 @@
     }
     return common::SteadyNow() - start;
   }
-
-  static std::uint64_t VersionOf(const Daemon& daemon) {
-    const auto configuration = daemon.proxy->Configuration();
-    return configuration == nullptr ? 0 : configuration->version;
-  }
-
-  connection::EventLoop loop;
-  FakeStore store{&this->loop,
-                  [](const std::string&, const std::string&) { return true; }};
-  WireFormat format;
 };
 
 // Guards against a daemon that starts to serve with the older configuration of
