Connection: Bound pauses within a response by one second

Cause: the time in which a response must begin also bounded each pause within it. For a watch this is the length of the watch and one second: a store that goes silent in the middle of its answer was noticed after up to twice that time.

Why this works: once the first byte has arrived, the rest may pause for one second at most, which is noticed within two. Slow responses that make progress are still read.

HttpClientTest.ResponseOfLongPollStalls_Get_FailsSoon fails without the change.

--- a/Source/Core/Connection/http_client.cc
+++ b/Source/Core/Connection/http_client.cc
@@ -25,6 +25,8 @@
 constexpr int kKeepAliveIntervalSeconds = 1;
 constexpr int kKeepAliveMaxProbes = 2;
 
+/// Longest pause within a response, which a server sends without a wait.
+constexpr std::chrono::milliseconds kMaxResponsePause(1000);
 /// Longest time in which a response may arrive, however slowly.
 constexpr std::chrono::seconds kMaxResponseTime(30);
 
@@ -136,7 +138,16 @@
 
   static void OnInput(evbuffer* /*buffer*/, const evbuffer_cb_info* info,
                       void* context) {
-    if (info->n_added > 0) static_cast<State*>(context)->received = true;
+    if (info->n_added > 0) static_cast<State*>(context)->OnReceived();
+  }
+
+  void OnReceived() {
+    this->received = true;
+    if (std::exchange(this->response_begun, true)) return;
+    if (!this->callback) return;
+    // The rest must not take as long as a long poll may take to begin.
+    this->StartTimeout(
+        std::min<common::Duration>(this->request_timeout, kMaxResponsePause));
   }
 
   void CloseLater() {
@@ -156,6 +167,9 @@
   /// called back.
   std::shared_ptr<State>* context = nullptr;
   std::unique_ptr<Timer> timeout;
+  /// Time in which the response must begin.
+  common::Duration request_timeout = common::Duration::zero();
+  bool response_begun = false;
   /// Bytes have arrived since the timeout was started.
   bool received = false;
   common::SteadyTime give_up_at;
@@ -216,6 +230,8 @@
   evbuffer* body = evhttp_request_get_output_buffer(outgoing);
   evbuffer_add(body, request.body.data(), request.body.size());
   this->state->received = false;
+  this->state->response_begun = false;
+  this->state->request_timeout = timeout;
   this->state->give_up_at = common::SteadyNow() + timeout + kMaxResponseTime;
   this->state->StartTimeout(timeout);
   evhttp_make_request(this->state->connection, outgoing,
--- a/Source/Core/Connection/http_client.h
+++ b/Source/Core/Connection/http_client.h
@@ -27,8 +27,9 @@
   HttpClientConnection& operator=(const HttpClientConnection&) = delete;
 
   /// Sends a request. The connection must be usable and not busy. The timeout
-  /// bounds the time until the response begins and each pause while it arrives.
-  /// The callback is called once from the event loop, never from within Send.
+  /// bounds the time until the response begins. Each pause while it arrives is
+  /// bounded by the timeout, and by one second (noticed within two). The
+  /// callback is called once from the event loop, never from within Send.
   void Send(const HttpRequest& request, common::Duration timeout,
             Callback callback);
 
--- a/Source/UnitTests/Core/Connection/http_client_test.cc
+++ b/Source/UnitTests/Core/Connection/http_client_test.cc
@@ -62,7 +62,7 @@
     SendHttpOnce(
         &this->loop,
         {"127.0.0.1", LocalPort(evconnlistener_get_fd(this->listener))},
-        HttpRequest(), kTimeout, [&](HttpResult received) {
+        HttpRequest(), this->timeout, [&](HttpResult received) {
           result = std::move(received);
           this->loop.Stop();
         });
@@ -76,6 +76,7 @@
   evconnlistener* listener = nullptr;
   bufferevent* connection = nullptr;
   std::unique_ptr<Timer> piece_timer;
+  milliseconds timeout = kTimeout;
   std::size_t piece_size = 400;
   std::size_t sent = 0;
   /// Bytes after which the server sends no more.
@@ -99,5 +100,17 @@
   EXPECT_EQ(std::get<HttpFailure>(result), HttpFailure::kNoAnswer);
 }
 
+// Guards against a long poll whose response stops midway and is waited for as
+// long as for the response to begin.
+TEST_F(HttpClientTest, ResponseOfLongPollStalls_Get_FailsSoon) {
+  this->timeout = milliseconds(4000);
+  this->stalls_at = 1200;
+  const common::SteadyTime start = common::SteadyNow();
+  const HttpResult result = this->Get();
+  ASSERT_TRUE(std::holds_alternative<HttpFailure>(result));
+  EXPECT_EQ(std::get<HttpFailure>(result), HttpFailure::kNoAnswer);
+  EXPECT_LT(common::SteadyNow() - start, milliseconds(3000));
+}
+
 }  // namespace
 }  // namespace camphorferry::connection
