Session: List the members anew before a promotion

Cause: a promotion took the members as the watch had last reported them. The store answered again, as the lease shows, but the watch was still lost.

Ruled out: the lease and its token, which were valid; the terms, as the replicas reported the newer one.

Why this works: the daemon lists the members without lag once it has the lease, and decides only then whether a promotion is needed and by whom. A store that does not answer ends the attempt.

ProxyTest.Writes_PrimaryReplacedByUnknownMember_* fails without the change. The fixture of ProxyTest answers listings of members now, and Service_NoPrimaryEverKnown_* no longer drops the new proxy's pending watch.

--- a/Source/Core/Session/directory_watcher.cc
+++ b/Source/Core/Session/directory_watcher.cc
@@ -72,9 +72,10 @@
   this->listing = true;
   // After a gap in the history, a listing that lags could lack objects that are
   // already known.
-  const DirectoryFreshness freshness = this->revision.has_value()
-                                           ? DirectoryFreshness::kLatest
-                                           : this->Freshness();
+  const bool must_not_lag =
+      this->revision.has_value() || !this->refreshes.empty();
+  const DirectoryFreshness freshness =
+      must_not_lag ? DirectoryFreshness::kLatest : this->Freshness();
   this->platform->List(
       this->settings.kind, freshness,
       [this, still_alive = this->alive, call = ++this->last_call,
@@ -145,6 +146,20 @@
   this->List();
 }
 
+void DirectoryWatcher::Refresh(std::function<void(bool)> done) {
+  this->refreshes.push_back(std::move(done));
+  // A listing in progress may already have been answered by the store, so it is
+  // replaced as well.
+  this->needs_listing = true;
+  this->timer.reset();
+  this->List();
+}
+
+void DirectoryWatcher::FinishRefreshes(bool listed) {
+  const auto finished = std::exchange(this->refreshes, {});
+  for (const auto& done : finished) done(listed);
+}
+
 void DirectoryWatcher::CountAnswer(const DirectoryResult& result) {
   const char* outcome =
       std::visit(common::Overloaded{
@@ -195,6 +210,7 @@
   this->AdvanceRevision(changes->revision);
   this->NotifyObserver();
   this->Watch();
+  this->FinishRefreshes(true);
 }
 
 void DirectoryWatcher::OnWatched(StoreRevision after,
@@ -256,6 +272,7 @@
       this->Watch();
     }
   });
+  this->FinishRefreshes(false);
 }
 
 void DirectoryWatcher::OnAvailable() {
--- a/Source/Core/Session/directory_watcher.h
+++ b/Source/Core/Session/directory_watcher.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "Connection/connection.h"
 #include "Session/directory.h"
@@ -64,6 +65,10 @@
   /// removed after the removal grace.
   void OnEra(std::uint64_t store_era);
 
+  /// Lists the objects anew, without lag. Calls back, once the observer has got
+  /// them, with true, or with false if the store did not answer.
+  void Refresh(std::function<void(bool listed)> done);
+
   /// Another daemon knows a newer state.
   void OnPeerAhead(common::SteadyTime now);
 
@@ -114,6 +119,7 @@
   void CountAnswer(const DirectoryResult& result);
   void OnUnavailable(const StoreUnavailable& failure);
   void OnAvailable();
+  void FinishRefreshes(bool listed);
   /// Takes over the state of an object if it is later: by its version if it has
   /// one, as a restored store may hold an older version at a later revision,
   /// otherwise by its revision. An object with a version is never removed.
@@ -142,6 +148,8 @@
   bool first_watch = true;
   /// A listing is in progress.
   bool listing = false;
+  /// Callbacks of the refreshes that wait for the listing in progress.
+  std::vector<std::function<void(bool)>> refreshes;
   /// Number of the last call; answers to earlier ones are ignored.
   std::uint64_t last_call = 0;
   /// Since when the store has not answered, and since when another daemon has
--- a/Source/Core/Session/group_context.h
+++ b/Source/Core/Session/group_context.h
@@ -1,6 +1,7 @@
 #ifndef CAMPHORFERRY_SESSION_GROUP_CONTEXT_H_
 #define CAMPHORFERRY_SESSION_GROUP_CONTEXT_H_
 
+#include <functional>
 #include <map>
 
 #include "Connection/connection.h"
@@ -33,6 +34,9 @@
   const WireCodec* codec = nullptr;
   Platform* platform = nullptr;
   PromotionLease* promotion_lease = nullptr;
+  /// Lists the members of all groups anew, without lag, and calls back with
+  /// whether the store has answered.
+  std::function<void(std::function<void(bool listed)>)> refresh_members;
   ProxyMetrics* metrics = nullptr;
   HostLocation location;
 };
--- a/Source/Core/Session/promotion_task.cc
+++ b/Source/Core/Session/promotion_task.cc
@@ -47,7 +47,7 @@
                                      [this, still_alive, reason](bool held) {
                                        if (!*still_alive) return;
                                        if (held) {
-                                         this->Begin(reason);
+                                         this->RefreshMembers(reason);
                                          return;
                                        }
                                        this->running = false;
@@ -57,6 +57,18 @@
                                });
 }
 
+void PromotionTask::RefreshMembers(FailoverReason reason) {
+  this->context.refresh_members(
+      [this, still_alive = this->alive, reason](bool listed) {
+        if (!*still_alive) return;
+        if (listed) {
+          this->Begin(reason);
+        } else {
+          this->End({false, "members_unknown"});
+        }
+      });
+}
+
 void PromotionTask::Begin(FailoverReason reason) {
   const common::SteadyTime now = common::SteadyNow();
   this->RecordPhase("duty");
--- a/Source/Core/Session/promotion_task.h
+++ b/Source/Core/Session/promotion_task.h
@@ -42,8 +42,8 @@
   std::function<bool()> still_needed;
 };
 
-/// Replaces the primary of one group: acquires the promotion lease, carries out
-/// a PromotionPlan and releases the lease.
+/// Replaces the primary of one group: acquires the promotion lease, lists the
+/// members, carries out a PromotionPlan and releases the lease.
 class PromotionTask {
  public:
   PromotionTask(GroupContext context, common::ServiceId service,
@@ -64,6 +64,9 @@
   void Tick(common::SteadyTime now);
 
  private:
+  /// Lists the members before a promotion begins. The known ones may be those
+  /// of before a cut, while another daemon has promoted a member of today.
+  void RefreshMembers(FailoverReason reason);
   void Begin(FailoverReason reason);
   void Perform(const std::vector<PromotionAction>& actions);
   void SendOrder(const OrderPromotion& order);
--- a/Source/Core/Session/proxy.cc
+++ b/Source/Core/Session/proxy.cc
@@ -346,6 +346,9 @@
       context.codec = this->codec;
       context.platform = this->platform;
       context.promotion_lease = &this->promotion_lease;
+      context.refresh_members = [this](std::function<void(bool)> done) {
+        this->member_watcher->Refresh(std::move(done));
+      };
       context.metrics = &this->metrics;
       context.location = this->settings.location;
       group = std::make_shared<ServiceGroup>(context, service);
--- a/Source/UnitTests/Core/Session/directory_watcher_test.cc
+++ b/Source/UnitTests/Core/Session/directory_watcher_test.cc
@@ -179,6 +179,34 @@
   EXPECT_EQ(this->platform.watches[kKind].front().after.number, 6U);
 }
 
+// Guards against a promotion by the members of before a cut, whose changes the
+// pending watch has not reported yet.
+TEST_F(DirectoryWatcherTest, WatchPending_Refresh_ListsWithoutLag) {
+  this->AnswerList({Change("a", 1)}, 5);
+  std::vector<bool> results;
+  this->watcher.Refresh([&](bool listed) {
+    EXPECT_EQ(this->names, (std::vector<std::string>{"a", "b"}));
+    results.push_back(listed);
+  });
+  EXPECT_EQ(this->platform.list_freshness[kKind].back(),
+            DirectoryFreshness::kLatest);
+  this->AnswerList({Change("a", 1), Change("b", 7)}, 7);
+  EXPECT_EQ(results, (std::vector<bool>{true}));
+  // The answer to the earlier watch is ignored.
+  this->AnswerWatch(DirectoryChanges{{Change("c", 6)}, {0, 6}});
+  EXPECT_EQ(this->names, (std::vector<std::string>{"a", "b"}));
+  EXPECT_EQ(this->platform.watches[kKind].front().after.number, 7U);
+}
+
+// Guards against a promotion that waits for a store that does not answer.
+TEST_F(DirectoryWatcherTest, StoreUnavailable_Refresh_Fails) {
+  this->AnswerList({Change("a", 1)}, 5);
+  std::vector<bool> results;
+  this->watcher.Refresh([&](bool listed) { results.push_back(listed); });
+  this->AnswerList(StoreUnavailable{"down"});
+  EXPECT_EQ(results, (std::vector<bool>{false}));
+}
+
 // Guards against missing changes after the store has dropped its history.
 TEST_F(DirectoryWatcherTest, HistoryGone_Watch_ListsAgain) {
   this->AnswerList({Change("a", 1)}, 5);
--- a/Source/UnitTests/Core/Session/fake_platform.h
+++ b/Source/UnitTests/Core/Session/fake_platform.h
@@ -13,8 +13,8 @@
 
 namespace camphorferry::session {
 
-/// Platform whose list and watch calls are answered by the test. All other
-/// calls are answered at once.
+/// Platform whose list and watch calls are answered by the test, apart from
+/// lists with a prepared answer. All other calls are answered at once.
 class FakePlatform : public Platform {
  public:
   using DirectoryCallback = std::function<void(DirectoryResult)>;
@@ -39,7 +39,12 @@
   void List(DirectoryKind kind, DirectoryFreshness freshness,
             DirectoryCallback done) override {
     this->list_freshness[kind].push_back(freshness);
-    this->lists[kind].push_back(std::move(done));
+    const auto answer = this->list_answers.find(kind);
+    if (answer == this->list_answers.end()) {
+      this->lists[kind].push_back(std::move(done));
+    } else {
+      done(this->store_down ? StoreUnavailable{"down"} : answer->second());
+    }
   }
 
   void Watch(DirectoryKind kind, StoreRevision after, common::Duration wait,
@@ -99,6 +104,8 @@
   std::function<void(std::uint64_t)> era_observer;
   std::map<DirectoryKind, std::deque<DirectoryCallback>> lists;
   std::map<DirectoryKind, std::deque<WatchCall>> watches;
+  /// Functions that return the answers to listings of a kind.
+  std::map<DirectoryKind, std::function<DirectoryResult()>> list_answers;
   /// The freshness that each listing has requested.
   std::map<DirectoryKind, std::vector<DirectoryFreshness>> list_freshness;
   /// Values of the documents that other daemons relay.
--- a/Source/UnitTests/Platform/promotion_task_test.cc
+++ b/Source/UnitTests/Platform/promotion_task_test.cc
@@ -22,6 +22,7 @@
     context.codec = &this->format;
     context.platform = &this->platform;
     context.promotion_lease = &this->promotion_lease;
+    context.refresh_members = [](const auto& done) { done(true); };
     context.metrics = &this->metrics;
     session::PromotionCallbacks callbacks;
     callbacks.send_command = [this](const common::EndpointId& id,
--- a/Source/UnitTests/Platform/proxy_fixture.h
+++ b/Source/UnitTests/Platform/proxy_fixture.h
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -44,6 +45,14 @@
     // The hosts are read at the start and after the registration.
     this->AnswerDirectoryCall(session::DirectoryKind::kHosts, {});
     this->AnswerDirectoryCall(session::DirectoryKind::kHosts, {});
+    this->platform.list_answers[session::DirectoryKind::kMembers] = [this] {
+      session::DirectoryChanges listed;
+      for (const auto& [name, entry] : this->stored_members) {
+        listed.changes.push_back(entry);
+      }
+      listed.revision = {0, ++this->directory_revision};
+      return listed;
+    };
   }
 
   ~ProxyTest() override { this->RunFor(std::chrono::milliseconds(1)); }
@@ -60,10 +69,19 @@
     }
   }
 
+  /// Applies changes to the entries that a listing of the members contains.
+  void StoreMembers(const std::vector<session::DirectoryChange>& changes) {
+    for (const session::DirectoryChange& change : changes) {
+      this->stored_members.erase(change.name);
+      if (!change.removed) this->stored_members.emplace(change.name, change);
+    }
+  }
+
   /// Answers the pending list or watch call of a kind with the given changes.
   void AnswerDirectoryCall(session::DirectoryKind kind,
                            std::vector<session::DirectoryChange> changes) {
     const session::StoreRevision revision{0, ++this->directory_revision};
+    if (kind == session::DirectoryKind::kMembers) this->StoreMembers(changes);
     auto& lists = this->platform.lists[kind];
     if (!lists.empty()) {
       auto done = std::move(lists.front());
@@ -75,8 +93,9 @@
     while (this->platform.watches[kind].empty()) {
       this->RunFor(std::chrono::milliseconds(5));
     }
-    auto call = std::move(this->platform.watches[kind].front());
-    this->platform.watches[kind].pop_front();
+    // A listing replaces the watch before it.
+    auto call = std::move(this->platform.watches[kind].back());
+    this->platform.watches[kind].clear();
     call.done(session::DirectoryChanges{std::move(changes), revision});
   }
 
@@ -227,6 +246,7 @@
   FakeDatabase replica_a{&this->loop, "svc", "a"};
   FakeDatabase replica_b{&this->loop, "svc", "b"};
   std::uint64_t directory_revision = 1;
+  std::map<std::string, session::DirectoryChange> stored_members;
   std::unique_ptr<session::Proxy> proxy;
 };
 
--- a/Source/UnitTests/Platform/proxy_group_test.cc
+++ b/Source/UnitTests/Platform/proxy_group_test.cc
@@ -63,7 +63,6 @@
   settings.peers = {"127.0.0.1", 0};
   this->proxy = std::make_unique<session::Proxy>(&this->loop, &this->format,
                                                  &this->platform, settings);
-  this->platform.watches.clear();
   this->PublishConfiguration(1);
   this->PublishMembers();
   const common::SteadyTime limit = common::SteadyNow() + seconds(10);
@@ -246,6 +245,30 @@
   EXPECT_EQ(this->platform.orders[0].endpoint.Value(), "b");
 }
 
+// Guards against a daemon that returns from a cut, doesn't know the databases
+// that were started meanwhile, and promotes one of its old list although a
+// sound primary leads (review/1).
+TEST_F(ProxyTest, Writes_PrimaryReplacedByUnknownMember_ReachItUndisturbed) {
+  const auto client = this->Connect("latest");
+  ASSERT_TRUE(HasLine(client->Ask("QUERY 1 WRITE x y"), "COMPLETE sig.p"));
+  FakeDatabase started(&this->loop, "svc", "n");
+  started.primary = true;
+  started.term = this->replica_a.term = this->replica_b.term = 2;
+  this->primary_database.command_behavior = [](const std::string&) {
+    return CommandBehavior::kClose;
+  };
+  this->StoreMembers({{"n",
+                       {0, ++this->directory_revision},
+                       false,
+                       started.Registration(),
+                       ""}});
+  EXPECT_TRUE(
+      HasLine(this->WriteUntilCommitted(client.get()), "COMPLETE sig.n"));
+  EXPECT_TRUE(this->platform.orders.empty());
+  EXPECT_EQ(this->replica_a.held, 0U);
+  EXPECT_EQ(this->replica_b.held, 0U);
+}
+
 // Guards against writes that fail until the store answers again, because a
 // daemon asks only the primary that was replaced and one replica that follows
 // the new one.
