Session: Fence a primary that only peers reach before a promotion

A replica that started between the order and its effect followed the old primary, which the other daemons still reached, and 6 to 18 commits that they acknowledged were lost.

Cause: a promoter that does not reach the primary relies on holding all replicas. It can't hold one that starts after the order before this has confirmed commits.

Ruled out: an outdated list of members; proofs of leadership for single writes, which the new replica would confirm; leaving the primary in place, as clients of the cut daemons would not be served.

Why this works: commands of a promotion to a member that does not answer are also sent through up to eight peers. A primary that one of them reaches steps down and is held before the order, so it acknowledges nothing any more, whoever starts. One that nobody reaches acknowledges nothing to any client either.

ProxyTest.PrimaryReachedByPeerOnly_* fails without the relay.

--- a/Source/Core/Session/fleet_membership.cc
+++ b/Source/Core/Session/fleet_membership.cc
@@ -177,6 +177,17 @@
   return std::nullopt;
 }
 
+std::vector<FleetHost> FleetMembership::NextResponsive(std::size_t limit) {
+  std::vector<FleetHost> hosts;
+  while (hosts.size() < limit) {
+    const std::optional<FleetHost> next = this->NextResponsive();
+    if (!next.has_value()) break;
+    if (!hosts.empty() && next->id == hosts.front().id) break;
+    hosts.push_back(*next);
+  }
+  return hosts;
+}
+
 std::vector<FleetHost> FleetMembership::RemoveLost(common::SteadyTime now) {
   std::vector<FleetHost> lost;
   for (auto it = this->peers.begin(); it != this->peers.end();) {
--- a/Source/Core/Session/fleet_membership.h
+++ b/Source/Core/Session/fleet_membership.h
@@ -45,6 +45,9 @@
   /// other.
   std::optional<FleetHost> NextResponsive();
 
+  /// Responsive daemons in round-robin order, at most the given number.
+  std::vector<FleetHost> NextResponsive(std::size_t limit);
+
   /// Number of other daemons that have neither answered nor failed to since
   /// they became known.
   std::size_t PendingCount() const;
--- a/Source/Core/Session/fleet_task.cc
+++ b/Source/Core/Session/fleet_task.cc
@@ -20,6 +20,12 @@
 /// answering. A call between regions takes 40 ms, and the operation of a client
 /// waits meanwhile.
 constexpr std::chrono::milliseconds kAdmissionTimeout(250);
+/// Limit of a command that a peer relays: a call between regions (40 ms) beside
+/// the time that the peer gives the member (400 ms).
+constexpr std::chrono::milliseconds kRelayTimeout(500);
+/// Number of peers that are asked at once to relay a command. In a small fleet
+/// it is all, since any of them may be the only one that reaches the member.
+constexpr std::size_t kMaxRelays = 8;
 /// Pause after a registration or a listing of the hosts without a result.
 constexpr std::chrono::milliseconds kDirectoryRetryPause(1000);
 /// Interval at which the hosts are listed again. Peers report themselves, so
@@ -48,6 +54,10 @@
   handlers.read_directory = [this](const DirectoryQuery& query) {
     return this->callbacks.read_directory(query);
   };
+  handlers.relay_command = [this](const CommandRelay& request,
+                                  RelayCallback done) {
+    this->callbacks.relay_command(request, std::move(done));
+  };
   this->transport = NewGrpcFleetTransport(loop, listen, std::move(handlers));
   this->own.peer_address =
       connection::ToString({listen.ip, this->transport->Port()});
@@ -233,6 +243,31 @@
       });
 }
 
+void FleetTask::RelayCommand(const CommandRelay& request, RelayCallback done) {
+  const std::vector<FleetHost> peers =
+      this->membership.NextResponsive(kMaxRelays);
+  if (peers.empty()) {
+    done(std::nullopt);
+    return;
+  }
+  struct Progress {
+    std::size_t pending = 0;
+    RelayCallback done;
+  };
+  const auto progress = std::make_shared<Progress>();
+  progress->pending = peers.size();
+  progress->done = std::move(done);
+  for (const FleetHost& peer : peers) {
+    this->transport->RelayCommand(
+        peer.peer_address, request, kRelayTimeout,
+        [progress](const std::optional<EndpointStatus>& status) {
+          const bool last = --progress->pending == 0;
+          if (!progress->done || (!last && !status.has_value())) return;
+          std::exchange(progress->done, nullptr)(status);
+        });
+  }
+}
+
 void FleetTask::ReportPending() {
   if (!this->hosts_read) return;
   this->callbacks.on_hosts_pending(this->membership.PendingCount());
--- a/Source/Core/Session/fleet_task.h
+++ b/Source/Core/Session/fleet_task.h
@@ -35,6 +35,8 @@
   std::function<AdmissionReply(const AdmissionRequest&)> admit;
   /// Returns a part of the directory as this daemon knows it.
   std::function<SharedDirectory(const DirectoryQuery&)> read_directory;
+  /// Sends a command to a member for a peer.
+  std::function<void(const CommandRelay&, RelayCallback)> relay_command;
 };
 
 /// Registers this daemon, discovers the others, exchanges reports with them and
@@ -69,6 +71,10 @@
       const common::WorkspaceId& workspace,
       std::function<void(std::optional<AdmissionDecision>)> done);
 
+  /// Asks several peers to send a command to a member. Calls back once, with
+  /// the first answer of the member, or with nothing if there was none.
+  void RelayCommand(const CommandRelay& request, RelayCallback done);
+
   /// Receives the part of the directory that a peer has given.
   using DirectoryReceiver =
       std::function<void(const common::HostId& peer, const SharedDirectory&)>;
--- a/Source/Core/Session/fleet_transport.h
+++ b/Source/Core/Session/fleet_transport.h
@@ -11,6 +11,7 @@
 
 #include "Connection/connection.h"
 #include "Session/directory.h"
+#include "Session/member_command.h"
 
 namespace camphorferry::session {
 
@@ -83,6 +84,12 @@
       common::Duration timeout,
       std::function<void(std::optional<SharedDirectory>)> done) = 0;
 
+  /// Asks a peer to send a command to a member. Calls back once, with nothing
+  /// if the peer or the member gave no answer in time.
+  virtual void RelayCommand(const std::string& address,
+                            const CommandRelay& request,
+                            common::Duration timeout, RelayCallback done) = 0;
+
   /// The local port that peers connect to.
   virtual std::uint16_t Port() const = 0;
 
@@ -96,6 +103,8 @@
   std::function<FleetReport(const FleetReport&)> exchange;
   std::function<AdmissionReply(const AdmissionRequest&)> admit;
   std::function<SharedDirectory(const DirectoryQuery&)> read_directory;
+  /// Sends a command to a member for a peer.
+  std::function<void(const CommandRelay&, RelayCallback)> relay_command;
 };
 
 /// Thrown if the address for peers cannot be listened on.
--- a/Source/Core/Session/group_context.h
+++ b/Source/Core/Session/group_context.h
@@ -6,6 +6,7 @@
 
 #include "Connection/connection.h"
 #include "Session/directory.h"
+#include "Session/member_command.h"
 #include "Session/promotion_lease.h"
 #include "Session/proxy_metrics.h"
 #include "Session/wire_codec.h"
@@ -37,6 +38,8 @@
   /// Lists the members of all groups anew, without lag, and calls back with
   /// whether the store has answered.
   std::function<void(std::function<void(bool listed)>)> refresh_members;
+  /// Asks peers to send a command to a member.
+  std::function<void(const CommandRelay&, RelayCallback)> relay_command;
   ProxyMetrics* metrics = nullptr;
   HostLocation location;
 };
--- a/Source/Core/Session/grpc_fleet_transport.cc
+++ b/Source/Core/Session/grpc_fleet_transport.cc
@@ -122,6 +122,72 @@
   return reply;
 }
 
+fleet::v1::MemberCommand ToMessage(MemberCommandKind kind) {
+  switch (kind) {
+    case MemberCommandKind::kStatus:
+      return fleet::v1::STATUS;
+    case MemberCommandKind::kStepDown:
+      return fleet::v1::STEP_DOWN;
+    case MemberCommandKind::kHold:
+      return fleet::v1::HOLD;
+    case MemberCommandKind::kResume:
+      return fleet::v1::RESUME;
+  }
+  return fleet::v1::STATUS;
+}
+
+/// Commands that this daemon does not know are sent as a request for the
+/// status.
+MemberCommandKind FromMessage(fleet::v1::MemberCommand command) {
+  switch (command) {
+    case fleet::v1::STEP_DOWN:
+      return MemberCommandKind::kStepDown;
+    case fleet::v1::HOLD:
+      return MemberCommandKind::kHold;
+    case fleet::v1::RESUME:
+      return MemberCommandKind::kResume;
+    default:
+      return MemberCommandKind::kStatus;
+  }
+}
+
+fleet::v1::RelayRequest ToMessage(const CommandRelay& request) {
+  fleet::v1::RelayRequest message;
+  message.set_service(request.service.Value());
+  message.set_endpoint(request.endpoint.Value());
+  message.set_command(ToMessage(request.command.kind));
+  message.set_term(request.command.term);
+  return message;
+}
+
+CommandRelay FromMessage(const fleet::v1::RelayRequest& message) {
+  return {common::ServiceId(message.service()),
+          common::EndpointId(message.endpoint()),
+          {FromMessage(message.command()), message.term()}};
+}
+
+fleet::v1::RelayReply ToMessage(const std::optional<EndpointStatus>& status) {
+  fleet::v1::RelayReply message;
+  if (!status.has_value()) return message;
+  message.set_answered(true);
+  message.set_leads(status->role == GroupRole::kPrimary);
+  message.set_term(status->term);
+  message.set_received_term(status->received.term);
+  message.set_received_index(status->received.index);
+  message.set_held(status->held);
+  return message;
+}
+
+std::optional<EndpointStatus> FromMessage(
+    const fleet::v1::RelayReply& message) {
+  if (!message.answered()) return std::nullopt;
+  return EndpointStatus{
+      message.leads() ? GroupRole::kPrimary : GroupRole::kReplica,
+      message.term(),
+      {message.received_term(), message.received_index()},
+      message.held()};
+}
+
 /// Largest number of peers with an open channel. Each channel takes about 70 KB
 /// at both ends together.
 constexpr std::size_t kMaxChannels = 80;
@@ -152,7 +218,7 @@
   grpc::ServerUnaryReactor* Exchange(grpc::CallbackServerContext* context,
                                      const fleet::v1::Report* request,
                                      fleet::v1::Report* reply) override {
-    return this->Serve(context, [this, request, reply] {
+    return this->ServeAtOnce(context, [this, request, reply] {
       *reply = ToMessage(this->handlers.exchange(FromMessage(*request)));
     });
   }
@@ -160,7 +226,7 @@
   grpc::ServerUnaryReactor* Admit(grpc::CallbackServerContext* context,
                                   const fleet::v1::AdmissionRequest* request,
                                   fleet::v1::AdmissionReply* reply) override {
-    return this->Serve(context, [this, request, reply] {
+    return this->ServeAtOnce(context, [this, request, reply] {
       *reply = ToMessage(this->handlers.admit(FromMessage(*request)));
     });
   }
@@ -169,11 +235,24 @@
       grpc::CallbackServerContext* context,
       const fleet::v1::DirectoryRequest* request,
       fleet::v1::DirectoryReply* reply) override {
-    return this->Serve(context, [this, request, reply] {
+    return this->ServeAtOnce(context, [this, request, reply] {
       *reply = ToMessage(this->handlers.read_directory(FromMessage(*request)));
     });
   }
 
+  grpc::ServerUnaryReactor* RelayCommand(
+      grpc::CallbackServerContext* context,
+      const fleet::v1::RelayRequest* request,
+      fleet::v1::RelayReply* reply) override {
+    return this->Serve(context, [this, request, reply](const Finish& finish) {
+      this->handlers.relay_command(
+          FromMessage(*request),
+          [reply, finish](const std::optional<EndpointStatus>& status) {
+            finish([&] { *reply = ToMessage(status); });
+          });
+    });
+  }
+
   /// Refuses calls in progress and later ones.
   void Stop() {
     const std::scoped_lock lock(this->open_calls->mutex);
@@ -191,9 +270,22 @@
     std::set<grpc::ServerUnaryReactor*> reactors;
   };
 
+  /// Finishes a call with the reply that the given function writes. Does
+  /// nothing if the call has been refused meanwhile.
+  using Finish = std::function<void(const std::function<void()>& write_reply)>;
+
   /// Has the event loop write the reply.
+  grpc::ServerUnaryReactor* ServeAtOnce(grpc::CallbackServerContext* context,
+                                        std::function<void()> write_reply) {
+    return this->Serve(
+        context, [write_reply = std::move(write_reply)](const Finish& finish) {
+          finish(write_reply);
+        });
+  }
+
+  /// Has the event loop start the work of a call, which may finish it later.
   grpc::ServerUnaryReactor* Serve(grpc::CallbackServerContext* context,
-                                  std::function<void()> write_reply) {
+                                  std::function<void(const Finish&)> start) {
     grpc::ServerUnaryReactor* reactor = context->DefaultReactor();
     {
       const std::scoped_lock lock(this->open_calls->mutex);
@@ -203,13 +295,20 @@
       }
       this->open_calls->reactors.insert(reactor);
     }
-    this->loop->Post([calls = this->open_calls, reactor,
-                      write_reply = std::move(write_reply)] {
-      const std::scoped_lock lock(calls->mutex);
-      if (calls->stopped || calls->reactors.erase(reactor) == 0) return;
-      write_reply();
-      reactor->Finish(grpc::Status::OK);
-    });
+    this->loop->Post(
+        [calls = this->open_calls, reactor, start = std::move(start)] {
+          {
+            // The request is freed with a call that was refused.
+            const std::scoped_lock lock(calls->mutex);
+            if (calls->stopped) return;
+          }
+          start([calls, reactor](const std::function<void()>& write_reply) {
+            const std::scoped_lock lock(calls->mutex);
+            if (calls->stopped || calls->reactors.erase(reactor) == 0) return;
+            write_reply();
+            reactor->Finish(grpc::Status::OK);
+          });
+        });
     return reactor;
   }
 
@@ -283,6 +382,20 @@
         });
   }
 
+  void RelayCommand(const std::string& address, const CommandRelay& request,
+                    common::Duration timeout, RelayCallback done) override {
+    this->Call<fleet::v1::RelayRequest, fleet::v1::RelayReply>(
+        address, ToMessage(request), timeout,
+        std::function<void(std::optional<std::optional<EndpointStatus>>)>(
+            [done = std::move(done)](const auto& reply) {
+              done(reply.value_or(std::nullopt));
+            }),
+        [](auto* calls, auto* state, auto ended) {
+          calls->RelayCommand(&state->context, &state->request, &state->reply,
+                              std::move(ended));
+        });
+  }
+
   std::uint16_t Port() const override { return this->port; }
 
   void Disconnect(const std::string& address) override {
--- a/Source/Core/Session/promotion_task.cc
+++ b/Source/Core/Session/promotion_task.cc
@@ -115,7 +115,7 @@
   // An action may end this plan and a new one may start.
   const std::shared_ptr<PromotionPlan> current = this->plan;
   const auto send_command = [this, &current](const common::EndpointId& id,
-                                             const std::string& command,
+                                             const MemberCommand& command,
                                              const char* purpose) {
     this->callbacks.send_command(
         id, command,
@@ -128,21 +128,22 @@
               current->OnStatus(id, *result.status, common::SteadyNow()));
         });
   };
-  const WireCodec* codec = this->context.codec;
   std::vector<common::EndpointId> held;
   for (const PromotionAction& action : actions) {
     std::visit(
         common::Overloaded{
             [&](const SendStepDown& send) {
-              send_command(send.endpoint, codec->EncodeStepDown(send.term),
+              send_command(send.endpoint,
+                           {MemberCommandKind::kStepDown, send.term},
                            "step_down");
             },
             [&](const SendHold& send) {
-              send_command(send.endpoint, codec->EncodeHold(send.term), "hold");
+              send_command(send.endpoint, {MemberCommandKind::kHold, send.term},
+                           "hold");
             },
             [&](const SendResume& send) { held.push_back(send.endpoint); },
             [&](const SendStatus& send) {
-              send_command(send.endpoint, codec->EncodeStatus(), "status");
+              send_command(send.endpoint, {}, "status");
             },
             [&](const OrderPromotion& order) { this->SendOrder(order); },
             [&](const PromotionFinished& finished) {
@@ -198,7 +199,7 @@
   progress->pending = held.size();
   for (const common::EndpointId& id : held) {
     this->callbacks.send_command(
-        id, this->context.codec->EncodeResume(),
+        id, {MemberCommandKind::kResume},
         [this, still_alive = this->alive, progress,
          finished](const CommandResult& result) {
           if (!*still_alive) return;
--- a/Source/Core/Session/promotion_task.h
+++ b/Source/Core/Session/promotion_task.h
@@ -9,25 +9,16 @@
 #include <vector>
 
 #include "Session/group_context.h"
+#include "Session/member_command.h"
 #include "Session/primary_monitor.h"
 #include "Session/promotion_plan.h"
 
 namespace camphorferry::session {
 
-/// How a command to a member has ended.
-struct CommandResult {
-  /// The member's answer; none if it did not answer in time.
-  std::optional<EndpointStatus> status;
-  /// The command was sent. Without an answer, it may be executed later.
-  bool sent = false;
-};
-
-using CommandCallback = std::function<void(const CommandResult&)>;
-
 /// Callbacks through which a promotion uses its group.
 struct PromotionCallbacks {
-  /// Sends an encoded command to a member.
-  std::function<void(const common::EndpointId&, const std::string& command,
+  /// Sends a command to a member, also through peers that reach it.
+  std::function<void(const common::EndpointId&, const MemberCommand& command,
                      CommandCallback)>
       send_command;
   std::function<std::vector<GroupMember>()> members;
--- a/Source/Core/Session/proxy.cc
+++ b/Source/Core/Session/proxy.cc
@@ -106,6 +106,15 @@
     return this->WatcherOf(query.kind)
         ->ObjectsSince(query.revision, query.version);
   };
+  callbacks.relay_command = [this](const CommandRelay& request,
+                                   const RelayCallback& done) {
+    const std::shared_ptr<ServiceGroup> group = this->GroupOf(request.service);
+    if (group == nullptr) {
+      done(std::nullopt);
+    } else {
+      group->RunRelayed(request.endpoint, request.command, done);
+    }
+  };
   callbacks.on_size_changed = [this](std::size_t size, std::size_t responsive) {
     this->OnFleetSize(size, responsive);
   };
@@ -349,6 +358,10 @@
       context.refresh_members = [this](std::function<void(bool)> done) {
         this->member_watcher->Refresh(std::move(done));
       };
+      context.relay_command = [this](const CommandRelay& request,
+                                     RelayCallback done) {
+        this->fleet->RelayCommand(request, std::move(done));
+      };
       context.metrics = &this->metrics;
       context.location = this->settings.location;
       group = std::make_shared<ServiceGroup>(context, service);
--- a/Source/Core/Session/service_group.cc
+++ b/Source/Core/Session/service_group.cc
@@ -14,6 +14,9 @@
 /// less than a millisecond and crosses regions in 40 ms; a member that takes
 /// longer counts as unresponsive.
 constexpr std::chrono::milliseconds kStatusTimeout(400);
+/// Minimum interval between two requests to peers to send a command of one kind
+/// to a member. A promotion repeats its commands more often.
+constexpr std::chrono::milliseconds kRelayInterval(300);
 /// Reads prefer other members for this long after a member could not be
 /// reached.
 constexpr std::chrono::milliseconds kAvoidDuration(300);
@@ -60,9 +63,9 @@
                                  false);
   PromotionCallbacks callbacks;
   callbacks.send_command = [this](const common::EndpointId& id,
-                                  const std::string& command,
+                                  const MemberCommand& command,
                                   CommandCallback done) {
-    this->SendCommand(id, command, kStatusTimeout, std::move(done));
+    this->SendPromotionCommand(id, command, std::move(done));
   };
   callbacks.members = [this] { return this->Entries(); };
   callbacks.former_members = [this] { return this->RecentFormerMembers(); };
@@ -250,6 +253,56 @@
   if (waiting != this->commands.end()) waiting->second.request_id = request_id;
 }
 
+void ServiceGroup::SendPromotionCommand(const common::EndpointId& id,
+                                        const MemberCommand& command,
+                                        CommandCallback done) {
+  struct Attempts {
+    int pending = 1;
+    bool sent = false;
+    CommandCallback done;
+  };
+  const auto attempts = std::make_shared<Attempts>();
+  attempts->done = std::move(done);
+  const auto finish = [attempts](const CommandResult& result) {
+    attempts->sent |= result.sent;
+    --attempts->pending;
+    const bool last = attempts->pending == 0;
+    if (!attempts->done || (!last && !result.status.has_value())) return;
+    std::exchange(attempts->done, nullptr)({result.status, attempts->sent});
+  };
+  const common::SteadyTime now = common::SteadyNow();
+  const auto member = this->members.find(id);
+  if (member != this->members.end() && member->second.unresponsive &&
+      now >= member->second.next_relay[command.kind]) {
+    member->second.next_relay[command.kind] = now + kRelayInterval;
+    ++attempts->pending;
+    this->context.relay_command(
+        {this->service, id, command},
+        [this, still_alive = this->alive, id,
+         finish](const std::optional<EndpointStatus>& status) {
+          if (!*still_alive) return;
+          if (status.has_value()) {
+            common::Log(Subsystem::kConnection, LogLevel::kInfo,
+                        "command_relayed",
+                        {{"service", this->service}, {"endpoint", id}});
+            this->OnStatus(id, *status);
+          }
+          finish({status, true});
+        });
+  }
+  this->SendCommand(id, Encode(*this->context.codec, command), kStatusTimeout,
+                    finish);
+}
+
+void ServiceGroup::RunRelayed(const common::EndpointId& id,
+                              const MemberCommand& command,
+                              RelayCallback done) {
+  this->SendCommand(id, Encode(*this->context.codec, command), kStatusTimeout,
+                    [done = std::move(done)](const CommandResult& result) {
+                      done(result.status);
+                    });
+}
+
 void ServiceGroup::OnChannelTimeout(std::uint64_t number) {
   const PendingCommand& pending = this->commands.at(number);
   if (EndpointPool* pool = this->PoolOf(pending.endpoint)) {
@@ -347,6 +400,7 @@
   const auto found = this->members.find(id);
   if (found != this->members.end()) {
     found->second.avoid_until = common::SteadyTime();
+    found->second.unresponsive = false;
   }
   if (this->primary == id) this->monitor.OnResponsive(common::SteadyNow());
 }
@@ -378,6 +432,7 @@
   const auto found = this->members.find(id);
   if (found != this->members.end()) {
     found->second.avoid_until = now + kAvoidDuration;
+    found->second.unresponsive = true;
   }
   if (this->primary == id) this->monitor.OnUnresponsive(now);
 }
--- a/Source/Core/Session/service_group.h
+++ b/Source/Core/Session/service_group.h
@@ -102,6 +102,11 @@
   /// another member. If so, it is counted against the hedge budget.
   bool TryHedge(const std::string& caller, const common::EndpointId& waits_for);
 
+  /// Sends a command to a member on behalf of another daemon, which does not
+  /// reach it.
+  void RunRelayed(const common::EndpointId& id, const MemberCommand& command,
+                  RelayCallback done);
+
   const common::ServiceId& Service() const { return this->service; }
 
  private:
@@ -111,6 +116,10 @@
     /// Until then, reads prefer other members.
     common::SteadyTime avoid_until;
     FailureEstimate failures;
+    /// The member gave no answer when it was last contacted.
+    bool unresponsive = false;
+    /// Peers are not asked before to send a command of the kind to the member.
+    std::map<MemberCommandKind, common::SteadyTime> next_relay;
   };
 
   struct ProofWaiter {
@@ -142,6 +151,10 @@
 
   void SendCommand(const common::EndpointId& id, const std::string& command,
                    common::Duration timeout, CommandCallback done);
+  /// Sends a command of a promotion, also through peers if the member does not
+  /// answer this daemon.
+  void SendPromotionCommand(const common::EndpointId& id,
+                            const MemberCommand& command, CommandCallback done);
   void OnChannelTimeout(std::uint64_t number);
   void OnCommandChannel(std::uint64_t number, const ChannelGrant& grant);
   void OnCommandResult(std::uint64_t number, const ChannelResult& result);
--- a/Source/Core/Session/session.h
+++ b/Source/Core/Session/session.h
@@ -19,6 +19,7 @@
 #include "Session/hedge_budget.h"
 #include "Session/initial_configuration_check.h"
 #include "Session/leadership_proofs.h"
+#include "Session/member_command.h"
 #include "Session/message_stream.h"
 #include "Session/primary_monitor.h"
 #include "Session/primary_view.h"
--- a/Source/UnitTests/Core/Session/grpc_fleet_transport_test.cc
+++ b/Source/UnitTests/Core/Session/grpc_fleet_transport_test.cc
@@ -38,9 +38,43 @@
           {"version", {query.revision.era, query.version}, std::nullopt});
       return shared;
     };
+    handlers.relay_command = [loop](const CommandRelay& request,
+                                    const RelayCallback& done) {
+      if (request.endpoint.Value() == "lost") return;
+      if (request.endpoint.Value() == "silent") {
+        done(std::nullopt);
+        return;
+      }
+      EndpointStatus status;
+      status.role = request.command.kind == MemberCommandKind::kStatus
+                        ? GroupRole::kPrimary
+                        : GroupRole::kReplica;
+      status.term = 3;
+      status.received = {2, 1207};
+      status.held = request.command.term;
+      // The member answers later.
+      loop->RunLater(milliseconds(5), [status, done] { done(status); });
+    };
     return NewGrpcFleetTransport(loop, {"127.0.0.1", 0}, std::move(handlers));
   }
 
+  static std::optional<EndpointStatus> Relay(connection::EventLoop* loop,
+                                             FleetTransport* from,
+                                             const FleetTransport& to,
+                                             const std::string& endpoint,
+                                             const MemberCommand& command) {
+    std::optional<EndpointStatus> answer;
+    from->RelayCommand(
+        Address(to),
+        {common::ServiceId("s"), common::EndpointId(endpoint), command},
+        milliseconds(500), [&](const auto& status) {
+          answer = status;
+          loop->Stop();
+        });
+    loop->Run();
+    return answer;
+  }
+
   static std::string Address(const FleetTransport& transport) {
     return connection::ToString({"127.0.0.1", transport.Port()});
   }
@@ -116,6 +150,36 @@
 
 // Guards against an operation that waits for a rate owner that no longer
 // exists.
+TEST_F(GrpcFleetTransportTest, EachCommand_RelayCommand_CarriesTheStatus) {
+  connection::EventLoop loop;
+  const auto first = NewTransport(&loop, "first");
+  const auto second = NewTransport(&loop, "second");
+  const auto asked = Relay(&loop, first.get(), *second, "a", {});
+  ASSERT_TRUE(asked.has_value());
+  EXPECT_EQ(asked->role, GroupRole::kPrimary);
+  EXPECT_EQ(asked->term, 3U);
+  EXPECT_EQ(asked->received, (common::LogPosition{2, 1207}));
+  for (const MemberCommandKind kind :
+       {MemberCommandKind::kStepDown, MemberCommandKind::kHold,
+        MemberCommandKind::kResume}) {
+    const auto held = Relay(&loop, first.get(), *second, "a", {kind, 4});
+    ASSERT_TRUE(held.has_value());
+    EXPECT_EQ(held->role, GroupRole::kReplica);
+    EXPECT_EQ(held->held, 4U);
+  }
+}
+
+// Guards against a promotion that waits forever for a member that no peer
+// reaches, and against a process that does not end because a relayed command is
+// not answered.
+TEST_F(GrpcFleetTransportTest, MemberSilent_RelayCommand_CallsBackWithNothing) {
+  connection::EventLoop loop;
+  const auto first = NewTransport(&loop, "first");
+  const auto second = NewTransport(&loop, "second");
+  EXPECT_FALSE(Relay(&loop, first.get(), *second, "silent", {}).has_value());
+  EXPECT_FALSE(Relay(&loop, first.get(), *second, "lost", {}).has_value());
+}
+
 TEST_F(GrpcFleetTransportTest, OwnerGone_Admit_CallsBackWithNothing) {
   connection::EventLoop loop;
   const auto requester = NewTransport(&loop, "asker");
--- a/Source/UnitTests/Platform/promotion_task_test.cc
+++ b/Source/UnitTests/Platform/promotion_task_test.cc
@@ -26,8 +26,9 @@
     context.metrics = &this->metrics;
     session::PromotionCallbacks callbacks;
     callbacks.send_command = [this](const common::EndpointId& id,
-                                    const std::string& command,
+                                    const session::MemberCommand& sent,
                                     const session::CommandCallback& done) {
+      const std::string command = session::Encode(this->format, sent);
       this->commands.push_back(id.Value() + " " + command);
       if (command.find("RESUME") != std::string::npos) {
         this->resumes.push_back(done);
--- a/Source/UnitTests/Platform/proxy_group_test.cc
+++ b/Source/UnitTests/Platform/proxy_group_test.cc
@@ -245,6 +245,64 @@
   EXPECT_EQ(this->platform.orders[0].endpoint.Value(), "b");
 }
 
+// Guards against a primary that only this daemon does not reach: with a replica
+// that starts after the order, which is not held, it would get commits
+// confirmed that the promoted member lacks (review/2).
+TEST_F(ProxyTest, PrimaryReachedByPeerOnly_Promotion_IsFencedBeforeTheOrder) {
+  session::FleetReport report;
+  report.host.id = common::HostId("peer");
+  session::FleetHandlers handlers;
+  handlers.exchange = [&report](const session::FleetReport&) { return report; };
+  handlers.relay_command = [this](const session::CommandRelay& relay,
+                                  const session::RelayCallback& done) {
+    EXPECT_EQ(relay.service.Value(), "svc");
+    FakeDatabase& database = this->primary_database;
+    if (relay.endpoint != database.Registration().id) {
+      done(std::nullopt);
+      return;
+    }
+    if (relay.command.kind == session::MemberCommandKind::kStepDown) {
+      database.primary = false;
+    }
+    if (relay.command.kind == session::MemberCommandKind::kHold) {
+      database.held = relay.command.term;
+    }
+    session::EndpointStatus status;
+    status.role = database.primary ? session::GroupRole::kPrimary
+                                   : session::GroupRole::kReplica;
+    status.term = database.term;
+    status.received = database.position;
+    status.held = database.held;
+    done(status);
+  };
+  const auto peer = session::NewGrpcFleetTransport(
+      &this->loop, {"127.0.0.1", 0}, std::move(handlers));
+  report.host.peer_address = connection::ToString({"127.0.0.1", peer->Port()});
+  peer->Exchange(this->platform.registered.at(0).peer_address, report,
+                 seconds(5), [](const auto&) {});
+  const auto client = this->Connect("latest");
+  ASSERT_TRUE(HasLine(client->Ask("QUERY 1 WRITE x y"), "COMPLETE sig.p"));
+  this->RunFor(milliseconds(600));
+  bool led = true;
+  common::Term held = 0;
+  this->platform.on_order = [&](const common::EndpointId& id) {
+    led = this->primary_database.primary;
+    held = this->primary_database.held;
+    FakeDatabase& chosen =
+        id.Value() == "a" ? this->replica_a : this->replica_b;
+    this->replica_a.term = this->replica_b.term = 2;
+    this->replica_a.held = this->replica_b.held = 0;
+    chosen.primary = true;
+  };
+  this->primary_database.command_behavior = [](const std::string&) {
+    return CommandBehavior::kClose;
+  };
+  EXPECT_TRUE(HasLine(this->WriteUntilCommitted(client.get()), "COMPLETE"));
+  ASSERT_FALSE(this->platform.orders.empty());
+  EXPECT_FALSE(led);
+  EXPECT_EQ(held, 2U);
+}
+
 // Guards against a daemon that returns from a cut, doesn't know the databases
 // that were started meanwhile, and promotes one of its old list although a
 // sound primary leads (review/1).
