Session: Relay commands of a promotion to the old primary only

One that only peers reached was held, chosen and promoted; the promoter could not see it lead and waited until its plan ended.

Why this works: only the old primary has to be fenced wherever it is reached. A replica that the promoter does not reach counts as missing, as before.

--- a/Source/Core/Session/promotion_task.cc
+++ b/Source/Core/Session/promotion_task.cc
@@ -79,6 +79,7 @@
   const std::vector<GroupMember> members = this->callbacks.members();
   const FormerMembers former = this->callbacks.former_members();
   const std::optional<common::EndpointId> primary = this->callbacks.primary();
+  this->old_primary = primary;
   common::Log(Subsystem::kConnection, LogLevel::kWarning, "promotion_started",
               {{"service", this->service},
                {"reason", ToString(reason)},
@@ -117,16 +118,15 @@
   const auto send_command = [this, &current](const common::EndpointId& id,
                                              const MemberCommand& command,
                                              const char* purpose) {
-    this->callbacks.send_command(
-        id, command,
-        [this, still_alive = this->alive, current, id,
-         purpose](const CommandResult& result) {
-          if (!*still_alive || !result.status.has_value()) return;
-          if (this->plan != current) return;
-          this->LogStatus(id, purpose, *result.status);
-          this->Perform(
-              current->OnStatus(id, *result.status, common::SteadyNow()));
-        });
+    this->SendCommand(id, command,
+                      [this, still_alive = this->alive, current, id,
+                       purpose](const CommandResult& result) {
+                        if (!*still_alive || !result.status.has_value()) return;
+                        if (this->plan != current) return;
+                        this->LogStatus(id, purpose, *result.status);
+                        this->Perform(current->OnStatus(id, *result.status,
+                                                        common::SteadyNow()));
+                      });
   };
   std::vector<common::EndpointId> held;
   for (const PromotionAction& action : actions) {
@@ -154,6 +154,16 @@
   }
 }
 
+void PromotionTask::SendCommand(const common::EndpointId& id,
+                                const MemberCommand& command,
+                                CommandCallback done) {
+  if (this->old_primary == id) {
+    this->callbacks.send_command_by_any(id, command, std::move(done));
+  } else {
+    this->callbacks.send_command(id, command, std::move(done));
+  }
+}
+
 void PromotionTask::LogStatus(const common::EndpointId& id, const char* purpose,
                               const EndpointStatus& status) const {
   common::Log(Subsystem::kConnection, LogLevel::kInfo, "promotion_member",
@@ -198,19 +208,18 @@
   const auto progress = std::make_shared<Progress>();
   progress->pending = held.size();
   for (const common::EndpointId& id : held) {
-    this->callbacks.send_command(
-        id, {MemberCommandKind::kResume},
-        [this, still_alive = this->alive, progress,
-         finished](const CommandResult& result) {
-          if (!*still_alive) return;
-          if (result.sent && !result.status.has_value()) {
-            progress->unanswered = true;
-          }
-          if (--progress->pending > 0) return;
-          PromotionFinished ended = finished;
-          ended.command_may_execute |= progress->unanswered;
-          this->End(ended);
-        });
+    this->SendCommand(id, {MemberCommandKind::kResume},
+                      [this, still_alive = this->alive, progress,
+                       finished](const CommandResult& result) {
+                        if (!*still_alive) return;
+                        if (result.sent && !result.status.has_value()) {
+                          progress->unanswered = true;
+                        }
+                        if (--progress->pending > 0) return;
+                        PromotionFinished ended = finished;
+                        ended.command_may_execute |= progress->unanswered;
+                        this->End(ended);
+                      });
   }
 }
 
--- a/Source/Core/Session/promotion_task.h
+++ b/Source/Core/Session/promotion_task.h
@@ -17,10 +17,15 @@
 
 /// Callbacks through which a promotion uses its group.
 struct PromotionCallbacks {
-  /// Sends a command to a member, also through peers that reach it.
+  /// Sends a command to a member.
   std::function<void(const common::EndpointId&, const MemberCommand& command,
                      CommandCallback)>
       send_command;
+  /// Sends a command to a member, also through peers if the member does not
+  /// answer this daemon.
+  std::function<void(const common::EndpointId&, const MemberCommand& command,
+                     CommandCallback)>
+      send_command_by_any;
   std::function<std::vector<GroupMember>()> members;
   std::function<FormerMembers()> former_members;
   std::function<std::optional<common::EndpointId>()> primary;
@@ -60,6 +65,8 @@
   void RefreshMembers(FailoverReason reason);
   void Begin(FailoverReason reason);
   void Perform(const std::vector<PromotionAction>& actions);
+  void SendCommand(const common::EndpointId& id, const MemberCommand& command,
+                   CommandCallback done);
   void SendOrder(const OrderPromotion& order);
   /// Renews the lease while an order is outstanding, so that no other daemon
   /// orders the promotion of another member meanwhile.
@@ -85,6 +92,9 @@
   PromotionCallbacks callbacks;
   bool running = false;
   std::shared_ptr<PromotionPlan> plan;
+  /// The primary that is replaced. Peers that reach it must not go on to get
+  /// its commits confirmed.
+  std::optional<common::EndpointId> old_primary;
   common::SteadyTime next_start;
   common::SteadyTime next_renewal;
   common::SteadyTime phase_started_at;
--- a/Source/Core/Session/service_group.cc
+++ b/Source/Core/Session/service_group.cc
@@ -65,7 +65,13 @@
   callbacks.send_command = [this](const common::EndpointId& id,
                                   const MemberCommand& command,
                                   CommandCallback done) {
-    this->SendPromotionCommand(id, command, std::move(done));
+    this->SendCommand(id, Encode(*this->context.codec, command), kStatusTimeout,
+                      std::move(done));
+  };
+  callbacks.send_command_by_any = [this](const common::EndpointId& id,
+                                         const MemberCommand& command,
+                                         CommandCallback done) {
+    this->SendCommandByAny(id, command, std::move(done));
   };
   callbacks.members = [this] { return this->Entries(); };
   callbacks.former_members = [this] { return this->RecentFormerMembers(); };
@@ -253,9 +259,9 @@
   if (waiting != this->commands.end()) waiting->second.request_id = request_id;
 }
 
-void ServiceGroup::SendPromotionCommand(const common::EndpointId& id,
-                                        const MemberCommand& command,
-                                        CommandCallback done) {
+void ServiceGroup::SendCommandByAny(const common::EndpointId& id,
+                                    const MemberCommand& command,
+                                    CommandCallback done) {
   struct Attempts {
     int pending = 1;
     bool sent = false;
@@ -281,12 +287,12 @@
         [this, still_alive = this->alive, id,
          finish](const std::optional<EndpointStatus>& status) {
           if (!*still_alive) return;
-          if (status.has_value()) {
-            common::Log(Subsystem::kConnection, LogLevel::kInfo,
-                        "command_relayed",
-                        {{"service", this->service}, {"endpoint", id}});
-            this->OnStatus(id, *status);
-          }
+          common::Log(Subsystem::kConnection, LogLevel::kInfo,
+                      "command_relayed",
+                      {{"service", this->service},
+                       {"endpoint", id},
+                       {"answered", status.has_value() ? "yes" : "no"}});
+          if (status.has_value()) this->OnStatus(id, *status);
           finish({status, true});
         });
   }
--- a/Source/Core/Session/service_group.h
+++ b/Source/Core/Session/service_group.h
@@ -151,10 +151,10 @@
 
   void SendCommand(const common::EndpointId& id, const std::string& command,
                    common::Duration timeout, CommandCallback done);
-  /// Sends a command of a promotion, also through peers if the member does not
-  /// answer this daemon.
-  void SendPromotionCommand(const common::EndpointId& id,
-                            const MemberCommand& command, CommandCallback done);
+  /// Sends a command, also through peers if the member does not answer this
+  /// daemon.
+  void SendCommandByAny(const common::EndpointId& id,
+                        const MemberCommand& command, CommandCallback done);
   void OnChannelTimeout(std::uint64_t number);
   void OnCommandChannel(std::uint64_t number, const ChannelGrant& grant);
   void OnCommandResult(std::uint64_t number, const ChannelResult& result);
--- a/Source/UnitTests/Platform/promotion_task_test.cc
+++ b/Source/UnitTests/Platform/promotion_task_test.cc
@@ -41,6 +41,7 @@
               true});
       }
     };
+    callbacks.send_command_by_any = callbacks.send_command;
     callbacks.members = [] {
       std::vector<session::GroupMember> members(3);
       members[0].id = common::EndpointId("p");
