Session: Count empty logs as lost copies, and keep the log they confirmed

Cause: an empty log counted as a lost copy only if the daemon had heard of a log with entries; one that has just started has not. Behind it, once the silent primary was back and held, a replica went before it although its log was empty.

Ruled out: a record in the store that a service has had entries, which a restored store may lack.

Why this works: what an empty member had confirmed is at one other member only. While one is missing, nothing is ordered; when all are held, the longest log is chosen, also if it is the old primary's.

--- a/Source/Core/Session/primary_view.cc
+++ b/Source/Core/Session/primary_view.cc
@@ -37,7 +37,6 @@
   const auto found = this->claims.find(id);
   if (found == this->claims.end()) return;
   Claim& claim = found->second;
-  this->log_has_entries |= status.received.index > 0;
   const bool newer = status.term > this->highest_term;
   this->OnTerm(status.term);
   // A replaced primary may still answer as primary, but with a lower term.
--- a/Source/Core/Session/primary_view.h
+++ b/Source/Core/Session/primary_view.h
@@ -36,9 +36,6 @@
   /// Highest term that any member has reported.
   common::Term HighestTerm() const { return this->highest_term; }
 
-  /// Whether any member has reported a log that is not empty.
-  bool LogHasEntries() const { return this->log_has_entries; }
-
  private:
   struct Claim {
     bool reported = false;
@@ -60,7 +57,6 @@
   std::map<common::EndpointId, Claim> claims;
   std::uint64_t next_sequence = 1;
   common::Term highest_term = 0;
-  bool log_has_entries = false;
 };
 
 }  // namespace camphorferry::session
--- a/Source/Core/Session/promotion_plan.cc
+++ b/Source/Core/Session/promotion_plan.cc
@@ -44,12 +44,10 @@
                              FormerMembers former,
                              const std::optional<common::EndpointId>& primary,
                              common::Term primary_term,
-                             common::Term highest_term, common::SteadyTime now,
-                             bool log_has_entries)
+                             common::Term highest_term, common::SteadyTime now)
     : former(std::move(former)),
       primary(primary),
       primary_term(primary_term),
-      log_has_entries(log_has_entries),
       initial_term(highest_term),
       newest_term(highest_term),
       term(highest_term + 1),
@@ -150,7 +148,6 @@
 std::vector<PromotionAction> PromotionPlan::TakeStatus(
     const common::EndpointId& id, const EndpointStatus& status) {
   Member& member = this->members.at(id);
-  this->log_has_entries |= status.received.index > 0;
   member.fenced.reset();
   if (!std::exchange(member.has_answered, true)) {
     member.held_before = status.held > 0;
@@ -239,7 +236,6 @@
 }
 
 std::size_t PromotionPlan::CountEmptyLogs() const {
-  if (!this->log_has_entries) return 0;
   return std::count_if(
       this->members.begin(), this->members.end(), [](const auto& entry) {
         const std::optional<EndpointStatus>& fenced = entry.second.fenced;
@@ -280,14 +276,18 @@
     return age < kFenceReplyWait ? std::nullopt : this->MostAdvanced({});
   }
   std::optional<common::EndpointId> replica = this->MostAdvanced(this->primary);
-  if (missing.empty()) {
-    return replica.has_value() ? replica : this->MostAdvanced({});
-  }
-  if (age < kFenceReplyWait) return std::nullopt;
   std::optional<common::EndpointId> best = this->MostAdvanced({});
   const bool has_all = replica.has_value() && best.has_value() &&
                        this->members.at(*replica).fenced->received >=
                            this->members.at(*best).fenced->received;
+  if (missing.empty()) {
+    // What only the old primary has was acknowledged only if a member that had
+    // confirmed it has lost its log since.
+    const bool copies_lost = this->CountEmptyLogs() > 0;
+    const bool replica_suffices = has_all || !copies_lost;
+    return replica.has_value() && replica_suffices ? replica : best;
+  }
+  if (age < kFenceReplyWait) return std::nullopt;
   if (has_all) return replica;
   // The missing member may be the one that confirmed the latest commits of the
   // old primary.
--- a/Source/Core/Session/promotion_plan.h
+++ b/Source/Core/Session/promotion_plan.h
@@ -83,11 +83,10 @@
  public:
   /// The former members are those that have disappeared recently. The primary's
   /// term is the one that it has reported to lead; 0 if it has reported none.
-  /// If the log of the group has entries, a member without any has lost them.
   PromotionPlan(const std::vector<GroupMember>& members, FormerMembers former,
                 const std::optional<common::EndpointId>& primary,
                 common::Term primary_term, common::Term highest_term,
-                common::SteadyTime now, bool log_has_entries = false);
+                common::SteadyTime now);
 
   /// Returns the first actions of the plan.
   std::vector<PromotionAction> Begin(common::SteadyTime now);
@@ -165,9 +164,9 @@
   std::vector<PromotionAction> OrderIfPossible(common::SteadyTime now);
   /// Members that are not held, among them those that have disappeared.
   std::set<common::EndpointId> Missing() const;
-  /// Number of held members without log entries although the group's log has
-  /// some. They hold nothing that they have confirmed before they started
-  /// again.
+  /// Number of held members without log entries. They hold nothing that they
+  /// may have confirmed before they started again. Nobody knows whether the
+  /// group has ever had entries if all daemons have started anew as well.
   std::size_t CountEmptyLogs() const;
   /// Whether an earlier promotion, of which only a hold is known, may have made
   /// a member the primary that is not held and not the one to replace. The
@@ -204,8 +203,6 @@
   std::optional<common::EndpointId> primary;
   /// Term that the primary was last heard to lead; 0 if it has reported none.
   common::Term primary_term;
-  /// A member has reported a log that is not empty.
-  bool log_has_entries;
   /// Highest term known when the plan was made.
   common::Term initial_term;
   /// Highest term known to have a primary before this promotion.
--- a/Source/Core/Session/promotion_task.h
+++ b/Source/Core/Session/promotion_task.h
@@ -32,8 +32,6 @@
   /// Term that the primary has reported to lead; 0 if it has reported none.
   std::function<common::Term()> primary_term;
   std::function<common::Term()> highest_term;
-  /// Whether any member has reported a log that is not empty.
-  std::function<bool()> log_has_entries;
   /// Whether the primary still needs to be replaced.
   std::function<bool()> still_needed;
 };
--- a/Source/Core/Session/service_group.cc
+++ b/Source/Core/Session/service_group.cc
@@ -78,7 +78,6 @@
   callbacks.primary = [this] { return this->primary; };
   callbacks.primary_term = [this] { return this->view.PrimaryTerm(); };
   callbacks.highest_term = [this] { return this->view.HighestTerm(); };
-  callbacks.log_has_entries = [this] { return this->view.LogHasEntries(); };
   callbacks.still_needed = [this] {
     return this->MustReplace(common::SteadyNow());
   };
--- a/Source/UnitTests/Core/Session/promotion_model.cc
+++ b/Source/UnitTests/Core/Session/promotion_model.cc
@@ -662,7 +662,7 @@
       ", highest term " + std::to_string(this->view.HighestTerm()));
   this->plan = std::make_shared<PromotionPlan>(
       this->members, this->Former(), primary, this->view.PrimaryTerm(),
-      this->view.HighestTerm(), now, this->view.LogHasEntries());
+      this->view.HighestTerm(), now);
   this->Perform(this->plan->Begin(now));
 }
 
--- a/Source/UnitTests/Core/Session/promotion_model_test.cc
+++ b/Source/UnitTests/Core/Session/promotion_model_test.cc
@@ -185,10 +185,11 @@
 }
 
 // Guards against choosing one of two replicas that have started again without
-// their logs, after former processes are no longer remembered.
+// their logs, by a daemon that has started again as well and has not heard of
+// any entry (review/3).
 TEST_F(PromotionLossTest, ReplicasHaveLostLogs_OtherSilent_OrdersNothing) {
   PromotionPlan restarted({Member("p"), Member("a", 2), Member("b", 2)}, {},
-                          std::nullopt, 0, 3, kStart, true);
+                          std::nullopt, 0, 3, kStart);
   this->Record(restarted.Begin(kStart), milliseconds(0));
   for (const common::EndpointId& id : {this->a, this->b}) {
     restarted.OnStatus(id, Replica(3, 0, 0), kStart + kFencePause);
@@ -196,7 +197,8 @@
                  kFencePause);
   }
   EXPECT_FALSE(this->ordered.has_value());
-  // The third member has the commits.
+  // The third member has the commits, also if it leads.
+  restarted.OnStatus(this->p, Primary(3, 10), kStart + kFencePause);
   restarted.OnStatus(this->p, Replica(3, 10, 0), kStart + kFencePause);
   this->Record(
       restarted.OnStatus(this->p, Replica(3, 10, 4), kStart + kFencePause),
--- a/Source/UnitTests/Platform/promotion_task_test.cc
+++ b/Source/UnitTests/Platform/promotion_task_test.cc
@@ -53,7 +53,6 @@
     callbacks.primary = [] { return common::EndpointId("p"); };
     callbacks.primary_term = [] { return 1; };
     callbacks.highest_term = [] { return 1; };
-    callbacks.log_has_entries = [] { return true; };
     callbacks.still_needed = [] { return true; };
     this->task = std::make_unique<session::PromotionTask>(
         context, common::ServiceId("svc"), callbacks);
