Session: Keep commits that only an ended replica had confirmed

Cause: commits that only the old primary has were taken for not acknowledged, as all other members were held. They had been confirmed by replicas that were about to leave, had ended since and took their logs with them. Former members leave out those that had announced their shutdown.

Ruled out: an outdated list of members (it was complete); a joining replica (none started); a hold that had ended (all were held).

Why this works: while members have ended of which no later commit is known, a plan orders nothing without the old primary's log, and then the longest one. A later acknowledged commit shows that a member which is still there has all.

PromotionLossTest.ConfirmingMemberEnded_* (both) fail without the change. PromotionPlanTest.SilentReplicaLeaves_OnMembers_Orders is replaced: it expected an order with the primary silent right after a leaving replica had ended, which is the loss described here. SilentReplicaEnds_* asks for what it guarded, no wait for the ended replica, and that the primary's log is there; HeldReplicaEnds_* keeps the case in which no wait is needed.

--- a/Source/Core/Session/promotion_plan.cc
+++ b/Source/Core/Session/promotion_plan.cc
@@ -40,12 +40,25 @@
   }
 }
 
+std::set<common::EndpointId> EndedMembers(
+    const std::vector<GroupMember>& before,
+    const std::vector<GroupMember>& now) {
+  std::set<common::EndpointId> ended;
+  for (const GroupMember& member : before) {
+    if (member.state == MemberState::kLeaving) ended.insert(member.id);
+  }
+  for (const GroupMember& member : now) ended.erase(member.id);
+  return ended;
+}
+
 PromotionPlan::PromotionPlan(const std::vector<GroupMember>& group,
                              FormerMembers former,
                              const std::optional<common::EndpointId>& primary,
                              common::Term primary_term,
-                             common::Term highest_term, common::SteadyTime now)
+                             common::Term highest_term, common::SteadyTime now,
+                             std::set<common::EndpointId> ended)
     : former(std::move(former)),
+      ended(std::move(ended)),
       primary(primary),
       primary_term(primary_term),
       initial_term(highest_term),
@@ -179,6 +192,9 @@
   std::vector<GroupMember> before;
   for (const auto& [id, member] : this->members) before.push_back(member.entry);
   UpdateFormerMembers(before, group, &this->former);
+  for (const common::EndpointId& id : EndedMembers(before, group)) {
+    if (!this->IsCovered(id)) this->ended.insert(id);
+  }
   std::map<common::EndpointId, Member> present;
   for (const GroupMember& member : group) {
     const auto known = this->members.find(member.id);
@@ -197,6 +213,17 @@
   return this->FenceUnanswered();
 }
 
+bool PromotionPlan::IsCovered(const common::EndpointId& id) const {
+  const std::optional<EndpointStatus>& last = this->members.at(id).fenced;
+  if (!last.has_value()) return false;
+  return std::any_of(
+      this->members.begin(), this->members.end(), [&](const auto& other) {
+        const std::optional<EndpointStatus>& fenced = other.second.fenced;
+        return other.first != id && fenced.has_value() &&
+               fenced->received >= last->received;
+      });
+}
+
 bool PromotionPlan::MayHold(const Member& member) const {
   return this->phase == Phase::kOrdered ? !member.was_fenced
                                         : member.has_answered;
@@ -262,6 +289,12 @@
   if (missing.size() + this->CountEmptyLogs() > 1 && !missing.empty()) {
     return std::nullopt;
   }
+  // The pair may have been a member that has ended and the old primary.
+  const bool primary_held =
+      this->primary.has_value() && !missing.contains(*this->primary);
+  if (!this->ended.empty() && !missing.empty() && !primary_held) {
+    return std::nullopt;
+  }
   const common::Duration age = now - this->started;
   // A reachable primary steps down first, so that clients of other daemons
   // learn of the change from its refusals.
@@ -283,7 +316,7 @@
   if (missing.empty()) {
     // What only the old primary has was acknowledged only if a member that had
     // confirmed it has lost its log since.
-    const bool copies_lost = this->CountEmptyLogs() > 0;
+    const bool copies_lost = !this->ended.empty() || this->CountEmptyLogs() > 0;
     const bool replica_suffices = has_all || !copies_lost;
     return replica.has_value() && replica_suffices ? replica : best;
   }
--- a/Source/Core/Session/promotion_plan.h
+++ b/Source/Core/Session/promotion_plan.h
@@ -54,12 +54,17 @@
 using FormerMembers = std::set<std::pair<common::EndpointId, std::uint64_t>>;
 
 /// Adds the processes that are members no longer to the former members, apart
-/// from those that had announced their shutdown, and removes those that have
-/// returned.
+/// from those that had announced their shutdown, which have ended, and removes
+/// those that have returned.
 void UpdateFormerMembers(const std::vector<GroupMember>& before,
                          const std::vector<GroupMember>& now,
                          FormerMembers* former);
 
+/// The members that had announced their shutdown and are gone, with their logs.
+std::set<common::EndpointId> EndedMembers(
+    const std::vector<GroupMember>& before,
+    const std::vector<GroupMember>& now);
+
 using PromotionAction =
     std::variant<SendStepDown, SendHold, SendResume, SendStatus, OrderPromotion,
                  PromotionFinished>;
@@ -79,14 +84,18 @@
 /// Members that have disappeared from the directory without having announced
 /// it may still run and confirm commits, and a member that has started again
 /// has lost what it had confirmed. Both count as members that are not held.
+/// Members that have ended after they announced it may have confirmed commits
+/// that only the old primary has now, so nothing is ordered without its log.
 class PromotionPlan {
  public:
   /// The former members are those that have disappeared recently. The primary's
   /// term is the one that it has reported to lead; 0 if it has reported none.
+  /// The ended members are those of which no later commit is known.
   PromotionPlan(const std::vector<GroupMember>& members, FormerMembers former,
                 const std::optional<common::EndpointId>& primary,
                 common::Term primary_term, common::Term highest_term,
-                common::SteadyTime now);
+                common::SteadyTime now,
+                std::set<common::EndpointId> ended = {});
 
   /// Returns the first actions of the plan.
   std::vector<PromotionAction> Begin(common::SteadyTime now);
@@ -142,6 +151,8 @@
   };
 
   static bool IsLeaving(const Member& member);
+  /// Whether another held member has all that this one had when it was held.
+  bool IsCovered(const common::EndpointId& id) const;
   /// Whether a member that is not held may be held now.
   bool MayHold(const Member& member) const;
   /// Commands to a member for the plan's term. They are recorded as sent.
@@ -200,6 +211,7 @@
 
   std::map<common::EndpointId, Member> members;
   FormerMembers former;
+  std::set<common::EndpointId> ended;
   std::optional<common::EndpointId> primary;
   /// Term that the primary was last heard to lead; 0 if it has reported none.
   common::Term primary_term;
--- a/Source/Core/Session/promotion_task.cc
+++ b/Source/Core/Session/promotion_task.cc
@@ -89,7 +89,7 @@
                {"former_members", former.size()}});
   this->plan = std::make_shared<PromotionPlan>(
       members, former, primary, this->callbacks.primary_term(),
-      this->callbacks.highest_term(), now);
+      this->callbacks.highest_term(), now, this->callbacks.ended_members());
   this->Perform(this->plan->Begin(now));
 }
 
--- a/Source/Core/Session/promotion_task.h
+++ b/Source/Core/Session/promotion_task.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -28,6 +29,7 @@
       send_command_by_any;
   std::function<std::vector<GroupMember>()> members;
   std::function<FormerMembers()> former_members;
+  std::function<std::set<common::EndpointId>()> ended_members;
   std::function<std::optional<common::EndpointId>()> primary;
   /// Term that the primary has reported to lead; 0 if it has reported none.
   std::function<common::Term()> primary_term;
--- a/Source/Core/Session/service_group.cc
+++ b/Source/Core/Session/service_group.cc
@@ -36,6 +36,8 @@
 /// may still run and confirm commits, for example while it does not reach the
 /// store. Longer than such faults usually last.
 constexpr std::chrono::seconds kFormerMemberRetention(10);
+/// A commit is acknowledged within this time after a replica has confirmed it.
+constexpr std::chrono::milliseconds kMaxConfirmAge(500);
 /// Minimum interval between two probes.
 constexpr std::chrono::milliseconds kProbeInterval(150);
 /// Backoff after a proof round without a proof, doubled up to the maximum. Each
@@ -75,6 +77,11 @@
   };
   callbacks.members = [this] { return this->Entries(); };
   callbacks.former_members = [this] { return this->RecentFormerMembers(); };
+  callbacks.ended_members = [this] {
+    std::set<common::EndpointId> ended;
+    for (const auto& [id, since] : this->ended_members) ended.insert(id);
+    return ended;
+  };
   callbacks.primary = [this] { return this->primary; };
   callbacks.primary_term = [this] { return this->view.PrimaryTerm(); };
   callbacks.highest_term = [this] { return this->view.HighestTerm(); };
@@ -107,7 +114,11 @@
 }
 
 void ServiceGroup::SetMembers(const std::vector<GroupMember>& present) {
-  this->UpdateFormer(present, common::SteadyNow());
+  const common::SteadyTime updated_at = common::SteadyNow();
+  this->UpdateFormer(present, updated_at);
+  for (const auto& id : EndedMembers(this->Entries(), present)) {
+    this->ended_members.try_emplace(id, updated_at);
+  }
   std::set<common::EndpointId> ids;
   for (const GroupMember& entry : present) {
     ids.insert(entry.id);
@@ -172,6 +183,9 @@
   this->leadership_proofs.DropOlderThan(now - kProofRetention);
   std::erase_if(this->former_members,
                 [now](const auto& item) { return item.second <= now; });
+  std::erase_if(this->ended_members, [now](const auto& item) {
+    return now - item.second >= kFormerMemberRetention;
+  });
   std::vector<std::function<void(bool)>> expired;
   for (auto it = this->waiters.begin(); it != this->waiters.end();) {
     if (it->until > now) {
@@ -448,7 +462,14 @@
 }
 
 void ServiceGroup::OnCommitSuccess(const common::EndpointId& id) {
-  if (this->primary == id) this->monitor.OnCommitSuccess(common::SteadyNow());
+  if (this->primary != id) return;
+  const common::SteadyTime now = common::SteadyNow();
+  this->monitor.OnCommitSuccess(now);
+  // A member that is still there has confirmed the commit and has all earlier
+  // ones.
+  std::erase_if(this->ended_members, [now](const auto& item) {
+    return now - item.second >= kMaxConfirmAge;
+  });
 }
 
 void ServiceGroup::OnCommitUnanswered(const common::EndpointId& id) {
--- a/Source/Core/Session/service_group.h
+++ b/Source/Core/Session/service_group.h
@@ -188,6 +188,9 @@
   /// Processes of members that have disappeared, and until when a promotion
   /// takes them into account.
   std::map<FormerMembers::value_type, common::SteadyTime> former_members;
+  /// Members that had announced their shutdown and are gone, and since when. A
+  /// commit that was acknowledged later clears them.
+  std::map<common::EndpointId, common::SteadyTime> ended_members;
   ChannelLimits channel_limits;
   HedgeBudget hedge_budget;
 
--- a/Source/UnitTests/Core/Session/promotion_model_test.cc
+++ b/Source/UnitTests/Core/Session/promotion_model_test.cc
@@ -206,6 +206,32 @@
   EXPECT_EQ(this->ordered, this->p);
 }
 
+// Guards against choosing a replica that lacks a commit which only a member
+// that has ended had confirmed, although the old primary has it.
+TEST_F(PromotionLossTest, ConfirmingMemberEnded_OldPrimaryAhead_IsReinstated) {
+  GroupMember leaving = Member("a");
+  leaving.state = MemberState::kLeaving;
+  this->Members({Member("p"), leaving, Member("b"), Member("c")});
+  this->Members({Member("p"), Member("b"), Member("c")});
+  this->Answer(this->p, Replica(3, 11, 4));
+  this->Answer(this->b, Replica(3, 10, 4));
+  this->Answer(common::EndpointId("c"), Replica(3, 10, 4));
+  this->TickUntil(milliseconds(1900));
+  EXPECT_EQ(this->ordered, this->p);
+}
+
+// Guards against the same if the old primary does not answer.
+TEST_F(PromotionLossTest, ConfirmingMemberEnded_PrimarySilent_OrdersNothing) {
+  GroupMember leaving = Member("a");
+  leaving.state = MemberState::kLeaving;
+  this->Members({Member("p"), leaving, Member("b"), Member("c")});
+  this->Members({Member("p"), Member("b"), Member("c")});
+  this->Answer(this->b, Replica(3, 10, 4));
+  this->Answer(common::EndpointId("c"), Replica(3, 10, 4));
+  this->TickUntil(milliseconds(1900));
+  EXPECT_FALSE(this->ordered.has_value());
+}
+
 // Guards against choosing a replica that lacks a commit which another replica
 // has reported before it was restarted.
 TEST_F(PromotionLossTest, ReportedReplicaReborn_PrimarySilent_OrdersNothing) {
--- a/Source/UnitTests/Core/Session/promotion_plan_test.cc
+++ b/Source/UnitTests/Core/Session/promotion_plan_test.cc
@@ -134,15 +134,39 @@
 }
 
 // Guards against waiting for a replica that had announced its shutdown and has
-// ended.
-TEST_F(PromotionPlanTest, SilentReplicaLeaves_OnMembers_Orders) {
+// ended, and against an order without the log of the primary, the only other
+// member that may have what this replica has confirmed.
+TEST_F(PromotionPlanTest, SilentReplicaEnds_OnMembers_WaitsForThePrimaryOnly) {
   const common::SteadyTime late = kStart + milliseconds(400);
   this->plan.OnMembers({Member("p"), Member("a"), Member("b", true)}, late);
   EXPECT_EQ(
       Find<OrderPromotion>(this->plan.OnStatus(this->a, Held(3, 10, 4), late)),
       nullptr);
-  const auto actions = this->plan.OnMembers({Member("p"), Member("a")}, late);
-  EXPECT_NE(Find<OrderPromotion>(actions), nullptr);
+  EXPECT_EQ(Find<OrderPromotion>(
+                this->plan.OnMembers({Member("p"), Member("a")}, late)),
+            nullptr);
+  this->plan.OnStatus(this->p, Held(3, 10, 0), late);
+  const auto actions = this->plan.OnStatus(this->p, Held(3, 10, 4), late);
+  const auto* order = Find<OrderPromotion>(actions);
+  ASSERT_NE(order, nullptr);
+  EXPECT_EQ(order->endpoint, this->a);
+}
+
+// Guards against waiting for the primary although a held replica has all that
+// an ended one had when it was held.
+TEST_F(PromotionPlanTest, HeldReplicaEnds_PrimarySilent_Orders) {
+  const common::SteadyTime late = kStart + milliseconds(400);
+  const common::EndpointId c("c");
+  this->plan.OnMembers(
+      {Member("p"), Member("a"), Member("b", true), Member("c")}, late);
+  this->plan.OnStatus(this->a, Held(3, 10, 4), late);
+  this->plan.OnStatus(this->b, Held(3, 10, 4), late);
+  this->plan.OnMembers({Member("p"), Member("a"), Member("c")}, late);
+  this->plan.OnStatus(c, Held(3, 9, 0), late);
+  const auto actions = this->plan.OnStatus(c, Held(3, 9, 4), late);
+  const auto* order = Find<OrderPromotion>(actions);
+  ASSERT_NE(order, nullptr);
+  EXPECT_EQ(order->endpoint, this->a);
 }
 
 // Guards against a promotion without a replica whose entry had expired shortly
--- a/Source/UnitTests/Platform/promotion_task_test.cc
+++ b/Source/UnitTests/Platform/promotion_task_test.cc
@@ -50,6 +50,7 @@
       return members;
     };
     callbacks.former_members = [] { return session::FormerMembers(); };
+    callbacks.ended_members = [] { return std::set<common::EndpointId>(); };
     callbacks.primary = [] { return common::EndpointId("p"); };
     callbacks.primary_term = [] { return 1; };
     callbacks.highest_term = [] { return 1; };
