Process: End lost watches of the configuration within the change bound

Cause: camphorferryd's watch of the configuration lasted 20 s. A store that goes silent loses it without a trace, and a change is known 21 s later, unless a peer's watch was not lost. A change must be in force within 4 s.

Why this works: a watch lasts 2 s, so a lost one and the next call end within the bound.

--- a/Source/Core/Process/configuration_task.cc
+++ b/Source/Core/Process/configuration_task.cc
@@ -7,7 +7,10 @@
 namespace {
 
 constexpr char kConfigurationPath[] = "config";
-constexpr std::chrono::seconds kWatchTimeout(20);
+/// Length of a watch. A store that goes silent may lose one without a trace,
+/// which is noticed a call's timeout (1,000 ms) after its end; a change must be
+/// in force within 4,000 ms all the same.
+constexpr std::chrono::milliseconds kWatchTimeout(2000);
 /// Delay before the next call after the store did not respond.
 constexpr std::chrono::milliseconds kStoreRetryDelay(500);
 
