Session: Send no statements to a primary that has left for long

Cause: a promotion chooses the longest log, also that of a member that leaves, as it may hold commits that nobody else has. As primary it then got statements until the next promotion, however old its announcement was.

Ruled out: choosing a member that stays, which may lack acknowledged commits.

ProxyTest.PrimaryLeavingForLong_* fails without the change.

--- a/Source/Core/Session/service_group.cc
+++ b/Source/Core/Session/service_group.cc
@@ -38,6 +38,9 @@
 constexpr std::chrono::seconds kFormerMemberRetention(10);
 /// A commit is acknowledged within this time after a replica has confirmed it.
 constexpr std::chrono::milliseconds kMaxConfirmAge(500);
+/// A primary that leaves gets no statements after this time. It may end 7,000
+/// ms after its announcement, which may have been learned late.
+constexpr std::chrono::milliseconds kMaxUseAfterNotice(6000);
 /// Minimum interval between two probes.
 constexpr std::chrono::milliseconds kProbeInterval(150);
 /// Backoff after a proof round without a proof, doubled up to the maximum. Each
@@ -167,6 +170,13 @@
     this->context.loop->Post([old = std::move(it->second.pool)] {});
     it = this->members.erase(it);
   }
+  for (auto& [id, member] : this->members) {
+    if (member.entry.state != MemberState::kLeaving) {
+      member.leaving_since.reset();
+    } else if (!member.leaving_since.has_value()) {
+      member.leaving_since = updated_at;
+    }
+  }
   this->view.OnMembers(present);
   this->UpdatePrimary();
   this->UpdateLeaving();
@@ -204,6 +214,15 @@
   return this->primary;
 }
 
+std::optional<common::EndpointId> ServiceGroup::UsablePrimary() const {
+  if (!this->primary.has_value()) return std::nullopt;
+  const auto& leaving_since = this->members.at(*this->primary).leaving_since;
+  const bool ends_soon =
+      leaving_since.has_value() &&
+      common::SteadyNow() - *leaving_since >= kMaxUseAfterNotice;
+  return ends_soon ? std::nullopt : this->primary;
+}
+
 EndpointPool* ServiceGroup::PoolOf(const common::EndpointId& id) {
   const auto found = this->members.find(id);
   return found == this->members.end() ? nullptr : found->second.pool.get();
--- a/Source/Core/Session/service_group.h
+++ b/Source/Core/Session/service_group.h
@@ -44,6 +44,10 @@
   /// The member that is assumed to be the primary; none if none is known.
   std::optional<common::EndpointId> Primary() const;
 
+  /// The primary, as long as statements may be sent to it: one that has
+  /// announced its shutdown is used for a limited time only.
+  std::optional<common::EndpointId> UsablePrimary() const;
+
   /// The member that is expected to answer a read soonest, apart from those
   /// named; none if no other member takes work.
   std::optional<common::EndpointId> ChooseReader(
@@ -116,6 +120,8 @@
     /// Until then, reads prefer other members.
     common::SteadyTime avoid_until;
     FailureEstimate failures;
+    /// Since when the member has been known to leave.
+    std::optional<common::SteadyTime> leaving_since;
     /// The member gave no answer when it was last contacted.
     bool unresponsive = false;
     /// Peers are not asked before to send a command of the kind to the member.
--- a/Source/Core/Session/statement_run.cc
+++ b/Source/Core/Session/statement_run.cc
@@ -171,7 +171,7 @@
 }
 
 std::optional<common::EndpointId> StatementRun::ChooseEndpoint() {
-  if (this->request.needs_primary) return this->group->Primary();
+  if (this->request.needs_primary) return this->group->UsablePrimary();
   std::optional<common::EndpointId> reader =
       this->group->ChooseReader(this->request.caller, this->tried);
   if (!reader.has_value()) {
--- a/Source/UnitTests/Platform/proxy_group_test.cc
+++ b/Source/UnitTests/Platform/proxy_group_test.cc
@@ -245,6 +245,22 @@
   EXPECT_EQ(this->platform.orders[0].endpoint.Value(), "b");
 }
 
+// Guards against statements that reach a primary after it was to be unused,
+// because it could not be replaced in time or was promoted although it leaves.
+TEST_F(ProxyTest, PrimaryLeavingForLong_Write_IsNotSentToIt) {
+  const auto client = this->Connect("latest");
+  this->platform.store_down = true;
+  session::GroupMember entry = this->primary_database.Registration();
+  entry.state = session::MemberState::kLeaving;
+  this->AnswerDirectoryCall(
+      DirectoryKind::kMembers,
+      {{entry.id.Value(), {0, ++this->directory_revision}, false, entry, ""}});
+  EXPECT_TRUE(HasLine(client->Ask("QUERY 1 WRITE x y"), "COMPLETE sig.p"));
+  this->RunFor(milliseconds(6100));
+  EXPECT_TRUE(HasLine(client->Ask("QUERY 2 WRITE x z"), "ERROR BUSY"));
+  EXPECT_EQ(this->ExecutedIds(), (std::set<std::string>{"1"}));
+}
+
 // Guards against a primary that only this daemon does not reach: with a replica
 // that starts after the order, which is not held, it would get commits
 // confirmed that the promoted member lacks (review/2).
