--- a/Source/Core/Session/grpc_fleet_transport.cc
+++ b/Source/Core/Session/grpc_fleet_transport.cc
@@ -460,7 +460,7 @@
                               state = std::move(state), done = std::move(done),
                               answered = status.ok()] {
               if (!*still_alive) return;
-              done(answered ? std::optional(FromMessage(state->reply))
+              done(answered ? std::optional<Result>(FromMessage(state->reply))
                             : std::nullopt);
             });
             this->calls.erase(ended);
