--- a/Source/Core/Session/promotion_task.h
+++ b/Source/Core/Session/promotion_task.h
@@ -60,8 +60,8 @@
   void Tick(common::SteadyTime now);
 
  private:
-  /// Lists the members before a promotion begins. The known ones may be those
-  /// of before a cut, while another daemon has promoted a member of today.
+  /// Lists the members before a promotion begins. The list may be outdated
+  /// after this daemon was cut off, and lack a member that leads meanwhile.
   void RefreshMembers(FailoverReason reason);
   void Begin(FailoverReason reason);
   void Perform(const std::vector<PromotionAction>& actions);
