Session: One way to send a member's command and to combine attempts

No change of behaviour.

- ServiceGroup::SendCommand takes a MemberCommand and no timeout: all callers passed the same one, and four encoded the command themselves.
It serves other daemons too, so RunRelayed is gone.
- FleetTask::RelayCommand and ServiceGroup::SendCommandByAny each kept a record of attempts to pass on the first answer.
CombineAttempts does it for both.
- DirectoryWatcher::Refresh and OnEra replaced the call in progress by the same three lines, now ListInstead.
- The HTTP client keeps the pause that it needs, not the timeout to derive it from.

--- a/Source/Core/Connection/http_client.cc
+++ b/Source/Core/Connection/http_client.cc
@@ -146,8 +146,7 @@
     if (std::exchange(this->response_begun, true)) return;
     if (!this->callback) return;
     // The rest must not take as long as a long poll may take to begin.
-    this->StartTimeout(
-        std::min<common::Duration>(this->request_timeout, kMaxResponsePause));
+    this->StartTimeout(this->response_pause);
   }
 
   void CloseLater() {
@@ -167,8 +166,8 @@
   /// called back.
   std::shared_ptr<State>* context = nullptr;
   std::unique_ptr<Timer> timeout;
-  /// Time in which the response must begin.
-  common::Duration request_timeout = common::Duration::zero();
+  /// Longest pause after the response has begun.
+  common::Duration response_pause = common::Duration::zero();
   bool response_begun = false;
   /// Bytes have arrived since the timeout was started.
   bool received = false;
@@ -231,7 +230,8 @@
   evbuffer_add(body, request.body.data(), request.body.size());
   this->state->received = false;
   this->state->response_begun = false;
-  this->state->request_timeout = timeout;
+  this->state->response_pause =
+      std::min<common::Duration>(timeout, kMaxResponsePause);
   this->state->give_up_at = common::SteadyNow() + timeout + kMaxResponseTime;
   this->state->StartTimeout(timeout);
   evhttp_make_request(this->state->connection, outgoing,
--- a/Source/Core/Session/directory_watcher.cc
+++ b/Source/Core/Session/directory_watcher.cc
@@ -141,15 +141,17 @@
   this->AdvanceEra(store_era);
   // A listing in progress, or the first one, is checked when it is answered.
   if (this->listing || !this->revision.has_value()) return;
-  this->needs_listing = true;
-  this->timer.reset();
-  this->List();
+  this->ListInstead();
 }
 
 void DirectoryWatcher::Refresh(std::function<void(bool)> done) {
   this->refreshes.push_back(std::move(done));
   // A listing in progress may already have been answered by the store, so it is
   // replaced as well.
+  this->ListInstead();
+}
+
+void DirectoryWatcher::ListInstead() {
   this->needs_listing = true;
   this->timer.reset();
   this->List();
--- a/Source/Core/Session/directory_watcher.h
+++ b/Source/Core/Session/directory_watcher.h
@@ -104,6 +104,8 @@
   };
 
   void List();
+  /// Lists at once, instead of the call or the pause in progress.
+  void ListInstead();
   /// Lists again because the store lacks the history of the last watch; at once
   /// the first time, after a growing pause if no watch has succeeded since.
   void Relist();
--- a/Source/Core/Session/fleet_task.cc
+++ b/Source/Core/Session/fleet_task.cc
@@ -253,20 +253,15 @@
     done(std::nullopt);
     return;
   }
-  struct Progress {
-    std::size_t pending = 0;
-    RelayCallback done;
-  };
-  const auto progress = std::make_shared<Progress>();
-  progress->pending = peers.size();
-  progress->done = std::move(done);
+  const CommandCallback finish = CombineAttempts(
+      peers.size(), [done = std::move(done)](const CommandResult& result) {
+        done(result.status);
+      });
   for (const FleetHost& peer : peers) {
     this->transport->RelayCommand(
         peer.peer_address, request, kRelayTimeout,
-        [progress](const std::optional<EndpointStatus>& status) {
-          const bool last = --progress->pending == 0;
-          if (!progress->done || (!last && !status.has_value())) return;
-          std::exchange(progress->done, nullptr)(status);
+        [finish](const std::optional<EndpointStatus>& status) {
+          finish({status, true});
         });
   }
 }
--- a/Source/Core/Session/member_command.h
+++ b/Source/Core/Session/member_command.h
@@ -1,6 +1,7 @@
 #ifndef CAMPHORFERRY_SESSION_MEMBER_COMMAND_H_
 #define CAMPHORFERRY_SESSION_MEMBER_COMMAND_H_
 
+#include <cstddef>
 #include <functional>
 #include <optional>
 #include <string>
@@ -42,6 +43,11 @@
 
 using CommandCallback = std::function<void(const CommandResult&)>;
 
+/// Returns a callback for several attempts to send one command, which each call
+/// it once. Passes on the first answer of the member, or that the last attempt
+/// has ended without one.
+CommandCallback CombineAttempts(std::size_t attempts, CommandCallback done);
+
 /// A command that a daemon asks its peers to send, because it does not reach
 /// the member itself.
 struct CommandRelay {
--- a/Source/Core/Session/proxy.cc
+++ b/Source/Core/Session/proxy.cc
@@ -83,7 +83,7 @@
       loop, platform, &this->metrics, watcher,
       [this](const auto& objects) { this->OnConfigurations(objects); });
   watcher.kind = DirectoryKind::kMembers;
-  watcher.watch_lengths = {kMemberWatchLength, kMemberWatchLength};
+  watcher.watch_lengths = {kMemberWatchLength};
   watcher.removal_grace = kMemberRemovalGrace;
   this->member_watcher = std::make_unique<DirectoryWatcher>(
       loop, platform, &this->metrics, watcher,
@@ -112,7 +112,9 @@
     if (group == nullptr) {
       done(std::nullopt);
     } else {
-      group->RunRelayed(request.endpoint, request.command, done);
+      group->SendCommand(
+          request.endpoint, request.command,
+          [done](const CommandResult& result) { done(result.status); });
     }
   };
   callbacks.on_size_changed = [this](std::size_t size, std::size_t responsive) {
--- a/Source/Core/Session/service_group.cc
+++ b/Source/Core/Session/service_group.cc
@@ -70,8 +70,7 @@
   callbacks.send_command = [this](const common::EndpointId& id,
                                   const MemberCommand& command,
                                   CommandCallback done) {
-    this->SendCommand(id, Encode(*this->context.codec, command), kStatusTimeout,
-                      std::move(done));
+    this->SendCommand(id, command, std::move(done));
   };
   callbacks.send_command_by_any = [this](const common::EndpointId& id,
                                          const MemberCommand& command,
@@ -265,8 +264,8 @@
 }
 
 void ServiceGroup::SendCommand(const common::EndpointId& id,
-                               const std::string& command,
-                               common::Duration timeout, CommandCallback done) {
+                               const MemberCommand& command,
+                               CommandCallback done) {
   EndpointPool* pool = this->PoolOf(id);
   if (pool == nullptr) {
     this->context.loop->Post(
@@ -277,10 +276,9 @@
   PendingCommand& pending = this->commands[number];
   pending.endpoint = id;
   pending.command = command;
-  pending.timeout = timeout;
   pending.done = std::move(done);
   pending.timer = this->context.loop->After(
-      timeout, [this, number] { this->OnChannelTimeout(number); });
+      kStatusTimeout, [this, number] { this->OnChannelTimeout(number); });
   ChannelRequest request;
   request.done = [this, number,
                   still_alive = this->alive](const ChannelGrant& grant) {
@@ -294,26 +292,15 @@
 void ServiceGroup::SendCommandByAny(const common::EndpointId& id,
                                     const MemberCommand& command,
                                     CommandCallback done) {
-  struct Attempts {
-    int pending = 1;
-    bool sent = false;
-    CommandCallback done;
-  };
-  const auto attempts = std::make_shared<Attempts>();
-  attempts->done = std::move(done);
-  const auto finish = [attempts](const CommandResult& result) {
-    attempts->sent |= result.sent;
-    --attempts->pending;
-    const bool last = attempts->pending == 0;
-    if (!attempts->done || (!last && !result.status.has_value())) return;
-    std::exchange(attempts->done, nullptr)({result.status, attempts->sent});
-  };
   const common::SteadyTime now = common::SteadyNow();
   const auto member = this->members.find(id);
-  if (member != this->members.end() && member->second.unresponsive &&
-      now >= member->second.next_relay[command.kind]) {
+  const bool relays = member != this->members.end() &&
+                      member->second.unresponsive &&
+                      now >= member->second.next_relay[command.kind];
+  const CommandCallback finish =
+      CombineAttempts(relays ? 2 : 1, std::move(done));
+  if (relays) {
     member->second.next_relay[command.kind] = now + kRelayInterval;
-    ++attempts->pending;
     this->context.relay_command(
         {this->service, id, command},
         [this, still_alive = this->alive, id,
@@ -328,17 +315,7 @@
           finish({status, true});
         });
   }
-  this->SendCommand(id, Encode(*this->context.codec, command), kStatusTimeout,
-                    finish);
-}
-
-void ServiceGroup::RunRelayed(const common::EndpointId& id,
-                              const MemberCommand& command,
-                              RelayCallback done) {
-  this->SendCommand(id, Encode(*this->context.codec, command), kStatusTimeout,
-                    [done = std::move(done)](const CommandResult& result) {
-                      done(result.status);
-                    });
+  this->SendCommand(id, command, finish);
 }
 
 void ServiceGroup::OnChannelTimeout(std::uint64_t number) {
@@ -365,7 +342,7 @@
   }
   pending.channel = *channel;
   pending.channel->Send(
-      pending.command, pending.timeout,
+      Encode(*this->context.codec, pending.command), kStatusTimeout,
       [this, number, still_alive = this->alive](const ChannelResult& result) {
         if (*still_alive) this->OnCommandResult(number, result);
       });
@@ -561,14 +538,13 @@
   started.needs_replica = replica.has_value();
   if (replica.has_value()) started.replica_id = *replica;
   this->round = started;
-  const std::string command = this->context.codec->EncodeStatus();
   const std::uint64_t number = started.number;
-  this->SendCommand(*this->primary, command, kStatusTimeout,
+  this->SendCommand(*this->primary, {},
                     [this, number](const CommandResult& result) {
                       this->OnRoundAnswer(number, true, result.status);
                     });
   if (replica.has_value()) {
-    this->SendCommand(*replica, command, kStatusTimeout,
+    this->SendCommand(*replica, {},
                       [this, number](const CommandResult& result) {
                         this->OnRoundAnswer(number, false, result.status);
                       });
@@ -638,8 +614,7 @@
 }
 
 void ServiceGroup::Probe(const common::EndpointId& id) {
-  this->SendCommand(id, this->context.codec->EncodeStatus(), kStatusTimeout,
-                    [](const CommandResult& /*result*/) {});
+  this->SendCommand(id, {}, [](const CommandResult& /*result*/) {});
 }
 
 void ServiceGroup::ProbePrimary(bool must_replace) {
--- a/Source/Core/Session/service_group.h
+++ b/Source/Core/Session/service_group.h
@@ -106,10 +106,10 @@
   /// another member. If so, it is counted against the hedge budget.
   bool TryHedge(const std::string& caller, const common::EndpointId& waits_for);
 
-  /// Sends a command to a member on behalf of another daemon, which does not
-  /// reach it.
-  void RunRelayed(const common::EndpointId& id, const MemberCommand& command,
-                  RelayCallback done);
+  /// Sends a command to a member, for this daemon or for another one that does
+  /// not reach the member.
+  void SendCommand(const common::EndpointId& id, const MemberCommand& command,
+                   CommandCallback done);
 
   const common::ServiceId& Service() const { return this->service; }
 
@@ -146,8 +146,7 @@
   /// A command to a member that waits for a channel or for its answer.
   struct PendingCommand {
     common::EndpointId endpoint;
-    std::string command;
-    common::Duration timeout;
+    MemberCommand command;
     CommandCallback done;
     ChannelRequestId request_id = 0;
     std::shared_ptr<EndpointChannel> channel;
@@ -155,8 +154,6 @@
     std::unique_ptr<connection::Timer> timer;
   };
 
-  void SendCommand(const common::EndpointId& id, const std::string& command,
-                   common::Duration timeout, CommandCallback done);
   /// Sends a command, also through peers if the member does not answer this
   /// daemon.
   void SendCommandByAny(const common::EndpointId& id,
--- a/Source/Core/Session/watch_lengths.cc
+++ b/Source/Core/Session/watch_lengths.cc
@@ -24,11 +24,11 @@
 WatchLengths ChooseWatchLengths(common::Duration settling_time,
                                 const WatchRole& role) {
   if (role.position >= role.close_watchers) {
-    return {kRelayedLength, kRelayedLength};
+    return {kRelayedLength};
   }
   const common::Duration regular = std::max<common::Duration>(
       settling_time - kStoreCallTimeout - kCatchUpTime, kMinLength);
-  if (role.all_watch_closely) return {regular, regular};
+  if (role.all_watch_closely) return {regular};
   // The watches of the close watchers end one after the other. The first that
   // notices a loss tells all daemons, also the other close watchers.
   const auto turn = static_cast<std::int64_t>(role.position) + 1;
--- a/Source/UnitTests/Core/Session/directory_watcher_test.cc
+++ b/Source/UnitTests/Core/Session/directory_watcher_test.cc
@@ -13,15 +13,14 @@
 class DirectoryWatcherTest : public testing::Test {
  protected:
   DirectoryWatcherTest()
-      : watcher(
-            &this->loop, &this->platform, &this->metrics,
-            {kKind, milliseconds(30), {milliseconds(6000), milliseconds(6000)}},
-            [this](const auto& objects) {
-              this->names.clear();
-              for (const auto& [name, value] : objects) {
-                this->names.push_back(name);
-              }
-            }) {
+      : watcher(&this->loop, &this->platform, &this->metrics,
+                {kKind, milliseconds(30), {milliseconds(6000)}},
+                [this](const auto& objects) {
+                  this->names.clear();
+                  for (const auto& [name, value] : objects) {
+                    this->names.push_back(name);
+                  }
+                }) {
     this->watcher.Start();
   }
 
@@ -436,9 +435,7 @@
       &this->loop,
       &this->platform,
       &this->metrics,
-      {DirectoryKind::kConfiguration,
-       milliseconds(0),
-       {milliseconds(6000), milliseconds(6000)}},
+      {DirectoryKind::kConfiguration, milliseconds(0), {milliseconds(6000)}},
       [this](const auto& objects) {
         this->version = 0;
         for (const auto& [name, value] : objects) {
--- a/Source/UnitTests/Platform/restored_store_test.cc
+++ b/Source/UnitTests/Platform/restored_store_test.cc
@@ -58,7 +58,7 @@
     return {&this->loop,
             &this->client,
             &this->metrics,
-            {kind, milliseconds(300), {milliseconds(2000), milliseconds(2000)}},
+            {kind, milliseconds(300), {milliseconds(2000)}},
             std::move(observer)};
   }
 
