Tests: Share the steps of peers, promotions and closed connections

ProxyTest starts another daemon of the fleet in two tests, promotes a replica in two and closes the primary's connections in five; the fixture does each now. No assertion is changed.

--- a/Source/UnitTests/Platform/proxy_fixture.h
+++ b/Source/UnitTests/Platform/proxy_fixture.h
@@ -69,6 +69,40 @@
     }
   }
 
+  /// Closes each connection to the primary at its first command.
+  void ClosePrimaryConnections() {
+    this->primary_database.command_behavior = [](const std::string&) {
+      return CommandBehavior::kClose;
+    };
+  }
+
+  /// Makes a replica the primary of term 2, which the other one follows.
+  void Promote(const common::EndpointId& id) {
+    FakeDatabase& chosen =
+        id.Value() == "a" ? this->replica_a : this->replica_b;
+    this->replica_a.term = this->replica_b.term = 2;
+    this->replica_a.held = this->replica_b.held = 0;
+    chosen.primary = true;
+  }
+
+  /// Starts another daemon of the fleet, which makes itself known to the proxy
+  /// and answers its reports with the given one. The handlers serve all other
+  /// calls. The report must outlive the daemon.
+  std::unique_ptr<session::FleetTransport> StartPeer(
+      session::FleetReport* report, session::FleetHandlers handlers) {
+    report->host.id = common::HostId("peer");
+    handlers.exchange = [report](const session::FleetReport&) {
+      return *report;
+    };
+    auto peer = session::NewGrpcFleetTransport(&this->loop, {"127.0.0.1", 0},
+                                               std::move(handlers));
+    report->host.peer_address =
+        connection::ToString({"127.0.0.1", peer->Port()});
+    peer->Exchange(this->platform.registered.at(0).peer_address, *report,
+                   std::chrono::seconds(5), [](const auto&) {});
+    return peer;
+  }
+
   /// Applies changes to the entries that a listing of the members contains.
   void StoreMembers(const std::vector<session::DirectoryChange>& changes) {
     for (const session::DirectoryChange& change : changes) {
--- a/Source/UnitTests/Platform/proxy_group_test.cc
+++ b/Source/UnitTests/Platform/proxy_group_test.cc
@@ -189,10 +189,8 @@
 TEST_F(ProxyTest, KeyWithdrawal_StoreUnresponsive_IsLearnedFromPeer) {
   const auto client = this->Connect("latest");
   session::FleetReport report;
-  report.host.id = common::HostId("peer");
   report.configuration_version = 9;
   session::FleetHandlers handlers;
-  handlers.exchange = [&report](const session::FleetReport&) { return report; };
   handlers.admit = [](const session::AdmissionRequest&) {
     return session::AdmissionReply();
   };
@@ -203,13 +201,9 @@
     }
     return shared;
   };
-  const auto peer = session::NewGrpcFleetTransport(
-      &this->loop, {"127.0.0.1", 0}, std::move(handlers));
-  report.host.peer_address = connection::ToString({"127.0.0.1", peer->Port()});
   this->platform.documents["version 9"] =
       MakeConfiguration(9, /*with_key=*/false);
-  peer->Exchange(this->platform.registered.at(0).peer_address, report,
-                 seconds(5), [](const auto&) {});
+  const auto peer = this->StartPeer(&report, std::move(handlers));
   this->RunFor(seconds(3));
   EXPECT_TRUE(HasLine(client->Ask("QUERY 1 READ x"), "ERROR NOAUTH"));
   EXPECT_TRUE(this->AllExecuted().empty());
@@ -229,15 +223,9 @@
   const auto client = this->Connect("latest");
   ASSERT_TRUE(HasLine(client->Ask("QUERY 1 WRITE x y"), "COMPLETE sig.p"));
   this->platform.on_order = [this](const common::EndpointId& id) {
-    FakeDatabase& chosen =
-        id.Value() == "a" ? this->replica_a : this->replica_b;
-    this->replica_a.term = this->replica_b.term = 2;
-    this->replica_a.held = this->replica_b.held = 0;
-    chosen.primary = true;
-  };
-  this->primary_database.command_behavior = [](const std::string&) {
-    return CommandBehavior::kClose;
+    this->Promote(id);
   };
+  this->ClosePrimaryConnections();
   this->replica_b.position.index += 3;
   EXPECT_TRUE(
       HasLine(this->WriteUntilCommitted(client.get()), "COMPLETE sig.b"));
@@ -266,9 +254,7 @@
 // confirmed that the promoted member lacks (review/2).
 TEST_F(ProxyTest, PrimaryReachedByPeerOnly_Promotion_IsFencedBeforeTheOrder) {
   session::FleetReport report;
-  report.host.id = common::HostId("peer");
   session::FleetHandlers handlers;
-  handlers.exchange = [&report](const session::FleetReport&) { return report; };
   handlers.relay_command = [this](const session::CommandRelay& relay,
                                   const session::RelayCallback& done) {
     EXPECT_EQ(relay.service.Value(), "svc");
@@ -291,11 +277,7 @@
     status.held = database.held;
     done(status);
   };
-  const auto peer = session::NewGrpcFleetTransport(
-      &this->loop, {"127.0.0.1", 0}, std::move(handlers));
-  report.host.peer_address = connection::ToString({"127.0.0.1", peer->Port()});
-  peer->Exchange(this->platform.registered.at(0).peer_address, report,
-                 seconds(5), [](const auto&) {});
+  const auto peer = this->StartPeer(&report, std::move(handlers));
   const auto client = this->Connect("latest");
   ASSERT_TRUE(HasLine(client->Ask("QUERY 1 WRITE x y"), "COMPLETE sig.p"));
   this->RunFor(milliseconds(600));
@@ -304,15 +286,9 @@
   this->platform.on_order = [&](const common::EndpointId& id) {
     led = this->primary_database.primary;
     held = this->primary_database.held;
-    FakeDatabase& chosen =
-        id.Value() == "a" ? this->replica_a : this->replica_b;
-    this->replica_a.term = this->replica_b.term = 2;
-    this->replica_a.held = this->replica_b.held = 0;
-    chosen.primary = true;
-  };
-  this->primary_database.command_behavior = [](const std::string&) {
-    return CommandBehavior::kClose;
+    this->Promote(id);
   };
+  this->ClosePrimaryConnections();
   EXPECT_TRUE(HasLine(this->WriteUntilCommitted(client.get()), "COMPLETE"));
   ASSERT_FALSE(this->platform.orders.empty());
   EXPECT_FALSE(led);
@@ -328,9 +304,7 @@
   FakeDatabase started(&this->loop, "svc", "n");
   started.primary = true;
   started.term = this->replica_a.term = this->replica_b.term = 2;
-  this->primary_database.command_behavior = [](const std::string&) {
-    return CommandBehavior::kClose;
-  };
+  this->ClosePrimaryConnections();
   this->StoreMembers({{"n",
                        {0, ++this->directory_revision},
                        false,
@@ -348,9 +322,7 @@
 // the new one.
 TEST_F(ProxyTest, Writes_StoreDownAndPrimaryReplaced_ReachNewPrimary) {
   const auto client = this->ConnectBeforeOutage();
-  this->primary_database.command_behavior = [](const std::string&) {
-    return CommandBehavior::kClose;
-  };
+  this->ClosePrimaryConnections();
   this->replica_a.term = 2;
   this->replica_b.term = 2;
   this->replica_b.primary = true;
@@ -361,9 +333,7 @@
 // only replica that a daemon asks doesn't follow the new primary yet.
 TEST_F(ProxyTest, Writes_StoreDownAndNearestReplicaHeld_ReachNewPrimary) {
   const auto client = this->ConnectBeforeOutage();
-  this->primary_database.command_behavior = [](const std::string&) {
-    return CommandBehavior::kClose;
-  };
+  this->ClosePrimaryConnections();
   this->replica_a.held = 2;
   this->replica_b.term = 2;
   this->replica_b.primary = true;
