--- a/Source/UnitTests/Core/Session/promotion_model.cc
+++ b/Source/UnitTests/Core/Session/promotion_model.cc
@@ -13,6 +13,10 @@
 /// Age at which a daemon gives up waiting for the answer to a command.
 constexpr milliseconds kCommandTimeout(400);
 constexpr milliseconds kOrderTimeout(1000);
+/// Longest time from an order to its effect if promotions are slow.
+constexpr milliseconds kLongestSlowPromotion(9500);
+/// Share of the promotions that are slow, in percent.
+constexpr int kSlowPromotions = 30;
 /// A daemon starts no promotion for this long after one has ended.
 constexpr milliseconds kRestartDelay(400);
 constexpr int kMaxStartJitter = 150;
@@ -342,7 +346,8 @@
   return this->StatusOf(index);
 }
 
-bool DatabaseGroupModel::Order(int index, std::uint64_t token) {
+bool DatabaseGroupModel::Order(int index, std::uint64_t token,
+                               milliseconds age) {
   if (this->checks_fence && token < this->highest_token) return false;
   this->highest_token = std::max(this->highest_token, token);
   if (!this->databases[index].alive) return false;
@@ -350,12 +355,17 @@
   const bool leads = database.role == GroupRole::kPrimary &&
                      database.term == this->newest_term;
   if (leads) return true;
+  const bool slow =
+      this->faults.slow_promotions && this->context->Happens(kSlowPromotions);
+  const milliseconds longest =
+      slow ? kLongestSlowPromotion - age : milliseconds(1000);
   this->BeginOrder();
-  this->context->time.RunLater(this->context->Between(600, 1000),
-                               [this, index] {
-                                 this->EndOrder();
-                                 this->TakeEffect(index);
-                               });
+  this->context->time.RunLater(
+      this->context->Between(600, static_cast<int>(longest.count())),
+      [this, index] {
+        this->EndOrder();
+        this->TakeEffect(index);
+      });
   return true;
 }
 
@@ -722,11 +732,11 @@
     return;
   }
   const int latest = answered ? 50 : (this->faults.late_orders ? 3000 : 200);
+  const milliseconds age = this->context->Between(5, latest);
   this->group->BeginOrder();
   this->context->time.RunLater(
-      this->context->Between(5, latest),
-      [this, index, token, answer, answered] {
-        const bool accepted = this->group->Order(index, token);
+      age, [this, index, token, age, answer, answered] {
+        const bool accepted = this->group->Order(index, token, age);
         this->group->EndOrder();
         this->context->Trace(
             "the platform " + std::string(accepted ? "accepts" : "rejects") +
--- a/Source/UnitTests/Core/Session/promotion_model.h
+++ b/Source/UnitTests/Core/Session/promotion_model.h
@@ -25,6 +25,8 @@
   bool late_commands = false;
   /// The platform executes unanswered orders up to 3 s late.
   bool late_orders = false;
+  /// Orders take effect up to 9.5 s after they were given, accepted or not.
+  bool slow_promotions = false;
   /// Databases crash and come back with their logs.
   bool crashes = false;
   /// Databases start again under their identifiers with empty logs.
@@ -175,9 +177,9 @@
   std::optional<EndpointStatus> Execute(int index, ModelCommand command,
                                         common::Term term);
 
-  /// Handles an order that has reached the platform. Returns whether it is
-  /// accepted.
-  bool Order(int index, std::uint64_t token);
+  /// Handles an order that has reached the platform after the given time.
+  /// Returns whether it is accepted.
+  bool Order(int index, std::uint64_t token, std::chrono::milliseconds age);
 
   /// Announces an order, executed or not, until it has taken effect.
   void BeginOrder() { ++this->open_orders; }
--- a/Source/UnitTests/Core/Session/promotion_model_test.cc
+++ b/Source/UnitTests/Core/Session/promotion_model_test.cc
@@ -511,6 +511,21 @@
   CheckAnySchedule(ModelGuarantee::kNoneLost, {.late_orders = true});
 }
 
+// Guards against an order that takes effect after its plan has ended, while
+// another member leads and gets commits acknowledged.
+RC_GTEST_PROP(PromotionModelTest, AnySlowPromotions_Promoted_HoldsAllCommits,
+              ()) {
+  CheckAnySchedule(ModelGuarantee::kNoneLost, {.slow_promotions = true});
+}
+
+// Guards against the same after combinations of all faults.
+RC_GTEST_PROP(PromotionModelTest, AnyFaultsSlowly_Promoted_HoldsAllCommits,
+              ()) {
+  ModelFaults faults = kAllFaults;
+  faults.slow_promotions = true;
+  CheckAnySchedule(ModelGuarantee::kNoneLost, faults);
+}
+
 // Guards against relying on a database that has crashed in the meantime.
 RC_GTEST_PROP(PromotionModelTest, AnyCrashes_Promoted_HoldsAllCommits, ()) {
   CheckAnySchedule(ModelGuarantee::kNoneLost, {.crashes = true});
