Session: Record orders to promote with the lease until they are executed

Cause: nothing but time separated an order from those of later plans. A plan that ended without having seen the effect of its order, or that had repeated it, left no trace of it, and after 400 ms to 3 s another plan could have another member promoted. Whichever order took effect second deposed the primary of the first with the log of the moment at which it was chosen.

The lease's record now names the member before the order is given, with the number of orders. Until they are executed (one order, and the member leads a later term), rejected, or older than 10 s, no plan orders another member, and none ends a hold. Writes of the record are sent one after the other, so that orders of two services do not meet each other's revision.

Ruled out as the only cause: orders without an answer; accepted ones fail as well.

Cost: one more write of the store for each order, and a service whose chosen database is lost between order and effect waits for up to 10 s.

--- a/Source/Core/Session/directory.h
+++ b/Source/Core/Session/directory.h
@@ -13,6 +13,7 @@
 
 #include "Common/common.h"
 #include "Connection/http_message.h"
+#include "Session/promotion_order.h"
 
 namespace camphorferry::session {
 
@@ -178,6 +179,8 @@
   StoreRevision revision;
   /// Era that the holder knew when it wrote the record.
   std::uint64_t written_in_era = 0;
+  /// Orders that may still be executed, also those of former holders.
+  std::map<common::ServiceId, PromotionOrderRecord> orders = {};
 };
 
 /// The fencing token of a record that its holder has written. Rises with every
--- a/Source/Core/Session/promotion_lease.cc
+++ b/Source/Core/Session/promotion_lease.cc
@@ -69,12 +69,12 @@
             stored->revision != this->record.revision) {
           this->record_seen_at = now;
         }
-        this->record = *stored;
+        this->SetRecord(*stored);
         if (this->MayBeHeldByAnother(*stored, now)) {
           done(false);
           return;
         }
-        this->Write(true, [this, done](bool written) {
+        this->Write(true, {}, [this, done](bool written) {
           if (written) ++this->users;
           done(written);
         });
@@ -97,11 +97,92 @@
     done(this->record);
     return;
   }
-  this->Write(true, [this, done = std::move(done)](bool written) {
+  this->Write(true, {}, [this, done = std::move(done)](bool written) {
     done(written ? std::optional(this->record) : std::nullopt);
   });
 }
 
+void PromotionLease::RecordOrder(
+    const common::ServiceId& service, const common::EndpointId& endpoint,
+    common::Term term,
+    std::function<void(std::optional<PromotionLeaseRecord>)> done) {
+  const std::optional<OpenOrder> open =
+      this->OpenOrderOf(service, common::SteadyNow());
+  const bool other_open = open.has_value() && open->record.endpoint != endpoint;
+  if (this->lost || other_open) {
+    done(std::nullopt);
+    return;
+  }
+  const auto order = std::make_shared<PromotionOrderRecord>(
+      PromotionOrderRecord{endpoint, term, 0, 0});
+  if (open.has_value()) *order = open->record;
+  ++order->count;
+  const RecordChange change = [service, order](PromotionLeaseRecord* changed) {
+    order->number = changed->revision.number;
+    changed->orders[service] = *order;
+  };
+  this->Write(true, change,
+              [this, service, order, done = std::move(done)](bool written) {
+                // Without an answer, the record may have been written.
+                if (!written) {
+                  this->CorrectCount(service, *order, order->count - 1);
+                }
+                done(written ? std::optional(this->record) : std::nullopt);
+              });
+}
+
+void PromotionLease::WithdrawOrder(const common::ServiceId& service) {
+  const auto found = this->record.orders.find(service);
+  if (found == this->record.orders.end()) return;
+  this->CorrectCount(service, found->second, found->second.count - 1);
+}
+
+void PromotionLease::SettleOrder(const common::ServiceId& service) {
+  const auto found = this->record.orders.find(service);
+  if (found == this->record.orders.end()) return;
+  this->CorrectCount(service, found->second, 0);
+}
+
+void PromotionLease::CorrectCount(const common::ServiceId& service,
+                                  const PromotionOrderRecord& order,
+                                  std::uint32_t count) {
+  this->corrected_orders[service] = order;
+  this->corrected_orders[service].count = count;
+  this->SetRecord(this->record);
+}
+
+std::optional<OpenOrder> PromotionLease::OpenOrderOf(
+    const common::ServiceId& service, common::SteadyTime now) const {
+  const auto found = this->record.orders.find(service);
+  if (found == this->record.orders.end()) return std::nullopt;
+  const common::SteadyTime until =
+      this->seen_orders.at(service).since + kOrderLifetime;
+  if (now >= until) return std::nullopt;
+  return OpenOrder{found->second, until};
+}
+
+void PromotionLease::SetRecord(const PromotionLeaseRecord& changed) {
+  this->record = changed;
+  for (const auto& [service, corrected] : this->corrected_orders) {
+    const auto found = this->record.orders.find(service);
+    if (found == this->record.orders.end()) continue;
+    if (found->second.number != corrected.number) continue;
+    found->second.count = corrected.count;
+    if (corrected.count == 0) this->record.orders.erase(found);
+  }
+  const common::SteadyTime now = common::SteadyNow();
+  std::erase_if(this->seen_orders, [&](const auto& seen) {
+    return !this->record.orders.contains(seen.first);
+  });
+  for (const auto& [service, order] : this->record.orders) {
+    const auto [place, is_new] =
+        this->seen_orders.try_emplace(service, SeenOrder{order.number, now});
+    if (place->second.number != order.number) {
+      place->second = {order.number, now};
+    }
+  }
+}
+
 void PromotionLease::Abandon() {
   this->abandoned_at = common::SteadyNow();
   this->Release();
@@ -112,7 +193,8 @@
   this->confirmed_at.reset();
   if (std::exchange(this->lost, false)) return;
   if (this->WasAbandoned(common::SteadyNow())) return;
-  this->Write(false, [this](bool /*written*/) { this->confirmed_at.reset(); });
+  this->Write(false, {},
+              [this](bool /*written*/) { this->confirmed_at.reset(); });
 }
 
 bool PromotionLease::WasAbandoned(common::SteadyTime now) const {
@@ -125,42 +207,67 @@
          now - *this->confirmed_at < kOrderWindow;
 }
 
-void PromotionLease::Write(bool active,
+void PromotionLease::Write(bool active, const RecordChange& change,
                            std::function<void(bool written)> done) {
+  this->writes.push_back({active, change, std::move(done)});
+  if (!this->write_in_flight) this->StartNextWrite();
+}
+
+void PromotionLease::StartNextWrite() {
+  this->write_in_flight = true;
   const common::SteadyTime sent = common::SteadyNow();
-  const PromotionLeaseRecord wanted{this->host, active, this->record.revision,
-                                    this->record.revision.era};
+  PromotionLeaseRecord wanted = this->record;
+  wanted.holder = this->host;
+  wanted.active = this->writes.front().active;
+  wanted.written_in_era = wanted.revision.era;
+  std::erase_if(wanted.orders, [&](const auto& order) {
+    return !this->OpenOrderOf(order.first, sent).has_value();
+  });
+  if (this->writes.front().change) this->writes.front().change(&wanted);
   this->platform->WritePromotionLease(
-      wanted,
-      [this, sent, era_before = wanted.revision.era, still_alive = this->alive,
-       done = std::move(done)](const PromotionLeaseResult& result) {
-        if (!*still_alive) return;
-        if (const auto* written = std::get_if<PromotionLeaseRecord>(&result)) {
-          this->OnEra(written->revision.era, common::SteadyNow());
-          // After a restore, the revision that the write required may have been
-          // that of another daemon's record.
-          if (written->revision.era != era_before || era_before != this->era) {
-            done(false);
-            return;
-          }
-          this->record = *written;
-          this->record_seen_at = common::SteadyNow();
-          this->confirmed_at = sent;
-          done(true);
-          return;
-        }
-        if (const auto* conflict =
-                std::get_if<PromotionLeaseConflict>(&result)) {
-          this->OnEra(conflict->record.revision.era, common::SteadyNow());
-          this->record = conflict->record;
-          this->record_seen_at = common::SteadyNow();
-          this->confirmed_at.reset();
-          // The new holder must not lose the lease to this daemon. A record of
-          // this daemon is its own write that had no answer.
-          this->lost = this->users > 0 && conflict->record.holder != this->host;
-        }
-        done(false);
+      wanted, [this, sent, era_before = wanted.revision.era,
+               still_alive = this->alive](const PromotionLeaseResult& result) {
+        if (*still_alive) this->OnWritten(sent, era_before, result);
       });
 }
 
+void PromotionLease::OnWritten(common::SteadyTime sent,
+                               std::uint64_t era_before,
+                               const PromotionLeaseResult& result) {
+  if (const auto* written = std::get_if<PromotionLeaseRecord>(&result)) {
+    this->OnEra(written->revision.era, common::SteadyNow());
+    // After a restore, the revision that the write required may have been that
+    // of another daemon's record.
+    if (written->revision.era != era_before || era_before != this->era) {
+      this->EndWrite(false);
+      return;
+    }
+    this->SetRecord(*written);
+    this->record_seen_at = common::SteadyNow();
+    this->confirmed_at = sent;
+    this->EndWrite(true);
+    return;
+  }
+  if (const auto* conflict = std::get_if<PromotionLeaseConflict>(&result)) {
+    this->OnEra(conflict->record.revision.era, common::SteadyNow());
+    this->SetRecord(conflict->record);
+    this->record_seen_at = common::SteadyNow();
+    this->confirmed_at.reset();
+    // The new holder must not lose the lease to this daemon. A record of this
+    // daemon is its own write that had no answer.
+    this->lost = this->users > 0 && conflict->record.holder != this->host;
+  }
+  this->EndWrite(false);
+}
+
+void PromotionLease::EndWrite(bool written) {
+  const PendingWrite ended = std::move(this->writes.front());
+  this->writes.pop_front();
+  this->write_in_flight = false;
+  const auto still_alive = this->alive;
+  ended.done(written);
+  if (!*still_alive || this->write_in_flight || this->writes.empty()) return;
+  this->StartNextWrite();
+}
+
 }  // namespace camphorferry::session
--- a/Source/Core/Session/promotion_lease.h
+++ b/Source/Core/Session/promotion_lease.h
@@ -1,7 +1,10 @@
 #ifndef CAMPHORFERRY_SESSION_PROMOTION_LEASE_H_
 #define CAMPHORFERRY_SESSION_PROMOTION_LEASE_H_
 
+#include <cstdint>
+#include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 
@@ -18,6 +21,10 @@
 /// record has not changed for longer than an order can be in flight. A lease of
 /// an earlier era is lost. As its record may be lost too, the first holder of
 /// an era waits as if there were one.
+///
+/// An order may take effect long after it was given, when the lease has passed
+/// on. So the record names the member that is promoted before the order is
+/// given, until the order has been executed, was rejected or is too old.
 class PromotionLease {
  public:
   PromotionLease(Platform* platform, common::HostId host);
@@ -36,6 +43,24 @@
   /// be used at once; none if the lease was lost or the store does not answer.
   void Confirm(std::function<void(std::optional<PromotionLeaseRecord>)> done);
 
+  /// Records an order that is about to be given for a member of a service whose
+  /// newest term is the given one. Calls back like Confirm; with none as well
+  /// if an order for another member of the service is open.
+  void RecordOrder(
+      const common::ServiceId& service, const common::EndpointId& endpoint,
+      common::Term term,
+      std::function<void(std::optional<PromotionLeaseRecord>)> done);
+
+  /// The latest recorded order of the service was not given, or was rejected.
+  void WithdrawOrder(const common::ServiceId& service);
+
+  /// All recorded orders of the service have been executed.
+  void SettleOrder(const common::ServiceId& service);
+
+  /// The recorded orders of the service that may still be executed.
+  std::optional<OpenOrder> OpenOrderOf(const common::ServiceId& service,
+                                       common::SteadyTime now) const;
+
   /// Ends one use that was granted by Acquire. The last one releases the lease.
   void Release();
 
@@ -48,11 +73,40 @@
   bool MayOrder(common::SteadyTime now) const;
 
  private:
+  using RecordChange = std::function<void(PromotionLeaseRecord*)>;
+
+  /// A write of the record that waits until the one before has ended.
+  struct PendingWrite {
+    bool active = false;
+    RecordChange change;
+    std::function<void(bool written)> done;
+  };
+
+  /// Orders as first seen by this daemon.
+  struct SeenOrder {
+    std::uint64_t number = 0;
+    common::SteadyTime since;
+  };
+
   /// Adds a use of the lease that is held; returns false if it was lost.
   bool Share();
   /// Whether a use was abandoned less than the takeover delay ago.
   bool WasAbandoned(common::SteadyTime now) const;
-  void Write(bool active, std::function<void(bool written)> done);
+  /// Writes the record, after the writes that have been requested before. The
+  /// change may be empty.
+  void Write(bool active, const RecordChange& change,
+             std::function<void(bool written)> done);
+  void StartNextWrite();
+  void OnWritten(common::SteadyTime sent, std::uint64_t era_before,
+                 const PromotionLeaseResult& result);
+  void EndWrite(bool written);
+  /// Replaces the last known state of the record, apart from what this daemon
+  /// knows better.
+  void SetRecord(const PromotionLeaseRecord& changed);
+  /// Sets how many of the orders that the record has under a number can still
+  /// be executed.
+  void CorrectCount(const common::ServiceId& service,
+                    const PromotionOrderRecord& order, std::uint32_t count);
   /// Whether another daemon may still give orders under the stored record, or
   /// under one that a restored store has lost.
   bool MayBeHeldByAnother(const PromotionLeaseRecord& stored,
@@ -62,6 +116,14 @@
   common::HostId host;
   /// Last known state of the record.
   PromotionLeaseRecord record;
+  /// When the orders in the record were first seen.
+  std::map<common::ServiceId, SeenOrder> seen_orders;
+  /// Orders of which the stored record has a higher count, because they were
+  /// not given, rejected or executed since it was written.
+  std::map<common::ServiceId, PromotionOrderRecord> corrected_orders;
+  /// Writes that have been requested; the first one may be on its way.
+  std::deque<PendingWrite> writes;
+  bool write_in_flight = false;
   /// When the current revision of the record was first seen.
   std::optional<common::SteadyTime> record_seen_at;
   /// When the last successful change of the record was sent.
--- /dev/null
+++ b/Source/Core/Session/promotion_order.h
@@ -0,0 +1,45 @@
+#ifndef CAMPHORFERRY_SESSION_PROMOTION_ORDER_H_
+#define CAMPHORFERRY_SESSION_PROMOTION_ORDER_H_
+
+#include <chrono>
+#include <cstdint>
+
+#include "Common/common.h"
+
+namespace camphorferry::session {
+
+/// An order is assumed to take effect within this time after it was recorded,
+/// if at all. Ten times the longest promotion (1,000 ms): a platform or a
+/// database that is short of processor time executes it late.
+inline constexpr std::chrono::milliseconds kOrderLifetime(10000);
+
+/// The orders to promote one member of a service that may still be executed, as
+/// recorded with the promotion lease. Orders for two members are never open at
+/// the same time: the later effect would depose the other one's primary.
+struct PromotionOrderRecord {
+  common::EndpointId endpoint;
+  /// Newest term of the service when the first of the orders was given.
+  common::Term term = 0;
+  /// Number of orders that were given and not rejected.
+  std::uint32_t count = 0;
+  /// Differs between any two orders of the service.
+  std::uint64_t number = 0;
+
+  bool operator==(const PromotionOrderRecord&) const = default;
+
+  /// Whether all orders have been executed if the member leads the given term.
+  bool IsExecuted(const common::EndpointId& leader, common::Term led) const {
+    return this->count == 1 && this->endpoint == leader && led > this->term;
+  }
+};
+
+/// Open orders as one daemon knows them.
+struct OpenOrder {
+  PromotionOrderRecord record;
+  /// When they can no longer be executed.
+  common::SteadyTime until;
+};
+
+}  // namespace camphorferry::session
+
+#endif  // CAMPHORFERRY_SESSION_PROMOTION_ORDER_H_
--- a/Source/Core/Session/promotion_plan.cc
+++ b/Source/Core/Session/promotion_plan.cc
@@ -19,12 +19,11 @@
 /// An order without effect is repeated after this time, which is longer than
 /// the longest promotion (1,000 ms).
 constexpr std::chrono::milliseconds kOrderRetryInterval(1800);
-/// Limit of the whole plan: a promotion that was ordered but has not taken
-/// effect by then is abandoned.
+/// Limit of the whole plan, apart from its wait for an earlier order: a
+/// promotion that was ordered but has not taken effect by then is abandoned.
 constexpr std::chrono::milliseconds kPlanTimeout(6000);
-/// An accepted order takes effect within this time, so the replicas stay held
-/// for as long.
-constexpr std::chrono::milliseconds kMaxOrderDelay(3000);
+/// An order is not repeated within this time before the plan ends.
+constexpr std::chrono::milliseconds kLastOrderBeforeEnd(3000);
 
 }  // namespace
 
@@ -64,12 +63,20 @@
       initial_term(highest_term),
       newest_term(highest_term),
       term(highest_term + 1),
-      started(now) {
+      started(now),
+      fencing_deadline(now + kFencingTimeout),
+      deadline(now + kPlanTimeout) {
   for (const GroupMember& member : group) {
     this->members[member.id].entry = member;
   }
 }
 
+void PromotionPlan::SetEarlierOrder(const OpenOrder& order) {
+  this->earlier_order = order;
+  this->fencing_deadline =
+      std::max(this->fencing_deadline, order.until + kFencingTimeout);
+}
+
 std::vector<PromotionAction> PromotionPlan::Begin(common::SteadyTime now) {
   if (this->members.empty()) return this->Finish("no_members", now);
   return this->FenceUnanswered();
@@ -280,6 +287,19 @@
 
 std::optional<common::EndpointId> PromotionPlan::ChooseCandidate(
     common::SteadyTime now) const {
+  const std::optional<common::EndpointId> best = this->ChooseByLogs(now);
+  if (!best.has_value() || !this->EarlierOrderMayExecute(now)) return best;
+  const common::EndpointId& ordered = this->earlier_order->record.endpoint;
+  const auto found = this->members.find(ordered);
+  const bool has_all = found != this->members.end() &&
+                       found->second.fenced.has_value() &&
+                       found->second.fenced->received >=
+                           this->members.at(*best).fenced->received;
+  return has_all ? std::optional(ordered) : std::nullopt;
+}
+
+std::optional<common::EndpointId> PromotionPlan::ChooseByLogs(
+    common::SteadyTime now) const {
   const std::set<common::EndpointId> missing = this->Missing();
   // Every acknowledged commit is on two members. With at most one member
   // missing, the other one is held, and no commit can be confirmed any more.
@@ -340,6 +360,9 @@
   }
   this->phase = Phase::kOrdered;
   this->chosen = candidate;
+  // The wait for an earlier order does not shorten the time for this one.
+  this->deadline =
+      std::max(this->deadline, now + kPlanTimeout - kFencingTimeout);
   return {this->Order(now)};
 }
 
@@ -364,8 +387,13 @@
 
 bool PromotionPlan::OrderMayExecute(common::SteadyTime now) const {
   if (this->unanswered_orders > 0) return true;
+  if (this->EarlierOrderMayExecute(now)) return true;
   return this->accepted_at.has_value() &&
-         now - *this->accepted_at < kMaxOrderDelay;
+         now - *this->accepted_at < kOrderLifetime;
+}
+
+bool PromotionPlan::EarlierOrderMayExecute(common::SteadyTime now) const {
+  return this->earlier_order.has_value() && now < this->earlier_order->until;
 }
 
 std::vector<PromotionAction> PromotionPlan::OnOrderAnswer(
@@ -384,7 +412,7 @@
 std::vector<PromotionAction> PromotionPlan::OnTick(common::SteadyTime now) {
   switch (this->phase) {
     case Phase::kFencing: {
-      if (now - this->started >= kFencingTimeout) {
+      if (now >= this->fencing_deadline) {
         return this->Finish("members_unreachable", now);
       }
       std::vector<PromotionAction> actions = this->OrderIfPossible(now);
@@ -392,13 +420,13 @@
       return this->CheckMembers();
     }
     case Phase::kOrdered: {
-      if (now - this->started >= kPlanTimeout) {
+      if (now >= this->deadline) {
         return this->Finish("no_effect", now);
       }
       std::vector<PromotionAction> actions = this->CheckMembers();
       // The holds may have ended since the first order.
       if (now - this->last_order >= kOrderRetryInterval &&
-          now - this->started < kPlanTimeout - kMaxOrderDelay &&
+          now < this->deadline - kLastOrderBeforeEnd &&
           this->ChooseCandidate(now) == this->chosen) {
         actions.push_back(this->Order(now));
       }
@@ -446,6 +474,10 @@
 
 std::vector<PromotionAction> PromotionPlan::FinishSuperseded(
     const common::EndpointId& id, common::Term led, common::SteadyTime now) {
+  if (this->earlier_order.has_value() &&
+      this->earlier_order->record.IsExecuted(id, led)) {
+    this->earlier_order.reset();
+  }
   const bool open = this->OrderMayExecute(now);
   std::vector<PromotionAction> actions;
   if (!open) actions = this->ResumeHeldAbove(id, led);
--- a/Source/Core/Session/promotion_plan.h
+++ b/Source/Core/Session/promotion_plan.h
@@ -97,6 +97,11 @@
                 common::SteadyTime now,
                 std::set<common::EndpointId> ended = {});
 
+  /// Sets orders of earlier plans that may still be executed. Must be called
+  /// before Begin. Until they no longer can be, the plan orders no other member
+  /// than theirs and ends no hold.
+  void SetEarlierOrder(const OpenOrder& order);
+
   /// Returns the first actions of the plan.
   std::vector<PromotionAction> Begin(common::SteadyTime now);
 
@@ -117,9 +122,14 @@
   /// all others that the choice relies on.
   bool IsChosen(const common::EndpointId& id, common::SteadyTime now) const;
 
-  /// Whether an order has been given, so that the lease must not pass to
-  /// another daemon until the plan ends.
-  bool HasOrdered() const { return this->phase == Phase::kOrdered; }
+  /// Whether an order may still take effect, so that the lease should not pass
+  /// to another daemon until the plan ends.
+  bool KeepsLease(common::SteadyTime now) const {
+    return this->phase == Phase::kOrdered || this->EarlierOrderMayExecute(now);
+  }
+
+  /// Newest term known to have a primary before this promotion.
+  common::Term NewestTerm() const { return this->newest_term; }
 
   /// Handles that an order was not sent. The plan fences and chooses again.
   void OnOrderNotSent();
@@ -183,14 +193,18 @@
   /// a member the primary that is not held and not the one to replace. The
   /// holds for its term do not stop it.
   bool OtherMayLead() const;
+  /// The member to promote; none while none may be promoted.
   std::optional<common::EndpointId> ChooseCandidate(
       common::SteadyTime now) const;
+  /// The member that the logs speak for, whatever has been ordered before.
+  std::optional<common::EndpointId> ChooseByLogs(common::SteadyTime now) const;
   /// The held member with the most advanced log, apart from the named one.
   std::optional<common::EndpointId> MostAdvanced(
       const std::optional<common::EndpointId>& without) const;
   OrderPromotion Order(common::SteadyTime now);
-  /// Whether an order that was given may still take effect.
+  /// Whether an order, also of an earlier plan, may still take effect.
   bool OrderMayExecute(common::SteadyTime now) const;
+  bool EarlierOrderMayExecute(common::SteadyTime now) const;
   /// Ends the plan because another member has been promoted: this one, or the
   /// one that it follows, leads the given term. Holds up to that term end with
   /// the promotion; where it has not arrived yet, they stop the old primary.
@@ -227,6 +241,11 @@
   /// plan resumes members whose hold would outlast the promotion.
   common::Term term;
   common::SteadyTime started;
+  /// The plan ends at this time if it has ordered nothing.
+  common::SteadyTime fencing_deadline;
+  /// The plan ends at this time if its order has not taken effect.
+  common::SteadyTime deadline;
+  std::optional<OpenOrder> earlier_order;
   Phase phase = Phase::kFencing;
   std::optional<common::EndpointId> chosen;
   common::SteadyTime last_order;
--- a/Source/Core/Session/promotion_task.cc
+++ b/Source/Core/Session/promotion_task.cc
@@ -90,6 +90,19 @@
   this->plan = std::make_shared<PromotionPlan>(
       members, former, primary, this->callbacks.primary_term(),
       this->callbacks.highest_term(), now, this->callbacks.ended_members());
+  this->SettleExecutedOrder(now);
+  const std::optional<OpenOrder> open =
+      this->context.promotion_lease->OpenOrderOf(this->service, now);
+  if (open.has_value()) {
+    common::Log(
+        Subsystem::kConnection, LogLevel::kWarning, "promotion_awaits_order",
+        {{"service", this->service},
+         {"endpoint", open->record.endpoint},
+         {"term", open->record.term},
+         {"orders", open->record.count},
+         {"lasts_ms", common::ToMilliseconds(open->until - now).count()}});
+    this->plan->SetEarlierOrder(*open);
+  }
   this->Perform(this->plan->Begin(now));
 }
 
@@ -105,7 +118,7 @@
 }
 
 void PromotionTask::RenewLease(common::SteadyTime now) {
-  if (this->plan == nullptr || !this->plan->HasOrdered()) return;
+  if (this->plan == nullptr || !this->plan->KeepsLease(now)) return;
   if (now < this->next_renewal) return;
   this->next_renewal = now + kRenewalInterval;
   this->context.promotion_lease->Confirm(
@@ -225,39 +238,59 @@
 
 void PromotionTask::SendOrder(const OrderPromotion& order) {
   this->RecordPhase("fence");
-  this->context.promotion_lease->Confirm(
+  this->context.promotion_lease->RecordOrder(
+      this->service, order.endpoint, this->plan->NewestTerm(),
       [this, still_alive = this->alive, current = this->plan,
        order](const std::optional<PromotionLeaseRecord>& record) {
-        if (!*still_alive || this->plan != current) return;
-        if (!record.has_value() ||
-            !this->context.promotion_lease->MayOrder(common::SteadyNow())) {
-          common::Log(Subsystem::kConnection, LogLevel::kWarning,
-                      "promotion_duty_unconfirmed",
-                      {{"service", this->service}});
-          current->OnOrderNotSent();
-          return;
-        }
-        // The confirmation may have taken a second, in which a hold may have
-        // ended.
-        if (!current->IsChosen(order.endpoint, common::SteadyNow())) {
-          current->OnOrderNotSent();
+        if (!*still_alive) return;
+        if (record.has_value()) {
+          this->SendRecordedOrder(current, order, *record);
           return;
         }
+        if (this->plan != current) return;
         common::Log(Subsystem::kConnection, LogLevel::kWarning,
-                    "promotion_ordered",
-                    {{"service", this->service},
-                     {"endpoint", order.endpoint},
-                     {"token", FencingToken(*record)}});
-        this->context.platform->Promote(
-            this->service, order.endpoint, *record,
-            [this, still_alive, current](PromotionAnswer answer) {
-              if (!*still_alive || this->plan != current) return;
-              this->Perform(
-                  current->OnOrderAnswer(answer, common::SteadyNow()));
-            });
+                    "promotion_duty_unconfirmed", {{"service", this->service}});
+        current->OnOrderNotSent();
       });
 }
 
+void PromotionTask::SendRecordedOrder(
+    const std::shared_ptr<PromotionPlan>& current, const OrderPromotion& order,
+    const PromotionLeaseRecord& record) {
+  const common::SteadyTime now = common::SteadyNow();
+  // Recording may have taken a second, in which a hold may have ended.
+  if (this->plan != current || !current->IsChosen(order.endpoint, now) ||
+      !this->context.promotion_lease->MayOrder(now)) {
+    this->context.promotion_lease->WithdrawOrder(this->service);
+    if (this->plan == current) current->OnOrderNotSent();
+    return;
+  }
+  common::Log(Subsystem::kConnection, LogLevel::kWarning, "promotion_ordered",
+              {{"service", this->service},
+               {"endpoint", order.endpoint},
+               {"token", FencingToken(record)}});
+  this->context.platform->Promote(
+      this->service, order.endpoint, record,
+      [this, still_alive = this->alive, current](PromotionAnswer answer) {
+        if (!*still_alive) return;
+        if (answer == PromotionAnswer::kRejected) {
+          this->context.promotion_lease->WithdrawOrder(this->service);
+        }
+        if (this->plan != current) return;
+        this->Perform(current->OnOrderAnswer(answer, common::SteadyNow()));
+      });
+}
+
+void PromotionTask::SettleExecutedOrder(common::SteadyTime now) {
+  const std::optional<OpenOrder> open =
+      this->context.promotion_lease->OpenOrderOf(this->service, now);
+  const std::optional<common::EndpointId> primary = this->callbacks.primary();
+  if (open.has_value() && primary.has_value() &&
+      open->record.IsExecuted(*primary, this->callbacks.primary_term())) {
+    this->context.promotion_lease->SettleOrder(this->service);
+  }
+}
+
 void PromotionTask::RecordPhase(const std::string& phase) {
   const common::SteadyTime now = common::SteadyNow();
   this->context.metrics->Observe(
@@ -281,6 +314,7 @@
   if (finished.promoted) this->RecordPhase("promote");
   this->plan.reset();
   this->running = false;
+  this->SettleExecutedOrder(common::SteadyNow());
   // The next holder's promotion must not meet a command of this one.
   if (finished.command_may_execute) {
     this->context.promotion_lease->Abandon();
--- a/Source/Core/Session/promotion_task.h
+++ b/Source/Core/Session/promotion_task.h
@@ -68,6 +68,13 @@
   void SendCommand(const common::EndpointId& id, const MemberCommand& command,
                    CommandCallback done);
   void SendOrder(const OrderPromotion& order);
+  /// Gives an order that has been recorded, if it may still be given.
+  void SendRecordedOrder(const std::shared_ptr<PromotionPlan>& current,
+                         const OrderPromotion& order,
+                         const PromotionLeaseRecord& record);
+  /// Removes the recorded orders of the service if the known primary shows that
+  /// they have been executed.
+  void SettleExecutedOrder(common::SteadyTime now);
   /// Renews the lease while an order is outstanding, so that no other daemon
   /// orders the promotion of another member meanwhile.
   void RenewLease(common::SteadyTime now);
--- a/Source/Core/Session/session.h
+++ b/Source/Core/Session/session.h
@@ -24,6 +24,7 @@
 #include "Session/primary_monitor.h"
 #include "Session/primary_view.h"
 #include "Session/promotion_lease.h"
+#include "Session/promotion_order.h"
 #include "Session/promotion_plan.h"
 #include "Session/promotion_task.h"
 #include "Session/proxy.h"
--- a/Source/UnitTests/Core/Session/fake_platform.h
+++ b/Source/UnitTests/Core/Session/fake_platform.h
@@ -89,7 +89,23 @@
     }
     this->lease_record = wanted;
     this->lease_record.revision = {this->era, ++this->revision};
-    done(this->lease_record);
+    if (this->loses_answers) {
+      done(StoreUnavailable{"no answer"});
+    } else if (this->answers_later) {
+      this->later.emplace_back([record = this->lease_record,
+                                done = std::move(done)] { done(record); });
+    } else {
+      done(this->lease_record);
+    }
+  }
+
+  /// Answers the writes of the lease that wait, also those that follow.
+  void AnswerAll() {
+    while (!this->later.empty()) {
+      const std::function<void()> answer = std::move(this->later.front());
+      this->later.pop_front();
+      answer();
+    }
   }
 
   void Promote(const common::ServiceId& service,
@@ -116,6 +132,11 @@
   std::uint64_t era = 0;
   std::uint64_t revision = 10;
   bool store_down = false;
+  /// Writes of the lease take effect without an answer.
+  bool loses_answers = false;
+  /// Writes of the lease are answered by AnswerAll.
+  bool answers_later = false;
+  std::deque<std::function<void()>> later;
   std::vector<Order> orders;
   std::function<void(const common::EndpointId&)> on_order;
 };
--- a/Source/UnitTests/Core/Session/promotion_lease_test.cc
+++ b/Source/UnitTests/Core/Session/promotion_lease_test.cc
@@ -109,6 +109,108 @@
   EXPECT_FALSE(Acquire(&this->second));
 }
 
+/// Orders for a service, recorded with the lease that the first daemon holds.
+class RecordedOrderTest : public PromotionLeaseTest {
+ protected:
+  void SetUp() override { ASSERT_TRUE(Acquire(&this->first)); }
+
+  bool Record(PromotionLease* lease, const common::EndpointId& endpoint) {
+    bool recorded = false;
+    lease->RecordOrder(this->service, endpoint, 3, [&](const auto& record) {
+      recorded = record.has_value();
+    });
+    return recorded;
+  }
+
+  std::optional<OpenOrder> Open(const PromotionLease& lease) {
+    return lease.OpenOrderOf(this->service, common::SteadyNow());
+  }
+
+  /// Has the second daemon take the lease over.
+  void TakeOver() {
+    this->first.Release();
+    ASSERT_TRUE(Acquire(&this->second));
+  }
+
+  common::ServiceId service{"svc"};
+  common::EndpointId a{"a"};
+  common::EndpointId b{"b"};
+};
+
+// Guards against a holder of the lease that has another member promoted while
+// the order of the holder before may still take effect (issue 33).
+TEST_F(RecordedOrderTest, OrderOpen_NextHolder_RecordsNoOtherMember) {
+  ASSERT_TRUE(this->Record(&this->first, this->a));
+  this->TakeOver();
+  const std::optional<OpenOrder> open = this->Open(this->second);
+  ASSERT_TRUE(open.has_value());
+  EXPECT_EQ(open->record.endpoint, this->a);
+  EXPECT_FALSE(this->Record(&this->second, this->b));
+  EXPECT_TRUE(this->Record(&this->second, this->a));
+  EXPECT_EQ(this->Open(this->second)->record.count, 2U);
+}
+
+// Guards against the same for a daemon that reads the record while another one
+// holds the lease, and takes it over later.
+TEST_F(RecordedOrderTest, OrderSeenBefore_NextHolder_CountsFromThen) {
+  ASSERT_TRUE(this->Record(&this->first, this->a));
+  EXPECT_FALSE(Acquire(&this->second));
+  const common::SteadyTime until = this->Open(this->second)->until;
+  this->TakeOver();
+  EXPECT_EQ(this->Open(this->second)->until, until);
+  EXPECT_FALSE(this->second.OpenOrderOf(this->service, until).has_value());
+}
+
+// Guards against waiting for orders that have been executed or rejected, or
+// that were not given.
+TEST_F(RecordedOrderTest, OrderNoLongerOpen_NextHolder_RecordsAnyMember) {
+  ASSERT_TRUE(this->Record(&this->first, this->a));
+  this->first.WithdrawOrder(this->service);
+  EXPECT_TRUE(this->Record(&this->first, this->b));
+  this->first.SettleOrder(this->service);
+  this->TakeOver();
+  EXPECT_FALSE(this->Open(this->second).has_value());
+  EXPECT_TRUE(this->Record(&this->second, this->a));
+}
+
+// Guards against forgetting the first of two orders when the second one was
+// rejected.
+TEST_F(RecordedOrderTest, RepeatedOrderRejected_FirstOrder_StaysOpen) {
+  ASSERT_TRUE(this->Record(&this->first, this->a));
+  ASSERT_TRUE(this->Record(&this->first, this->a));
+  this->first.WithdrawOrder(this->service);
+  this->TakeOver();
+  ASSERT_TRUE(this->Open(this->second).has_value());
+  EXPECT_EQ(this->Open(this->second)->record.count, 1U);
+}
+
+// Guards against taking an order for given that was recorded although the
+// store's answer was lost.
+TEST_F(RecordedOrderTest, RecordedWithoutAnswer_Conflict_IsNotOpen) {
+  this->platform.loses_answers = true;
+  EXPECT_FALSE(this->Record(&this->first, this->a));
+  this->platform.loses_answers = false;
+  EXPECT_FALSE(this->Record(&this->first, this->b));
+  EXPECT_TRUE(this->Record(&this->first, this->b));
+  EXPECT_EQ(this->Open(this->first)->record.count, 1U);
+}
+
+// Guards against orders of two services that are recorded at the same time, one
+// of which would meet the revision of the other.
+TEST_F(RecordedOrderTest, OtherServiceAtTheSameTime_RecordOrder_Succeeds) {
+  ASSERT_TRUE(Acquire(&this->first));
+  int recorded = 0;
+  const auto count = [&](const auto& record) {
+    recorded += record.has_value();
+  };
+  this->platform.answers_later = true;
+  this->first.RecordOrder(this->service, this->a, 3, count);
+  this->first.RecordOrder(common::ServiceId("other"), this->b, 5, count);
+  this->platform.AnswerAll();
+  EXPECT_EQ(recorded, 2);
+  EXPECT_EQ(this->platform.lease_record.orders.size(), 2U);
+}
+
 // Guards against orders while the store cannot confirm the lease.
 TEST_F(PromotionLeaseTest, StoreDown_Acquire_Fails) {
   this->platform.store_down = true;
--- a/Source/UnitTests/Core/Session/promotion_model.cc
+++ b/Source/UnitTests/Core/Session/promotion_model.cc
@@ -643,7 +643,7 @@
                 [now](const auto& item) { return item.second <= now; });
   if (this->store_reachable) this->UpdateMembers();
   if (this->plan != nullptr) this->Perform(this->plan->OnTick(now));
-  if (this->plan != nullptr && this->plan->HasOrdered() &&
+  if (this->plan != nullptr && this->plan->KeepsLease(now) &&
       now >= this->next_renewal) {
     this->next_renewal = now + kRenewalInterval;
     this->Confirm();
@@ -673,6 +673,13 @@
   this->plan = std::make_shared<PromotionPlan>(
       this->members, this->Former(), primary, this->view.PrimaryTerm(),
       this->view.HighestTerm(), now);
+  this->SettleExecutedOrder();
+  const std::optional<OpenOrder> open = this->OpenOrderOfGroup();
+  if (open.has_value()) {
+    this->context->Trace(this->Name() + " awaits the order for " +
+                         open->record.endpoint.Value());
+    this->plan->SetEarlierOrder(*open);
+  }
   this->Perform(this->plan->Begin(now));
 }
 
@@ -713,7 +720,7 @@
 }
 
 void DaemonModel::SendOrder(const common::EndpointId& id) {
-  if (!this->Confirm() || !this->MayOrder()) {
+  if (!this->RecordOrder(id, this->plan->NewestTerm()) || !this->MayOrder()) {
     this->context->Trace(this->Name() + " may not order " + id.Value());
     return;
   }
@@ -722,6 +729,7 @@
   this->context->Trace(this->Name() + " ORDERS " + id.Value() + ", token " +
                        std::to_string(token));
   const auto answer = [this, current = this->plan](PromotionAnswer given) {
+    if (given == PromotionAnswer::kRejected) this->WithdrawOrder();
     if (this->plan != current || current == nullptr) return;
     this->Perform(current->OnOrderAnswer(given, this->context->time.Now()));
   };
@@ -777,6 +785,7 @@
   this->context->Trace(this->Name() + " ends its plan: " + finished.reason);
   this->plan.reset();
   this->running = false;
+  this->SettleExecutedOrder();
   if (finished.command_may_execute) {
     this->abandoned_at = this->context->time.Now();
   }
@@ -797,7 +806,7 @@
       this->store->revision != this->record.revision) {
     this->record_seen_at = now;
   }
-  this->record = *this->store;
+  this->SetRecord(*this->store);
   if (this->record.active && this->record.holder != this->number &&
       now - *this->record_seen_at < kTakeoverDelay) {
     return false;
@@ -832,14 +841,14 @@
   const common::SteadyTime now = this->context->time.Now();
   this->record_seen_at = now;
   if (this->store->revision != this->record.revision) {
-    this->record = *this->store;
+    this->SetRecord(*this->store);
     this->confirmed_at.reset();
     this->lost_lease = this->holds_lease;
     return false;
   }
-  *this->store =
-      ModelLeaseRecord{this->number, active, this->record.revision + 1};
-  this->record = *this->store;
+  *this->store = ModelLeaseRecord{
+      this->number, active, this->record.revision + 1, this->record.order};
+  this->SetRecord(*this->store);
   this->confirmed_at = now;
   this->context->Trace(this->Name() + (active ? " holds" : " releases") +
                        " the lease, revision " +
@@ -847,6 +856,53 @@
   return true;
 }
 
+bool DaemonModel::RecordOrder(const common::EndpointId& id,
+                              common::Term newest) {
+  if (this->lost_lease) return false;
+  const std::optional<PromotionOrderRecord> before = this->record.order;
+  PromotionOrderRecord order{id, newest, 0, 0};
+  if (const std::optional<OpenOrder> open = this->OpenOrderOfGroup()) {
+    if (open->record.endpoint != id) return false;
+    order = open->record;
+  }
+  ++order.count;
+  order.number = this->record.revision;
+  this->record.order = order;
+  if (this->WriteLease(true)) return true;
+  if (!this->lost_lease) this->record.order = before;
+  return false;
+}
+
+void DaemonModel::WithdrawOrder() {
+  if (!this->record.order.has_value()) return;
+  if (--this->record.order->count == 0) this->record.order.reset();
+}
+
+void DaemonModel::SettleExecutedOrder() {
+  const std::optional<OpenOrder> open = this->OpenOrderOfGroup();
+  const std::optional<common::EndpointId> primary = this->view.Primary();
+  if (open.has_value() && primary.has_value() &&
+      open->record.IsExecuted(*primary, this->view.PrimaryTerm())) {
+    this->record.order.reset();
+  }
+}
+
+std::optional<OpenOrder> DaemonModel::OpenOrderOfGroup() const {
+  const common::SteadyTime until = this->order_seen_at + kOrderLifetime;
+  if (!this->record.order.has_value() || this->context->time.Now() >= until) {
+    return std::nullopt;
+  }
+  return OpenOrder{*this->record.order, until};
+}
+
+void DaemonModel::SetRecord(const ModelLeaseRecord& changed) {
+  if (changed.order.has_value() && changed.order->number != this->seen_order) {
+    this->seen_order = changed.order->number;
+    this->order_seen_at = this->context->time.Now();
+  }
+  this->record = changed;
+}
+
 PromotionModel::PromotionModel(ModelGuarantee guarantee, ModelFaults faults,
                                int daemon_count, bool checks_fence,
                                std::uint32_t seed)
--- a/Source/UnitTests/Core/Session/promotion_model.h
+++ b/Source/UnitTests/Core/Session/promotion_model.h
@@ -251,6 +251,7 @@
   int holder = -1;
   bool active = false;
   std::uint64_t revision = 1;
+  std::optional<PromotionOrderRecord> order;
 };
 
 /// A daemon: its belief about the group, its use of the promotion lease as in
@@ -290,6 +291,11 @@
   void Release();
   bool MayOrder() const;
   bool WriteLease(bool active);
+  bool RecordOrder(const common::EndpointId& id, common::Term newest);
+  void WithdrawOrder();
+  void SettleExecutedOrder();
+  std::optional<OpenOrder> OpenOrderOfGroup() const;
+  void SetRecord(const ModelLeaseRecord& changed);
 
   std::string Name() const { return "daemon" + std::to_string(this->number); }
 
@@ -315,6 +321,9 @@
 
   ModelLeaseRecord record;
   std::optional<common::SteadyTime> record_seen_at;
+  /// The recorded orders that this daemon has seen last, and since when.
+  std::uint64_t seen_order = 0;
+  common::SteadyTime order_seen_at;
   std::optional<common::SteadyTime> confirmed_at;
   bool holds_lease = false;
   std::optional<common::SteadyTime> abandoned_at;
--- a/Source/UnitTests/Core/Session/promotion_model_test.cc
+++ b/Source/UnitTests/Core/Session/promotion_model_test.cc
@@ -432,6 +432,63 @@
   EXPECT_TRUE(held);
 }
 
+/// The same plan while an order of an earlier one for the replica a is open.
+class EarlierOrderTest : public PromotionLossTest {
+ protected:
+  EarlierOrderTest() {
+    this->plan = PromotionPlan({Member("p"), Member("a"), Member("b")}, {},
+                               this->p, 3, 3, kStart);
+    this->plan.SetEarlierOrder({{this->a, 3, 1, 7}, kStart + kOpen});
+    this->Record(this->plan.Begin(kStart), milliseconds(0));
+  }
+
+  /// Age of the plan at which the earlier order can no longer be executed.
+  static constexpr milliseconds kOpen{5000};
+};
+
+// Guards against the promotion of another member while an earlier order may
+// take effect, which loses what the other one commits until then (issue 33).
+TEST_F(EarlierOrderTest, OtherReplicaAhead_OrderOpen_OrdersNothing) {
+  this->Answer(this->a, Replica(3, 10, 4));
+  this->Answer(this->b, Replica(3, 11, 4));
+  this->TickUntil(kOpen - milliseconds(100));
+  EXPECT_FALSE(this->ordered.has_value());
+  this->TickUntil(kOpen + milliseconds(100));
+  EXPECT_EQ(this->ordered, this->b);
+}
+
+// Guards against waiting for an order that can be repeated.
+TEST_F(EarlierOrderTest, ReplicasEqual_OrderOpen_RepeatsIt) {
+  this->Answer(this->b, Replica(3, 11, 4));
+  this->Answer(this->a, Replica(3, 11, 4));
+  EXPECT_EQ(this->ordered, this->a);
+}
+
+// Guards against ending the holds that an earlier order relies on, because the
+// plan cannot hold enough members.
+TEST_F(EarlierOrderTest, MembersUnreachable_OrderOpen_DoesNotEnd) {
+  this->Answer(this->a, Replica(3, 10, 4));
+  EXPECT_EQ(Find<PromotionFinished>(this->TickUntil(kOpen - milliseconds(100))),
+            nullptr);
+  const auto actions = this->TickUntil(kOpen + milliseconds(2100));
+  EXPECT_NE(Find<PromotionFinished>(actions), nullptr);
+  EXPECT_NE(Find<SendResume>(actions), nullptr);
+}
+
+// Guards against replicas that stay held for a later term after the earlier
+// order has taken effect.
+TEST_F(EarlierOrderTest, EarlierOrderTakesEffect_End_ResumesLaterHolds) {
+  this->introduced.insert(this->b);
+  this->Answer(this->b, Replica(3, 10, 4));
+  this->TickUntil(milliseconds(500));
+  this->Answer(this->p, Replica(3, 11, 0));
+  this->Answer(this->p, Replica(3, 11, 5));
+  const auto actions = this->Answer(this->a, Primary(4, 10));
+  const auto* finished = Find<PromotionFinished>(actions);
+  ASSERT_NE(finished, nullptr);
+  EXPECT_FALSE(finished->command_may_execute);
+}
+
 rc::Gen<int> AnyDatabase() { return rc::gen::inRange(0, 4); }
 rc::Gen<int> AnyDaemon() { return rc::gen::inRange(0, 3); }
 rc::Gen<bool> MostlyUp() {
--- a/Source/UnitTests/Platform/documents_test.cc
+++ b/Source/UnitTests/Platform/documents_test.cc
@@ -217,6 +217,15 @@
   EXPECT_NE(before, EncodeLeaseRecord(record));
 }
 
+// Guards against open orders that the next holder of the lease cannot read.
+TEST_F(DocumentsTest, LeaseRecord_EncodedAndDecoded_KeepsOrders) {
+  session::PromotionLeaseRecord record{common::HostId("h"), true, {2, 4}, 2};
+  record.orders[common::ServiceId("s")] = {common::EndpointId("n"), 5, 2, 3};
+  const json object = {{"meta", {{"rev", 4}}},
+                       {"spec", EncodeLeaseRecord(record)}};
+  EXPECT_EQ(DecodeLeaseRecord(object, 2).orders, record.orders);
+}
+
 // Guards against fakes whose documents do not match what the decoders read:
 // tests and soak runs would use other settings than they state.
 TEST_F(DocumentsTest, FakeDocuments_EncodedAndDecoded_AreUnchanged) {
--- a/Source/UnitTests/Platform/promotion_task_test.cc
+++ b/Source/UnitTests/Platform/promotion_task_test.cc
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <optional>
 #include <set>
 
 #include "fake_platform.h"
@@ -112,6 +113,23 @@
   EXPECT_TRUE(this->platform.lease_record.active);
 }
 
+// Guards against an order that the next holder of the lease does not know of,
+// because this daemon ends right after it (issue 33).
+TEST_F(PromotionTaskTest, Promotion_OrderGiven_IsRecordedBefore) {
+  std::optional<session::PromotionOrderRecord> recorded;
+  this->platform.on_order = [&](const common::EndpointId& ordered) {
+    recorded = this->platform.lease_record.orders[common::ServiceId("svc")];
+    EXPECT_EQ(recorded->endpoint, ordered);
+  };
+  this->responsive.insert("b");
+  this->RunFor(milliseconds(300));
+  this->task->Tick(common::SteadyNow());
+  this->task->Tick(common::SteadyNow());
+  ASSERT_TRUE(recorded.has_value());
+  EXPECT_EQ(recorded->term, 1U);
+  EXPECT_EQ(recorded->count, 1U);
+}
+
 // Guards against a resume that arrives after the next holder of the lease has
 // held the same replica.
 TEST_F(PromotionTaskTest, Promotion_ResumeOutstanding_KeepsTheLease) {
