Session: Rely on recent answers only when a member is promoted

What callers see: acknowledged commits that are missing after a promotion.

Cause: a hold counted from the member's answer until a later answer showed that it had ended. A replica that crashed and came back ends its hold; if the plan has not heard of it since, it took the replica for held, while the replica confirmed commits of the old primary. A database that started again empty could be chosen by the position of its former process.

A held member counts as not held if it has not answered for 1,000 ms.

HeldReplicaSilentSince_* fails with the limit out of reach. Ruled out: a shorter wait, as plans of 2 s meet the same with a database that is back sooner.

--- a/Source/Core/Session/promotion_plan.cc
+++ b/Source/Core/Session/promotion_plan.cc
@@ -19,6 +19,10 @@
 /// An order without effect is repeated after this time, which is longer than
 /// the longest promotion (1,000 ms).
 constexpr std::chrono::milliseconds kOrderRetryInterval(1800);
+/// A held member that has not answered for this long may have started again and
+/// receive entries, or have lost its log. Above the limit of a status request
+/// (400 ms) and the interval between two of them.
+constexpr std::chrono::milliseconds kMaxAnswerAge(1000);
 /// Limit of the whole plan, apart from its wait for an earlier order: a
 /// promotion that was ordered but has not taken effect by then is abandoned.
 constexpr std::chrono::milliseconds kPlanTimeout(6000);
@@ -130,7 +134,8 @@
     return {};
   }
   if (this->phase == Phase::kOrdered) {
-    if (status.term <= this->newest_term) return this->TakeStatus(id, status);
+    if (status.term <= this->newest_term)
+      return this->TakeStatus(id, status, now);
     if (this->chosen == id && status.role == GroupRole::kPrimary) {
       return this->FinishPromoted(id, status.term);
     }
@@ -151,7 +156,7 @@
     if (this->newest_term >= this->term) this->RaiseTerm(status.term + 1);
     return this->FenceUnanswered();
   }
-  std::vector<PromotionAction> actions = this->TakeStatus(id, status);
+  std::vector<PromotionAction> actions = this->TakeStatus(id, status, now);
   if (!actions.empty()) return actions;
   return this->OrderIfPossible(now);
 }
@@ -166,7 +171,8 @@
 }
 
 std::vector<PromotionAction> PromotionPlan::TakeStatus(
-    const common::EndpointId& id, const EndpointStatus& status) {
+    const common::EndpointId& id, const EndpointStatus& status,
+    common::SteadyTime now) {
   Member& member = this->members.at(id);
   member.fenced.reset();
   if (!std::exchange(member.has_answered, true)) {
@@ -189,6 +195,7 @@
     return {this->Hold(id, &member)};
   }
   member.fenced = status;
+  member.fenced_at = now;
   member.was_fenced = true;
   member.hold_sent = false;
   return {};
@@ -240,12 +247,17 @@
   return member.entry.state == MemberState::kLeaving;
 }
 
+bool PromotionPlan::IsHeld(const Member& member, common::SteadyTime now) {
+  return member.fenced.has_value() && now - member.fenced_at < kMaxAnswerAge;
+}
+
 std::optional<common::EndpointId> PromotionPlan::MostAdvanced(
-    const std::optional<common::EndpointId>& without) const {
+    const std::optional<common::EndpointId>& without,
+    common::SteadyTime now) const {
   const Member* best = nullptr;
   std::optional<common::EndpointId> best_id;
   for (const auto& [id, member] : this->members) {
-    if (without == id || !member.fenced.has_value()) continue;
+    if (without == id || !IsHeld(member, now)) continue;
     const bool better = best == nullptr ||
                         member.fenced->received > best->fenced->received ||
                         (member.fenced->received == best->fenced->received &&
@@ -258,28 +270,29 @@
   return best_id;
 }
 
-std::set<common::EndpointId> PromotionPlan::Missing() const {
+std::set<common::EndpointId> PromotionPlan::Missing(
+    common::SteadyTime now) const {
   // Processes of one member never run at the same time, so each member counts
   // once.
   std::set<common::EndpointId> missing;
   for (const auto& [id, incarnation] : this->former) missing.insert(id);
   for (const auto& [id, member] : this->members) {
-    if (!member.fenced.has_value()) missing.insert(id);
+    if (!IsHeld(member, now)) missing.insert(id);
   }
   return missing;
 }
 
-std::size_t PromotionPlan::CountEmptyLogs() const {
+std::size_t PromotionPlan::CountEmptyLogs(common::SteadyTime now) const {
   return std::count_if(
-      this->members.begin(), this->members.end(), [](const auto& entry) {
-        const std::optional<EndpointStatus>& fenced = entry.second.fenced;
-        return fenced.has_value() && fenced->received.index == 0;
+      this->members.begin(), this->members.end(), [now](const auto& entry) {
+        const Member& member = entry.second;
+        return IsHeld(member, now) && member.fenced->received.index == 0;
       });
 }
 
-bool PromotionPlan::OtherMayLead() const {
+bool PromotionPlan::OtherMayLead(common::SteadyTime now) const {
   if (this->earlier_hold < this->term) return false;
-  const std::set<common::EndpointId> missing = this->Missing();
+  const std::set<common::EndpointId> missing = this->Missing(now);
   return std::any_of(
       missing.begin(), missing.end(),
       [this](const common::EndpointId& id) { return this->primary != id; });
@@ -292,7 +305,7 @@
   const common::EndpointId& ordered = this->earlier_order->record.endpoint;
   const auto found = this->members.find(ordered);
   const bool has_all = found != this->members.end() &&
-                       found->second.fenced.has_value() &&
+                       IsHeld(found->second, now) &&
                        found->second.fenced->received >=
                            this->members.at(*best).fenced->received;
   return has_all ? std::optional(ordered) : std::nullopt;
@@ -300,13 +313,13 @@
 
 std::optional<common::EndpointId> PromotionPlan::ChooseByLogs(
     common::SteadyTime now) const {
-  const std::set<common::EndpointId> missing = this->Missing();
+  const std::set<common::EndpointId> missing = this->Missing(now);
   // Every acknowledged commit is on two members. With at most one member
   // missing, the other one is held, and no commit can be confirmed any more.
   if (missing.size() > 1) return std::nullopt;
   // The pair that acknowledged a commit may have been the missing member and
   // one that has lost its log since.
-  if (missing.size() + this->CountEmptyLogs() > 1 && !missing.empty()) {
+  if (missing.size() + this->CountEmptyLogs(now) > 1 && !missing.empty()) {
     return std::nullopt;
   }
   // The pair may have been a member that has ended and the old primary.
@@ -326,17 +339,19 @@
         this->primary_term < this->newest_term) {
       return std::nullopt;
     }
-    return age < kFenceReplyWait ? std::nullopt : this->MostAdvanced({});
+    return age < kFenceReplyWait ? std::nullopt : this->MostAdvanced({}, now);
   }
-  std::optional<common::EndpointId> replica = this->MostAdvanced(this->primary);
-  std::optional<common::EndpointId> best = this->MostAdvanced({});
+  std::optional<common::EndpointId> replica =
+      this->MostAdvanced(this->primary, now);
+  std::optional<common::EndpointId> best = this->MostAdvanced({}, now);
   const bool has_all = replica.has_value() && best.has_value() &&
                        this->members.at(*replica).fenced->received >=
                            this->members.at(*best).fenced->received;
   if (missing.empty()) {
     // What only the old primary has was acknowledged only if a member that had
     // confirmed it has lost its log since.
-    const bool copies_lost = !this->ended.empty() || this->CountEmptyLogs() > 0;
+    const bool copies_lost =
+        !this->ended.empty() || this->CountEmptyLogs(now) > 0;
     const bool replica_suffices = has_all || !copies_lost;
     return replica.has_value() && replica_suffices ? replica : best;
   }
@@ -352,7 +367,7 @@
   const std::optional<common::EndpointId> candidate =
       this->ChooseCandidate(now);
   if (!candidate.has_value()) return {};
-  if (this->OtherMayLead()) {
+  if (this->OtherMayLead(now)) {
     // The holds end when the plan does, even if the promoted member leads an
     // earlier term than theirs.
     this->RaiseTerm(this->earlier_hold + 1);
--- a/Source/Core/Session/promotion_plan.h
+++ b/Source/Core/Session/promotion_plan.h
@@ -158,9 +158,13 @@
     /// The member's answer to a hold for the term of this plan; none while the
     /// member is not held.
     std::optional<EndpointStatus> fenced;
+    /// When that answer was received.
+    common::SteadyTime fenced_at;
   };
 
   static bool IsLeaving(const Member& member);
+  /// Whether the member is held, by an answer that is recent.
+  static bool IsHeld(const Member& member, common::SteadyTime now);
   /// Whether another held member has all that this one had when it was held.
   bool IsCovered(const common::EndpointId& id) const;
   /// Whether a member that is not held may be held now.
@@ -181,18 +185,19 @@
   void RaiseTerm(common::Term raised);
   /// Records whether a member is held; fences it if it is not.
   std::vector<PromotionAction> TakeStatus(const common::EndpointId& id,
-                                          const EndpointStatus& status);
+                                          const EndpointStatus& status,
+                                          common::SteadyTime now);
   std::vector<PromotionAction> OrderIfPossible(common::SteadyTime now);
   /// Members that are not held, among them those that have disappeared.
-  std::set<common::EndpointId> Missing() const;
+  std::set<common::EndpointId> Missing(common::SteadyTime now) const;
   /// Number of held members without log entries. They hold nothing that they
   /// may have confirmed before they started again. Nobody knows whether the
   /// group has ever had entries if all daemons have started anew as well.
-  std::size_t CountEmptyLogs() const;
+  std::size_t CountEmptyLogs(common::SteadyTime now) const;
   /// Whether an earlier promotion, of which only a hold is known, may have made
   /// a member the primary that is not held and not the one to replace. The
   /// holds for its term do not stop it.
-  bool OtherMayLead() const;
+  bool OtherMayLead(common::SteadyTime now) const;
   /// The member to promote; none while none may be promoted.
   std::optional<common::EndpointId> ChooseCandidate(
       common::SteadyTime now) const;
@@ -200,7 +205,8 @@
   std::optional<common::EndpointId> ChooseByLogs(common::SteadyTime now) const;
   /// The held member with the most advanced log, apart from the named one.
   std::optional<common::EndpointId> MostAdvanced(
-      const std::optional<common::EndpointId>& without) const;
+      const std::optional<common::EndpointId>& without,
+      common::SteadyTime now) const;
   OrderPromotion Order(common::SteadyTime now);
   /// Whether an order, also of an earlier plan, may still take effect.
   bool OrderMayExecute(common::SteadyTime now) const;
