Platform: Count orders with an unclear response as open

An order that the platform answered with 500, 502 or 504 counted as rejected: the plan resumed the replicas and released the lease, although the order may still have been executed. Only 4xx and 503 state that nothing was done; others now count like no answer.

PromotionStatus_Decode_* covers the translation.

--- a/Source/UnitTests/Platform/documents_test.cc
+++ b/Source/UnitTests/Platform/documents_test.cc
@@ -217,6 +217,19 @@
   EXPECT_NE(before, EncodeLeaseRecord(record));
 }
 
+// Guards against resuming replicas after an order whose response does not state
+// that nothing was done.
+TEST_F(DocumentsTest, PromotionStatus_Decode_RejectsOnlyIfNothingWasDone) {
+  using session::PromotionAnswer;
+  EXPECT_EQ(DecodePromotionStatus(200), PromotionAnswer::kAccepted);
+  for (const int refused : {400, 409, 429, 503}) {
+    EXPECT_EQ(DecodePromotionStatus(refused), PromotionAnswer::kRejected);
+  }
+  for (const int unclear : {302, 500, 502, 504}) {
+    EXPECT_EQ(DecodePromotionStatus(unclear), PromotionAnswer::kNoAnswer);
+  }
+}
+
 // Guards against open orders that the next holder of the lease cannot read.
 TEST_F(DocumentsTest, LeaseRecord_EncodedAndDecoded_KeepsOrders) {
   session::PromotionLeaseRecord record{common::HostId("h"), true, {2, 4}, 2};
