Session: Keep a recorded order whose first attempt has failed

An order that was recorded in a second attempt, after one that had not reached the store, was forgotten at once: both have the number of the same revision, and the correction for the failed attempt was applied to the second one. The next holder of the lease would not have known of the order.

--- a/Source/Core/Session/promotion_lease.cc
+++ b/Source/Core/Session/promotion_lease.cc
@@ -117,9 +117,16 @@
       PromotionOrderRecord{endpoint, term, 0, 0});
   if (open.has_value()) *order = open->record;
   ++order->count;
-  const RecordChange change = [service, order](PromotionLeaseRecord* changed) {
+  const RecordChange change = [this, service,
+                               order](PromotionLeaseRecord* changed) {
     order->number = changed->revision.number;
     changed->orders[service] = *order;
+    // An attempt before, which has failed, had the same number.
+    const auto corrected = this->corrected_orders.find(service);
+    if (corrected != this->corrected_orders.end() &&
+        corrected->second.number == order->number) {
+      this->corrected_orders.erase(corrected);
+    }
   };
   this->Write(true, change,
               [this, service, order, done = std::move(done)](bool written) {
--- a/Source/UnitTests/Core/Session/promotion_lease_test.cc
+++ b/Source/UnitTests/Core/Session/promotion_lease_test.cc
@@ -195,6 +195,17 @@
   EXPECT_EQ(this->Open(this->first)->record.count, 1U);
 }
 
+// Guards against forgetting an order because recording it has failed before.
+TEST_F(RecordedOrderTest, NotRecordedAtFirst_RecordOrder_StaysOpen) {
+  this->platform.store_down = true;
+  EXPECT_FALSE(this->Record(&this->first, this->a));
+  this->platform.store_down = false;
+  EXPECT_TRUE(this->Record(&this->first, this->a));
+  EXPECT_TRUE(this->Open(this->first).has_value());
+  this->TakeOver();
+  EXPECT_TRUE(this->Open(this->second).has_value());
+}
+
 // Guards against orders of two services that are recorded at the same time, one
 // of which would meet the revision of the other.
 TEST_F(RecordedOrderTest, OtherServiceAtTheSameTime_RecordOrder_Succeeds) {
