Session: Log what a promotion relied on and what became of its orders

Now logged, without a change of any decision: - promotion_started: member_states, former_ids, ended_ids. A list in a line has at most about 1,000 characters and ends with the number of entries left out.

Tests: PromotionPlanTest.*_Evidence_* (states, positions, ages, members that disappeared or started again) and PromotionEvidenceTest.ManyMembers_Describe_* (the limit). No test checks the lines themselves, as the tests of PromotionTask have no way to read log output.

--- a/Source/Core/Session/promotion_plan.cc
+++ b/Source/Core/Session/promotion_plan.cc
@@ -133,6 +133,8 @@
   if (found == this->members.end() || this->phase == Phase::kFinished) {
     return {};
   }
+  found->second.latest = status;
+  found->second.latest_at = now;
   if (this->phase == Phase::kOrdered) {
     if (status.term <= this->newest_term)
       return this->TakeStatus(id, status, now);
@@ -282,6 +284,38 @@
   return missing;
 }
 
+std::vector<MemberEvidence> PromotionPlan::Evidence(
+    common::SteadyTime now) const {
+  const std::set<common::EndpointId> missing = this->Missing(now);
+  std::vector<MemberEvidence> evidence;
+  for (const auto& [id, member] : this->members) {
+    MemberEvidence known;
+    known.endpoint = id;
+    known.is_registered = true;
+    known.is_held = IsHeld(member, now);
+    known.is_missing = missing.contains(id);
+    // The answer that showed the hold, if the member is held for this plan.
+    const bool relies = member.fenced.has_value();
+    known.is_stale = relies && !known.is_held;
+    const std::optional<EndpointStatus>& answer =
+        relies ? member.fenced : member.latest;
+    if (answer.has_value()) {
+      known.held_term = answer->held;
+      known.received = answer->received;
+      known.age = now - (relies ? member.fenced_at : member.latest_at);
+    }
+    evidence.push_back(known);
+  }
+  for (const common::EndpointId& id : missing) {
+    if (this->members.contains(id)) continue;
+    MemberEvidence disappeared;
+    disappeared.endpoint = id;
+    disappeared.is_missing = true;
+    evidence.push_back(disappeared);
+  }
+  return evidence;
+}
+
 std::size_t PromotionPlan::CountEmptyLogs(common::SteadyTime now) const {
   return std::count_if(
       this->members.begin(), this->members.end(), [now](const auto& entry) {
--- a/Source/Core/Session/promotion_plan.h
+++ b/Source/Core/Session/promotion_plan.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "Session/directory.h"
+#include "Session/promotion_evidence.h"
 #include "Session/statement.h"
 
 namespace camphorferry::session {
@@ -131,6 +132,10 @@
   /// Newest term known to have a primary before this promotion.
   common::Term NewestTerm() const { return this->newest_term; }
 
+  /// What the plan knows of each member, among them those that have
+  /// disappeared, for log lines.
+  std::vector<MemberEvidence> Evidence(common::SteadyTime now) const;
+
   /// Handles that an order was not sent. The plan fences and chooses again.
   void OnOrderNotSent();
 
@@ -160,6 +165,10 @@
     std::optional<EndpointStatus> fenced;
     /// When that answer was received.
     common::SteadyTime fenced_at;
+    /// The member's latest answer, held or not, and when it was received. Only
+    /// for log lines.
+    std::optional<EndpointStatus> latest;
+    common::SteadyTime latest_at;
   };
 
   static bool IsLeaving(const Member& member);
--- a/Source/Core/Session/promotion_task.cc
+++ b/Source/Core/Session/promotion_task.cc
@@ -1,5 +1,6 @@
 #include "Session/promotion_task.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace camphorferry::session {
@@ -19,6 +20,27 @@
 /// below the time after which another daemon takes it over.
 constexpr std::chrono::milliseconds kRenewalInterval(1000);
 
+const char* ToString(PromotionAnswer answer) {
+  switch (answer) {
+    case PromotionAnswer::kAccepted:
+      return "accepted";
+    case PromotionAnswer::kRejected:
+      return "rejected";
+    case PromotionAnswer::kNoAnswer:
+      return "no_answer";
+  }
+  return "unknown";
+}
+
+/// The evidence of one member; none if the plan does not know it.
+const MemberEvidence* FindEvidence(const std::vector<MemberEvidence>& evidence,
+                                   const common::EndpointId& id) {
+  const auto found = std::find_if(
+      evidence.begin(), evidence.end(),
+      [&](const MemberEvidence& member) { return member.endpoint == id; });
+  return found == evidence.end() ? nullptr : &*found;
+}
+
 }  // namespace
 
 PromotionTask::PromotionTask(GroupContext context, common::ServiceId service,
@@ -79,17 +101,24 @@
   const std::vector<GroupMember> members = this->callbacks.members();
   const FormerMembers former = this->callbacks.former_members();
   const std::optional<common::EndpointId> primary = this->callbacks.primary();
+  const std::set<common::EndpointId> ended = this->callbacks.ended_members();
+  std::set<common::EndpointId> former_ids;
+  for (const auto& [id, incarnation] : former) former_ids.insert(id);
   this->old_primary = primary;
+  this->given.reset();
   common::Log(Subsystem::kConnection, LogLevel::kWarning, "promotion_started",
               {{"service", this->service},
                {"reason", ToString(reason)},
                {"old_primary", primary.value_or(common::EndpointId())},
                {"term", this->callbacks.highest_term()},
                {"members", members.size()},
-               {"former_members", former.size()}});
+               {"former_members", former.size()},
+               {"member_states", DescribeMembers(members)},
+               {"former_ids", DescribeIds(former_ids)},
+               {"ended_ids", DescribeIds(ended)}});
   this->plan = std::make_shared<PromotionPlan>(
       members, former, primary, this->callbacks.primary_term(),
-      this->callbacks.highest_term(), now, this->callbacks.ended_members());
+      this->callbacks.highest_term(), now, ended);
   this->SettleExecutedOrder(now);
   const std::optional<OpenOrder> open =
       this->context.promotion_lease->OpenOrderOf(this->service, now);
@@ -137,8 +166,13 @@
                         if (!*still_alive || !result.status.has_value()) return;
                         if (this->plan != current) return;
                         this->LogStatus(id, purpose, *result.status);
-                        this->Perform(current->OnStatus(id, *result.status,
-                                                        common::SteadyNow()));
+                        const common::SteadyTime now = common::SteadyNow();
+                        const std::vector<MemberEvidence> before =
+                            current->Evidence(now);
+                        const std::vector<PromotionAction> next =
+                            current->OnStatus(id, *result.status, now);
+                        this->LogHoldEnded(before, id, *result.status);
+                        this->Perform(next);
                       });
   };
   std::vector<common::EndpointId> held;
@@ -190,6 +224,51 @@
                {"held", status.held}});
 }
 
+void PromotionTask::LogHoldEnded(const std::vector<MemberEvidence>& before,
+                                 const common::EndpointId& id,
+                                 const EndpointStatus& status) const {
+  const MemberEvidence* held = FindEvidence(before, id);
+  if (held == nullptr || !(held->is_held || held->is_stale)) return;
+  if (status.held >= held->held_term) return;
+  const std::vector<MemberEvidence> after =
+      this->plan->Evidence(common::SteadyNow());
+  // Once a promotion has taken effect, holds end with it.
+  const MemberEvidence* now_held = FindEvidence(after, id);
+  if (now_held == nullptr || now_held->is_held || now_held->is_stale) return;
+  common::Log(Subsystem::kConnection, LogLevel::kWarning,
+              "promotion_hold_ended",
+              {{"service", this->service},
+               {"endpoint", id},
+               {"held_term", held->held_term},
+               {"held_index", held->received.index},
+               {"last_held_ms", common::ToMilliseconds(*held->age).count()},
+               {"leads", status.role == GroupRole::kPrimary ? "yes" : "no"},
+               {"term", status.term},
+               {"received_term", status.received.term},
+               {"received_index", status.received.index},
+               {"held", status.held},
+               {"ordered", this->given.has_value() ? "yes" : "no"}});
+}
+
+void PromotionTask::LogEvidence(const common::EndpointId& id,
+                                common::SteadyTime now) const {
+  const std::vector<MemberEvidence> evidence = this->plan->Evidence(now);
+  common::Log(Subsystem::kConnection, LogLevel::kWarning, "promotion_evidence",
+              {{"service", this->service},
+               {"endpoint", id},
+               {"term", this->plan->NewestTerm()},
+               {"known", DescribeEvidence(evidence)},
+               {"missing", DescribeMissing(evidence)}});
+}
+
+void PromotionTask::WithdrawOrder(const common::EndpointId& id,
+                                  const char* reason) {
+  common::Log(
+      Subsystem::kConnection, LogLevel::kWarning, "promotion_order_withdrawn",
+      {{"service", this->service}, {"endpoint", id}, {"reason", reason}});
+  this->context.promotion_lease->WithdrawOrder(this->service);
+}
+
 void PromotionTask::ResumeAndEnd(const std::vector<common::EndpointId>& held,
                                  const PromotionFinished& finished) {
   if (held.empty()) {
@@ -258,10 +337,11 @@
     const std::shared_ptr<PromotionPlan>& current, const OrderPromotion& order,
     const PromotionLeaseRecord& record) {
   const common::SteadyTime now = common::SteadyNow();
+  if (this->plan == current) this->LogEvidence(order.endpoint, now);
   // Recording may have taken a second, in which a hold may have ended.
   if (this->plan != current || !current->IsChosen(order.endpoint, now) ||
       !this->context.promotion_lease->MayOrder(now)) {
-    this->context.promotion_lease->WithdrawOrder(this->service);
+    this->WithdrawOrder(order.endpoint, "not_given");
     if (this->plan == current) current->OnOrderNotSent();
     return;
   }
@@ -269,12 +349,22 @@
               {{"service", this->service},
                {"endpoint", order.endpoint},
                {"token", FencingToken(record)}});
+  if (!this->given.has_value()) this->given = {order.endpoint, now, 0};
+  ++this->given->count;
   this->context.platform->Promote(
       this->service, order.endpoint, record,
-      [this, still_alive = this->alive, current](PromotionAnswer answer) {
+      [this, still_alive = this->alive, current, id = order.endpoint,
+       now](PromotionAnswer answer) {
         if (!*still_alive) return;
+        const common::Duration taken = common::SteadyNow() - now;
+        common::Log(Subsystem::kConnection, LogLevel::kWarning,
+                    "promotion_order_answered",
+                    {{"service", this->service},
+                     {"endpoint", id},
+                     {"answer", ToString(answer)},
+                     {"after_ms", common::ToMilliseconds(taken).count()}});
         if (answer == PromotionAnswer::kRejected) {
-          this->context.promotion_lease->WithdrawOrder(this->service);
+          this->WithdrawOrder(id, "rejected");
         }
         if (this->plan != current) return;
         this->Perform(current->OnOrderAnswer(answer, common::SteadyNow()));
@@ -287,6 +377,14 @@
   const std::optional<common::EndpointId> primary = this->callbacks.primary();
   if (open.has_value() && primary.has_value() &&
       open->record.IsExecuted(*primary, this->callbacks.primary_term())) {
+    const common::Duration age = now - (open->until - kOrderLifetime);
+    common::Log(Subsystem::kConnection, LogLevel::kWarning,
+                "promotion_order_settled",
+                {{"service", this->service},
+                 {"endpoint", open->record.endpoint},
+                 {"term", open->record.term},
+                 {"primary_term", this->callbacks.primary_term()},
+                 {"known_ms", common::ToMilliseconds(age).count()}});
     this->context.promotion_lease->SettleOrder(this->service);
   }
 }
@@ -302,12 +400,26 @@
 }
 
 void PromotionTask::End(const PromotionFinished& finished) {
+  // Empty if the plan has given no order.
+  std::string ordered;
+  std::string since_order;
+  if (this->given.has_value()) {
+    const common::Duration since = common::SteadyNow() - this->given->first_at;
+    ordered = this->given->endpoint.Value();
+    since_order = std::to_string(common::ToMilliseconds(since).count());
+  }
   common::Log(
       Subsystem::kConnection, LogLevel::kWarning, "promotion_ended",
       {{"service", this->service},
        {"promoted", finished.promoted ? "yes" : "no"},
        {"reason", finished.reason},
-       {"primary", this->callbacks.primary().value_or(common::EndpointId())}});
+       {"primary", this->callbacks.primary().value_or(common::EndpointId())},
+       {"primary_term", this->callbacks.primary_term()},
+       {"ordered", ordered},
+       {"orders", this->given.has_value() ? this->given->count : 0},
+       {"since_order_ms", since_order},
+       {"may_execute", finished.command_may_execute ? "yes" : "no"}});
+  this->given.reset();
   this->context.metrics->Count("promotions",
                                "Promotions of this daemon by how they ended.",
                                "result", finished.reason);
--- a/Source/Core/Session/promotion_task.h
+++ b/Source/Core/Session/promotion_task.h
@@ -88,17 +88,35 @@
               const PromotionFinished& finished);
   /// Ends the promotion and the use of the lease.
   void End(const PromotionFinished& finished);
+  /// Logs what the plan knows when an order for a member is about to be given.
+  void LogEvidence(const common::EndpointId& id, common::SteadyTime now) const;
+  /// Logs that a member has answered that it is no longer held, if the plan
+  /// took it for held before that answer and does not any more.
+  void LogHoldEnded(const std::vector<MemberEvidence>& before,
+                    const common::EndpointId& id,
+                    const EndpointStatus& status) const;
+  /// Removes the latest recorded order of the service, which was not given or
+  /// was rejected.
+  void WithdrawOrder(const common::EndpointId& id, const char* reason);
   /// Logs a member's answer to a command of the plan.
   void LogStatus(const common::EndpointId& id, const char* purpose,
                  const EndpointStatus& status) const;
   /// Records the duration of the phase that ends now and starts the next one.
   void RecordPhase(const std::string& phase);
 
+  /// The orders that the current plan has given, all for one member.
+  struct GivenOrders {
+    common::EndpointId endpoint;
+    common::SteadyTime first_at;
+    int count = 0;
+  };
+
   GroupContext context;
   common::ServiceId service;
   PromotionCallbacks callbacks;
   bool running = false;
   std::shared_ptr<PromotionPlan> plan;
+  std::optional<GivenOrders> given;
   /// The primary that is replaced. Peers that reach it must not go on to get
   /// its commits confirmed.
   std::optional<common::EndpointId> old_primary;
--- a/Source/UnitTests/Core/Session/promotion_plan_test.cc
+++ b/Source/UnitTests/Core/Session/promotion_plan_test.cc
@@ -109,6 +109,65 @@
   EXPECT_EQ(order->endpoint, this->p);
 }
 
+// Guards against log lines that do not show which answers an order relied on,
+// how old they were, and which members did not count.
+TEST_F(PromotionPlanTest, OneHeldOneNot_Evidence_NamesStatesPositionsAndAges) {
+  this->plan.OnStatus(this->a, Held(3, 10, 4), kStart + milliseconds(300));
+  this->plan.OnStatus(this->b, Held(3, 12, 0), kStart + milliseconds(350));
+  const auto evidence = this->plan.Evidence(kStart + milliseconds(400));
+  EXPECT_EQ(DescribeEvidence(evidence),
+            "a:held:4:3.10:100,b:not_held:0:3.12:50,p:no_answer");
+  EXPECT_EQ(DescribeMissing(evidence), "b,p");
+}
+
+// Guards against evidence that shows a held member although its answer is too
+// old to count.
+TEST_F(PromotionPlanTest, AnswerTooOld_Evidence_ShowsTheMemberAsStale) {
+  this->plan.OnStatus(this->a, Held(3, 10, 4), kStart);
+  const auto recent = this->plan.Evidence(kStart + milliseconds(999));
+  const auto old = this->plan.Evidence(kStart + milliseconds(1000));
+  EXPECT_EQ(DescribeEvidence({recent[0]}), "a:held:4:3.10:999");
+  EXPECT_EQ(DescribeEvidence({old[0]}), "a:stale:4:3.10:1000");
+  EXPECT_EQ(DescribeMissing({recent[0]}), "");
+  EXPECT_EQ(DescribeMissing({old[0]}), "a");
+}
+
+// Guards against evidence that shows a hold which the member has denied since,
+// or one of another plan as one for this plan.
+TEST_F(PromotionPlanTest, HoldEnded_Evidence_ShowsTheMemberAsNotHeld) {
+  this->plan.OnStatus(this->a, Held(3, 10, 4), kStart);
+  EXPECT_TRUE(this->plan.Evidence(kStart)[0].is_held);
+  this->plan.OnStatus(this->a, Held(3, 11, 2), kStart);
+  EXPECT_EQ(DescribeEvidence({this->plan.Evidence(kStart)[0]}),
+            "a:not_held:2:3.11:0");
+}
+
+// Guards against evidence without the processes that have disappeared, which
+// count as missing even if a new process of the member is held.
+TEST_F(PromotionPlanTest, ProcessesDisappeared_Evidence_NamesThemAsMissing) {
+  GroupMember restarted = Member("a");
+  restarted.incarnation = 2;
+  this->plan.OnMembers({Member("p"), restarted}, kStart);
+  this->plan.OnStatus(this->a, Held(3, 0, 0), kStart);
+  this->plan.OnStatus(this->a, Held(3, 0, 4), kStart);
+  const auto evidence = this->plan.Evidence(kStart);
+  EXPECT_EQ(DescribeEvidence(evidence), "a:held:4:3.0:0,p:no_answer,b:former");
+  EXPECT_EQ(DescribeMissing(evidence), "a,b,p");
+}
+
+// Guards against log lines that grow with the number of members, and that are
+// dropped because they are too long.
+TEST(PromotionEvidenceTest, ManyMembers_Describe_EndsWithTheNumberLeftOut) {
+  const std::vector<GroupMember> two = {Member("a"), Member("b", true)};
+  EXPECT_EQ(DescribeMembers(two), "a:ready,b:leaving");
+  EXPECT_EQ(DescribeIds({}), "");
+  const std::vector<GroupMember> many(300, Member("i-0123"));
+  const std::string text = DescribeMembers(many);
+  // 77 entries of 12 characters with a comma each make 1,001 characters.
+  EXPECT_EQ(text.size(), 77U * 13 + 4);
+  EXPECT_TRUE(text.ends_with("i-0123:ready,+223")) << text;
+}
+
 // Guards against replicas that stay held after a plan has failed.
 TEST_F(PromotionPlanTest, MembersUnreachable_FencingTimeout_ResumesAndEnds) {
   const auto actions = this->plan.OnTick(kStart + milliseconds(2000));
