--- a/Source/Core/Session/promotion_plan.cc
+++ b/Source/Core/Session/promotion_plan.cc
@@ -136,8 +136,9 @@
   found->second.latest = status;
   found->second.latest_at = now;
   if (this->phase == Phase::kOrdered) {
-    if (status.term <= this->newest_term)
+    if (status.term <= this->newest_term) {
       return this->TakeStatus(id, status, now);
+    }
     if (this->chosen == id && status.role == GroupRole::kPrimary) {
       return this->FinishPromoted(id, status.term);
     }
@@ -334,7 +335,7 @@
 
 std::optional<common::EndpointId> PromotionPlan::ChooseCandidate(
     common::SteadyTime now) const {
-  const std::optional<common::EndpointId> best = this->ChooseByLogs(now);
+  std::optional<common::EndpointId> best = this->ChooseByLogs(now);
   if (!best.has_value() || !this->EarlierOrderMayExecute(now)) return best;
   const common::EndpointId& ordered = this->earlier_order->record.endpoint;
   const auto found = this->members.find(ordered);
