Session: Count the age of a member's answer from its command

Cause: an answer counted as new when it was processed. A daemon that gets no processor time for seconds reads the answers that have waited first, and their expired timers later, and so took the positions and holds of seconds ago for present ones. The replica may have restarted and confirmed commits meanwhile.

The age now counts from the command, which was sent before the member answered. HoldAnsweredLongAgo_OtherAnswers_OrdersNothing would fail with the time of processing. Found by the review, which saw a waiting answer delivered before its timeout after a stall of 3 s; no loss was shown.

--- a/Source/Core/Session/promotion_plan.cc
+++ b/Source/Core/Session/promotion_plan.cc
@@ -128,7 +128,7 @@
 
 std::vector<PromotionAction> PromotionPlan::OnStatus(
     const common::EndpointId& id, const EndpointStatus& status,
-    common::SteadyTime now) {
+    common::SteadyTime now, common::SteadyTime sent) {
   const auto found = this->members.find(id);
   if (found == this->members.end() || this->phase == Phase::kFinished) {
     return {};
@@ -137,7 +137,7 @@
   found->second.latest_at = now;
   if (this->phase == Phase::kOrdered) {
     if (status.term <= this->newest_term) {
-      return this->TakeStatus(id, status, now);
+      return this->TakeStatus(id, status, sent);
     }
     if (this->chosen == id && status.role == GroupRole::kPrimary) {
       return this->FinishPromoted(id, status.term);
@@ -159,7 +159,7 @@
     if (this->newest_term >= this->term) this->RaiseTerm(status.term + 1);
     return this->FenceUnanswered();
   }
-  std::vector<PromotionAction> actions = this->TakeStatus(id, status, now);
+  std::vector<PromotionAction> actions = this->TakeStatus(id, status, sent);
   if (!actions.empty()) return actions;
   return this->OrderIfPossible(now);
 }
@@ -175,7 +175,7 @@
 
 std::vector<PromotionAction> PromotionPlan::TakeStatus(
     const common::EndpointId& id, const EndpointStatus& status,
-    common::SteadyTime now) {
+    common::SteadyTime sent) {
   Member& member = this->members.at(id);
   member.fenced.reset();
   if (!std::exchange(member.has_answered, true)) {
@@ -198,7 +198,7 @@
     return {this->Hold(id, &member)};
   }
   member.fenced = status;
-  member.fenced_at = now;
+  member.fenced_at = sent;
   member.was_fenced = true;
   member.hold_sent = false;
   return {};
--- a/Source/Core/Session/promotion_plan.h
+++ b/Source/Core/Session/promotion_plan.h
@@ -106,10 +106,18 @@
   /// Returns the first actions of the plan.
   std::vector<PromotionAction> Begin(common::SteadyTime now);
 
-  /// Handles a member's answer to a command of this plan.
+  /// Handles a member's answer to a command of this plan. The answer is as old
+  /// as its command: it may have waited while this daemon did not run.
   std::vector<PromotionAction> OnStatus(const common::EndpointId& id,
                                         const EndpointStatus& status,
-                                        common::SteadyTime now);
+                                        common::SteadyTime now,
+                                        common::SteadyTime sent);
+  /// Handles an answer to a command that has just been sent.
+  std::vector<PromotionAction> OnStatus(const common::EndpointId& id,
+                                        const EndpointStatus& status,
+                                        common::SteadyTime now) {
+    return this->OnStatus(id, status, now, now);
+  }
 
   /// Handles a change of the set of registered members.
   std::vector<PromotionAction> OnMembers(
@@ -163,7 +171,7 @@
     /// The member's answer to a hold for the term of this plan; none while the
     /// member is not held.
     std::optional<EndpointStatus> fenced;
-    /// When that answer was received.
+    /// When the command of that answer was sent.
     common::SteadyTime fenced_at;
     /// The member's latest answer, held or not, and when it was received. Only
     /// for log lines.
@@ -195,7 +203,7 @@
   /// Records whether a member is held; fences it if it is not.
   std::vector<PromotionAction> TakeStatus(const common::EndpointId& id,
                                           const EndpointStatus& status,
-                                          common::SteadyTime now);
+                                          common::SteadyTime sent);
   std::vector<PromotionAction> OrderIfPossible(common::SteadyTime now);
   /// Members that are not held, among them those that have disappeared.
   std::set<common::EndpointId> Missing(common::SteadyTime now) const;
--- a/Source/Core/Session/promotion_task.cc
+++ b/Source/Core/Session/promotion_task.cc
@@ -160,20 +160,20 @@
   const auto send_command = [this, &current](const common::EndpointId& id,
                                              const MemberCommand& command,
                                              const char* purpose) {
-    this->SendCommand(id, command,
-                      [this, still_alive = this->alive, current, id,
-                       purpose](const CommandResult& result) {
-                        if (!*still_alive || !result.status.has_value()) return;
-                        if (this->plan != current) return;
-                        this->LogStatus(id, purpose, *result.status);
-                        const common::SteadyTime now = common::SteadyNow();
-                        const std::vector<MemberEvidence> before =
-                            current->Evidence(now);
-                        const std::vector<PromotionAction> next =
-                            current->OnStatus(id, *result.status, now);
-                        this->LogHoldEnded(before, id, *result.status);
-                        this->Perform(next);
-                      });
+    this->SendCommand(
+        id, command,
+        [this, still_alive = this->alive, current, id, purpose,
+         sent = common::SteadyNow()](const CommandResult& result) {
+          if (!*still_alive || !result.status.has_value()) return;
+          if (this->plan != current) return;
+          this->LogStatus(id, purpose, *result.status);
+          const common::SteadyTime now = common::SteadyNow();
+          const std::vector<MemberEvidence> before = current->Evidence(now);
+          const std::vector<PromotionAction> next =
+              current->OnStatus(id, *result.status, now, sent);
+          this->LogHoldEnded(before, id, *result.status);
+          this->Perform(next);
+        });
   };
   std::vector<common::EndpointId> held;
   for (const PromotionAction& action : actions) {
--- a/Source/UnitTests/Core/Session/promotion_model_test.cc
+++ b/Source/UnitTests/Core/Session/promotion_model_test.cc
@@ -272,6 +272,18 @@
   EXPECT_EQ(this->ordered, this->b);
 }
 
+// Guards against the same if the answer has waited while the daemon did not
+// run.
+TEST_F(PromotionLossTest, HoldAnsweredLongAgo_OtherAnswers_OrdersNothing) {
+  this->Answer(this->b, Replica(3, 10, 4));
+  this->plan.OnStatus(this->a, Replica(3, 10, 0), kStart + kFencePause);
+  this->Record(
+      this->plan.OnStatus(this->a, Replica(3, 10, 4),
+                          kStart + milliseconds(1500), kStart + kFencePause),
+      milliseconds(1500));
+  EXPECT_FALSE(this->ordered.has_value());
+}
+
 // Guards against resuming replicas after the platform has accepted an order
 // that has not taken effect yet.
 TEST_F(PromotionLossTest, OrderAccepted_EndBeforeTheEffect_DoesNotResume) {
