Session: Keep recorded orders when the lease is lost or writes are queued

- A write that waited behind one that had met another daemon's record was sent with that record's revision and took the lease back: an order could go out beside the new holder's, or its lease end.
All requested writes now fail when the lease is found lost (TakenOver_QueuedWrites_KeepTheNewHolder).
- Two orders that were requested before the first one was written counted as one, and both as executed after one effect.
They are now counted when written (RepeatedWhileQueued_RecordOrder_CountsBoth).
- A rejection that came late withdrew whatever order was recorded then.
It now names the order (RejectedLate_WithdrawOrder_KeepsTheLaterOne).
- The number of an order was the revision of the record, which two attempts can share.
It is random now.

--- a/Source/Core/Session/promotion_lease.cc
+++ b/Source/Core/Session/promotion_lease.cc
@@ -12,11 +12,15 @@
 /// the order window (600 ms), the time that an order may be in flight (1,000
 /// ms), and a reserve for a slow holder.
 constexpr std::chrono::milliseconds kTakeoverDelay(3000);
+/// Leaves numbers of orders below 2^53, so that JSON keeps them exactly.
+constexpr int kOrderNumberShift = 11;
 
 }  // namespace
 
 PromotionLease::PromotionLease(Platform* platform, common::HostId host)
-    : platform(platform), host(std::move(host)) {}
+    : platform(platform),
+      host(std::move(host)),
+      random(std::random_device{}()) {}
 
 void PromotionLease::OnEra(std::uint64_t store_era, common::SteadyTime now) {
   if (store_era <= this->era) return;
@@ -106,41 +110,38 @@
     const common::ServiceId& service, const common::EndpointId& endpoint,
     common::Term term,
     std::function<void(std::optional<PromotionLeaseRecord>)> done) {
-  const std::optional<OpenOrder> open =
-      this->OpenOrderOf(service, common::SteadyNow());
-  const bool other_open = open.has_value() && open->record.endpoint != endpoint;
-  if (this->lost || other_open) {
+  if (this->lost) {
     done(std::nullopt);
     return;
   }
-  const auto order = std::make_shared<PromotionOrderRecord>(
-      PromotionOrderRecord{endpoint, term, 0, 0});
-  if (open.has_value()) *order = open->record;
-  ++order->count;
-  const RecordChange change = [this, service,
+  const auto order = std::make_shared<PromotionOrderRecord>();
+  const RecordChange change = [this, service, endpoint, term,
                                order](PromotionLeaseRecord* changed) {
-    order->number = changed->revision.number;
+    const std::optional<OpenOrder> open =
+        this->OpenOrderOf(service, common::SteadyNow());
+    if (open.has_value() && open->record.endpoint != endpoint) return false;
+    *order = open.has_value() ? open->record
+                              : PromotionOrderRecord{endpoint, term, 0, 0};
+    ++order->count;
+    order->number = this->random() >> kOrderNumberShift;
     changed->orders[service] = *order;
-    // An attempt before, which has failed, had the same number.
-    const auto corrected = this->corrected_orders.find(service);
-    if (corrected != this->corrected_orders.end() &&
-        corrected->second.number == order->number) {
-      this->corrected_orders.erase(corrected);
-    }
+    return true;
   };
   this->Write(true, change,
               [this, service, order, done = std::move(done)](bool written) {
                 // Without an answer, the record may have been written.
-                if (!written) {
+                if (!written && order->count > 0) {
                   this->CorrectCount(service, *order, order->count - 1);
                 }
                 done(written ? std::optional(this->record) : std::nullopt);
               });
 }
 
-void PromotionLease::WithdrawOrder(const common::ServiceId& service) {
+void PromotionLease::WithdrawOrder(const common::ServiceId& service,
+                                   std::uint64_t number) {
   const auto found = this->record.orders.find(service);
   if (found == this->record.orders.end()) return;
+  if (found->second.number != number) return;
   this->CorrectCount(service, found->second, found->second.count - 1);
 }
 
@@ -230,7 +231,11 @@
   std::erase_if(wanted.orders, [&](const auto& order) {
     return !this->OpenOrderOf(order.first, sent).has_value();
   });
-  if (this->writes.front().change) this->writes.front().change(&wanted);
+  const RecordChange& change = this->writes.front().change;
+  if (change && !change(&wanted)) {
+    this->EndWrite(false);
+    return;
+  }
   this->platform->WritePromotionLease(
       wanted, [this, sent, era_before = wanted.revision.era,
                still_alive = this->alive](const PromotionLeaseResult& result) {
@@ -246,7 +251,7 @@
     // After a restore, the revision that the write required may have been that
     // of another daemon's record.
     if (written->revision.era != era_before || era_before != this->era) {
-      this->EndWrite(false);
+      this->FailAllWrites();
       return;
     }
     this->SetRecord(*written);
@@ -262,7 +267,12 @@
     this->confirmed_at.reset();
     // The new holder must not lose the lease to this daemon. A record of this
     // daemon is its own write that had no answer.
-    this->lost = this->users > 0 && conflict->record.holder != this->host;
+    const bool taken_over = conflict->record.holder != this->host;
+    this->lost = this->users > 0 && taken_over;
+    if (taken_over) {
+      this->FailAllWrites();
+      return;
+    }
   }
   this->EndWrite(false);
 }
@@ -277,4 +287,15 @@
   this->StartNextWrite();
 }
 
+void PromotionLease::FailAllWrites() {
+  const std::deque<PendingWrite> failed =
+      std::exchange(this->writes, std::deque<PendingWrite>());
+  this->write_in_flight = false;
+  const auto still_alive = this->alive;
+  for (const PendingWrite& write : failed) {
+    write.done(false);
+    if (!*still_alive) return;
+  }
+}
+
 }  // namespace camphorferry::session
--- a/Source/Core/Session/promotion_lease.h
+++ b/Source/Core/Session/promotion_lease.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 
 #include "Session/directory.h"
 
@@ -51,8 +52,9 @@
       common::Term term,
       std::function<void(std::optional<PromotionLeaseRecord>)> done);
 
-  /// The latest recorded order of the service was not given, or was rejected.
-  void WithdrawOrder(const common::ServiceId& service);
+  /// The order that was recorded under a number was not given, or was rejected.
+  /// Does nothing if another one has been recorded since.
+  void WithdrawOrder(const common::ServiceId& service, std::uint64_t number);
 
   /// All recorded orders of the service have been executed.
   void SettleOrder(const common::ServiceId& service);
@@ -73,7 +75,9 @@
   bool MayOrder(common::SteadyTime now) const;
 
  private:
-  using RecordChange = std::function<void(PromotionLeaseRecord*)>;
+  /// Changes the record that is to be written; returns false if it must not be
+  /// written.
+  using RecordChange = std::function<bool(PromotionLeaseRecord*)>;
 
   /// A write of the record that waits until the one before has ended.
   struct PendingWrite {
@@ -100,6 +104,9 @@
   void OnWritten(common::SteadyTime sent, std::uint64_t era_before,
                  const PromotionLeaseResult& result);
   void EndWrite(bool written);
+  /// Ends all requested writes: they were meant for a record that this daemon
+  /// holds, and another one holds it now.
+  void FailAllWrites();
   /// Replaces the last known state of the record, apart from what this daemon
   /// knows better.
   void SetRecord(const PromotionLeaseRecord& changed);
@@ -124,6 +131,7 @@
   /// Writes that have been requested; the first one may be on its way.
   std::deque<PendingWrite> writes;
   bool write_in_flight = false;
+  std::mt19937_64 random;
   /// When the current revision of the record was first seen.
   std::optional<common::SteadyTime> record_seen_at;
   /// When the last successful change of the record was sent.
--- a/Source/Core/Session/promotion_order.h
+++ b/Source/Core/Session/promotion_order.h
@@ -22,7 +22,7 @@
   common::Term term = 0;
   /// Number of orders that were given and not rejected.
   std::uint32_t count = 0;
-  /// Differs between any two orders of the service.
+  /// Random number of the latest order; differs between attempts to record one.
   std::uint64_t number = 0;
 
   bool operator==(const PromotionOrderRecord&) const = default;
--- a/Source/Core/Session/promotion_task.cc
+++ b/Source/Core/Session/promotion_task.cc
@@ -262,11 +262,11 @@
 }
 
 void PromotionTask::WithdrawOrder(const common::EndpointId& id,
-                                  const char* reason) {
+                                  std::uint64_t number, const char* reason) {
   common::Log(
       Subsystem::kConnection, LogLevel::kWarning, "promotion_order_withdrawn",
       {{"service", this->service}, {"endpoint", id}, {"reason", reason}});
-  this->context.promotion_lease->WithdrawOrder(this->service);
+  this->context.promotion_lease->WithdrawOrder(this->service, number);
 }
 
 void PromotionTask::ResumeAndEnd(const std::vector<common::EndpointId>& held,
@@ -337,11 +337,12 @@
     const std::shared_ptr<PromotionPlan>& current, const OrderPromotion& order,
     const PromotionLeaseRecord& record) {
   const common::SteadyTime now = common::SteadyNow();
+  const std::uint64_t number = record.orders.at(this->service).number;
   if (this->plan == current) this->LogEvidence(order.endpoint, now);
   // Recording may have taken a second, in which a hold may have ended.
   if (this->plan != current || !current->IsChosen(order.endpoint, now) ||
       !this->context.promotion_lease->MayOrder(now)) {
-    this->WithdrawOrder(order.endpoint, "not_given");
+    this->WithdrawOrder(order.endpoint, number, "not_given");
     if (this->plan == current) current->OnOrderNotSent();
     return;
   }
@@ -353,7 +354,7 @@
   ++this->given->count;
   this->context.platform->Promote(
       this->service, order.endpoint, record,
-      [this, still_alive = this->alive, current, id = order.endpoint,
+      [this, still_alive = this->alive, current, id = order.endpoint, number,
        now](PromotionAnswer answer) {
         if (!*still_alive) return;
         const common::Duration taken = common::SteadyNow() - now;
@@ -364,7 +365,7 @@
                      {"answer", ToString(answer)},
                      {"after_ms", common::ToMilliseconds(taken).count()}});
         if (answer == PromotionAnswer::kRejected) {
-          this->WithdrawOrder(id, "rejected");
+          this->WithdrawOrder(id, number, "rejected");
         }
         if (this->plan != current) return;
         this->Perform(current->OnOrderAnswer(answer, common::SteadyNow()));
--- a/Source/Core/Session/promotion_task.h
+++ b/Source/Core/Session/promotion_task.h
@@ -97,7 +97,8 @@
                     const EndpointStatus& status) const;
   /// Removes the latest recorded order of the service, which was not given or
   /// was rejected.
-  void WithdrawOrder(const common::EndpointId& id, const char* reason);
+  void WithdrawOrder(const common::EndpointId& id, std::uint64_t number,
+                     const char* reason);
   /// Logs a member's answer to a command of the plan.
   void LogStatus(const common::EndpointId& id, const char* purpose,
                  const EndpointStatus& status) const;
--- a/Source/UnitTests/Core/Session/fake_platform.h
+++ b/Source/UnitTests/Core/Session/fake_platform.h
@@ -84,7 +84,13 @@
     }
     this->lease_record.revision.era = this->era;
     if (wanted.revision.number != this->lease_record.revision.number) {
-      done(PromotionLeaseConflict{this->lease_record});
+      const PromotionLeaseConflict conflict{this->lease_record};
+      if (this->answers_later) {
+        this->later.emplace_back(
+            [conflict, done = std::move(done)] { done(conflict); });
+      } else {
+        done(conflict);
+      }
       return;
     }
     this->lease_record = wanted;
--- a/Source/UnitTests/Core/Session/promotion_lease_test.cc
+++ b/Source/UnitTests/Core/Session/promotion_lease_test.cc
@@ -165,7 +165,8 @@
 // that were not given.
 TEST_F(RecordedOrderTest, OrderNoLongerOpen_NextHolder_RecordsAnyMember) {
   ASSERT_TRUE(this->Record(&this->first, this->a));
-  this->first.WithdrawOrder(this->service);
+  this->first.WithdrawOrder(this->service,
+                            this->Open(this->first)->record.number);
   EXPECT_TRUE(this->Record(&this->first, this->b));
   this->first.SettleOrder(this->service);
   this->TakeOver();
@@ -178,7 +179,8 @@
 TEST_F(RecordedOrderTest, RepeatedOrderRejected_FirstOrder_StaysOpen) {
   ASSERT_TRUE(this->Record(&this->first, this->a));
   ASSERT_TRUE(this->Record(&this->first, this->a));
-  this->first.WithdrawOrder(this->service);
+  this->first.WithdrawOrder(this->service,
+                            this->Open(this->first)->record.number);
   this->TakeOver();
   ASSERT_TRUE(this->Open(this->second).has_value());
   EXPECT_EQ(this->Open(this->second)->record.count, 1U);
@@ -206,6 +208,48 @@
   EXPECT_TRUE(this->Open(this->second).has_value());
 }
 
+// Guards against writes that were requested before the lease was lost and take
+// it back from the new holder.
+TEST_F(RecordedOrderTest, TakenOver_QueuedWrites_KeepTheNewHolder) {
+  this->platform.lease_record.holder = common::HostId("h2");
+  this->platform.lease_record.revision.number = ++this->platform.revision;
+  this->platform.answers_later = true;
+  int recorded = 0;
+  const auto count = [&](const auto& record) {
+    recorded += record.has_value();
+  };
+  this->first.RecordOrder(this->service, this->a, 3, count);
+  this->first.RecordOrder(common::ServiceId("other"), this->b, 5, count);
+  this->first.Release();
+  this->platform.AnswerAll();
+  EXPECT_EQ(recorded, 0);
+  EXPECT_EQ(this->platform.lease_record.holder.Value(), "h2");
+  EXPECT_TRUE(this->platform.lease_record.active);
+  EXPECT_TRUE(this->platform.lease_record.orders.empty());
+}
+
+// Guards against taking two orders for one, which would count as executed after
+// the first effect.
+TEST_F(RecordedOrderTest, RepeatedWhileQueued_RecordOrder_CountsBoth) {
+  this->platform.answers_later = true;
+  for (int order = 0; order < 2; ++order) {
+    this->first.RecordOrder(this->service, this->a, 3, [](const auto&) {});
+  }
+  this->platform.AnswerAll();
+  ASSERT_TRUE(this->Open(this->first).has_value());
+  EXPECT_EQ(this->Open(this->first)->record.count, 2U);
+}
+
+// Guards against a late rejection that withdraws a later order.
+TEST_F(RecordedOrderTest, RejectedLate_WithdrawOrder_KeepsTheLaterOne) {
+  ASSERT_TRUE(this->Record(&this->first, this->a));
+  const std::uint64_t number = this->Open(this->first)->record.number;
+  this->first.SettleOrder(this->service);
+  ASSERT_TRUE(this->Record(&this->first, this->b));
+  this->first.WithdrawOrder(this->service, number);
+  EXPECT_TRUE(this->Open(this->first).has_value());
+}
+
 // Guards against orders of two services that are recorded at the same time, one
 // of which would meet the revision of the other.
 TEST_F(RecordedOrderTest, OtherServiceAtTheSameTime_RecordOrder_Succeeds) {
