Soak: Delay promotions, and check the log of each promoted database

In every other seed on average, orders of some seconds now take effect after 0.3 to 8 s. Meanwhile the replicas of one service lag and its primary is silent for 4 s: crash_primary closes accepted connections, which the proxies take for a full database, so it rarely leads to an order. The new faults are drawn apart; those of existing seeds are as before. At each promotion that takes effect, the log must have all acknowledged commits (promotion_lacks_commit).

A commit was also copied to a former primary that was not demoted yet, with the term of the new one, so that the group could take the former one for the current primary.

--- a/Source/Soak/database_group.cc
+++ b/Source/Soak/database_group.cc
@@ -13,6 +13,8 @@
 constexpr std::chrono::milliseconds kReplicationInterval(30);
 /// Delay between a promotion request and its effect.
 constexpr std::chrono::milliseconds kPromotionDelay(300);
+/// Longest delay of a slow promotion.
+constexpr std::chrono::milliseconds kMaxPromotionDelay(8000);
 /// Delay between a promotion and the demotion of the previous primary.
 constexpr std::chrono::milliseconds kDemotionDelay(1000);
 /// While responses are lost, every nth statement executes without a response.
@@ -22,8 +24,13 @@
 
 DatabaseGroup::DatabaseGroup(connection::EventLoop* loop,
                              platform::FakeStore* store,
-                             GuaranteeChecker* checker, std::string service)
-    : loop(loop), store(store), checker(checker), service(std::move(service)) {
+                             GuaranteeChecker* checker, std::string service,
+                             std::uint64_t seed)
+    : loop(loop),
+      store(store),
+      checker(checker),
+      service(std::move(service)),
+      random(seed) {
   constexpr int kMembers = 3;
   for (int index = 0; index < kMembers; ++index) {
     auto member = std::make_unique<Member>();
@@ -96,6 +103,7 @@
   if (primary != this->Leader()) return false;
   for (const auto& replica : this->members) {
     const bool can_receive = replica.get() != primary && !replica->down &&
+                             !replica->database->primary &&
                              replica->database->held == 0 &&
                              replica->database->term <= primary->database->term;
     if (!can_receive) continue;
@@ -132,18 +140,33 @@
                    [&](const auto& member) { return member->id == id; });
   if (found == this->members.end() || (*found)->down) return false;
   if (found->get() == this->Leader()) return true;
-  this->loop->RunLater(kPromotionDelay, [this, candidate = found->get()] {
+  const std::chrono::milliseconds delay = this->PromotionDelay();
+  common::Log(common::Subsystem::kProcess, common::LogLevel::kInfo,
+              "promotion_accepted",
+              {{"endpoint", id}, {"delay_ms", delay.count()}});
+  this->loop->RunLater(delay, [this, candidate = found->get()] {
     this->FinishPromotion(candidate);
   });
   return true;
 }
 
+std::chrono::milliseconds DatabaseGroup::PromotionDelay() {
+  if (!this->slow_promotions) return kPromotionDelay;
+  std::uniform_int_distribution<std::chrono::milliseconds::rep> delay(
+      kPromotionDelay.count(), kMaxPromotionDelay.count());
+  return std::chrono::milliseconds(delay(this->random));
+}
+
 void DatabaseGroup::FinishPromotion(Member* candidate) {
   if (candidate->down || candidate == this->Leader()) return;
   common::Term highest = 0;
   for (const auto& member : this->members) {
     highest = std::max(highest, member->database->term);
   }
+  common::Log(common::Subsystem::kProcess, common::LogLevel::kInfo,
+              "promotion_effective", {{"endpoint", candidate->id}});
+  this->checker->OnPromoted(this->service, candidate->id,
+                            candidate->commit_ids);
   platform::FakeDatabase& database = *candidate->database;
   database.primary = true;
   database.term = highest + 1;
@@ -169,11 +192,11 @@
   });
 }
 
-void DatabaseGroup::CrashPrimary() {
+void DatabaseGroup::CrashPrimary(LinkState state) {
   Member* leader = this->Leader();
   if (leader == nullptr) return;
   leader->down = true;
-  leader->relay->SetState(LinkState::kDown);
+  leader->relay->SetState(state);
 }
 
 void DatabaseGroup::RestoreAll() {
--- a/Source/Soak/database_group.h
+++ b/Source/Soak/database_group.h
@@ -2,6 +2,7 @@
 #define CAMPHORFERRY_SOAK_DATABASE_GROUP_H_
 
 #include <memory>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -15,21 +16,24 @@
 
 /// Replication group of one service: three simulated databases, each behind its
 /// own TCP relay. Replication is asynchronous, but a commit is acknowledged
-/// only after one replica has received it.
+/// only after one replica has received it. The delays of slow promotions are
+/// drawn from the seed.
 class DatabaseGroup {
  public:
   DatabaseGroup(connection::EventLoop* loop, platform::FakeStore* store,
-                GuaranteeChecker* checker, std::string service);
+                GuaranteeChecker* checker, std::string service,
+                std::uint64_t seed);
 
   /// Publishes the entries of all databases in the store.
   void Register();
 
-  /// Starts a promotion, which takes effect after a delay. Returns false if the
-  /// database is not a member of the group or is down.
+  /// Starts a promotion, which takes effect after a delay, whatever has
+  /// happened in the meantime. Returns false if the database is not a member of
+  /// the group or is down.
   bool Promote(const std::string& id);
 
-  /// Makes the current primary unreachable.
-  void CrashPrimary();
+  /// Makes the current primary unreachable: its links get the given state.
+  void CrashPrimary(LinkState state = LinkState::kDown);
   /// Ends all crashes. The databases return with their logs, and their links
   /// have the state that was set last.
   void RestoreAll();
@@ -47,8 +51,14 @@
   /// While set, some statements execute but get no response.
   void SetLoseResponses(bool lose) { this->lose_responses = lose; }
 
+  /// While set, promotions that are started take effect after 0.3 to 8 s.
+  void SetPromotionsSlow(bool slow) { this->slow_promotions = slow; }
+
   const std::string& Service() const { return this->service; }
 
+  /// Identifier of the current primary.
+  const std::string& LeaderId() const { return this->Leader()->id; }
+
   /// Identifiers of the commits in the log of the current primary.
   std::vector<std::string> CommittedIds() const;
 
@@ -70,6 +80,8 @@
   void CatchUp();
   void OnExecuted(const Member& member,
                   const platform::StatementRecord& statement);
+  /// Delay between the promotion that starts now and its effect.
+  std::chrono::milliseconds PromotionDelay();
   void FinishPromotion(Member* candidate);
   /// The primary of the highest term.
   Member* Leader();
@@ -83,6 +95,8 @@
   LinkState link_state = LinkState::kOpen;
   bool replicas_lag = false;
   bool lose_responses = false;
+  bool slow_promotions = false;
+  std::mt19937_64 random;
   unsigned statement_counter = 0;
   /// True if the last commit has reached a replica and is to be acknowledged.
   bool commit_replicated = false;
--- a/Source/Soak/fault_schedule.cc
+++ b/Source/Soak/fault_schedule.cc
@@ -8,6 +8,7 @@
 
 namespace {
 
+/// The kinds that are drawn with equal probability.
 constexpr std::array<FaultKind, 21> kAllFaultKinds = {
     FaultKind::kStopProxy,
     FaultKind::kKillProxy,
@@ -35,6 +36,32 @@
 constexpr std::chrono::seconds kFaultFreeEnd(9);
 /// Time under load before the first fault.
 constexpr std::chrono::seconds kFaultFreeStart(2);
+/// Time between the end of slow promotions and the end of a run. An order may
+/// take effect 8 s later, and another one may be given only 10 s later.
+constexpr std::chrono::seconds kPromptPromotionsEnd(14);
+
+/// Appends the time of slow promotions, if the seed has one. The primary of one
+/// service is silent for its first seconds and the replicas lag, so that
+/// an order that takes effect late meets a log that lacks commits.
+void AddSlowPromotions(std::uint64_t seed, common::Duration length,
+                       std::vector<Fault>* faults) {
+  constexpr std::chrono::seconds kSilence(4);
+  std::mt19937_64 random(~seed);
+  if (random() % 2 == 0) return;
+  Fault fault;
+  fault.at = kFaultFreeStart + std::chrono::milliseconds(random() % 2000);
+  fault.duration = length - kPromptPromotionsEnd - fault.at;
+  if (fault.duration <= common::Duration::zero()) return;
+  fault.target_selector = random();
+  for (const FaultKind kind :
+       {FaultKind::kSlowPromotions, FaultKind::kReplicasLag,
+        FaultKind::kSilentPrimary}) {
+    fault.kind = kind;
+    faults->push_back(fault);
+  }
+  faults->back().duration =
+      std::min<common::Duration>(fault.duration, kSilence);
+}
 
 }  // namespace
 
@@ -82,6 +109,10 @@
       return "key_withdrawn";
     case FaultKind::kSettingsSignal:
       return "settings_signal";
+    case FaultKind::kSlowPromotions:
+      return "slow_promotions";
+    case FaultKind::kSilentPrimary:
+      return "silent_primary";
   }
   return "unknown";
 }
@@ -113,6 +144,7 @@
     // The next fault often starts before this one has ended.
     at += milliseconds(500, 3500);
   }
+  AddSlowPromotions(seed, length, &faults);
   return faults;
 }
 
--- a/Source/Soak/fault_schedule.h
+++ b/Source/Soak/fault_schedule.h
@@ -31,7 +31,9 @@
   kProxyCutFromStore,
   kConfigurationChange,
   kKeyWithdrawn,
-  kSettingsSignal
+  kSettingsSignal,
+  kSlowPromotions,
+  kSilentPrimary
 };
 
 /// Name of a fault for logs.
@@ -49,7 +51,9 @@
 
 /// Generates the faults of a run of the given length: single, repeated and
 /// overlapping ones. The result depends only on the seed and the length. The
-/// last seconds of the run have no faults.
+/// last seconds of the run have no faults. Promotions are slow in every other
+/// seed on average; this is drawn apart, so the other faults don't depend on
+/// it.
 std::vector<Fault> MakeSchedule(std::uint64_t seed, common::Duration length);
 
 }  // namespace camphorferry::soak
--- a/Source/Soak/fault_tracker.cc
+++ b/Source/Soak/fault_tracker.cc
@@ -75,6 +75,10 @@
       return ToggleKey{};
     case FaultKind::kSettingsSignal:
       return SignalProxy{proxy, SIGHUP};
+    case FaultKind::kSlowPromotions:
+      return SetPromotionsSlow{true};
+    case FaultKind::kSilentPrimary:
+      return CrashPrimary{service, LinkState::kSilent};
   }
   return PublishConfiguration{};
 }
@@ -86,6 +90,7 @@
     case FaultKind::kFreezeProxy:
       return SignalProxy{proxy, SIGCONT};
     case FaultKind::kCrashPrimary:
+    case FaultKind::kSilentPrimary:
       return RestoreDatabases{service};
     case FaultKind::kDatabaseLinksSilent:
     case FaultKind::kDatabaseLinksCutForward:
@@ -103,6 +108,8 @@
       return SetStoreState{StoreState::kUp};
     case FaultKind::kProxyCutFromStore:
       return SetStoreLink{proxy, LinkState::kOpen};
+    case FaultKind::kSlowPromotions:
+      return SetPromotionsSlow{false};
     default:
       return std::nullopt;
   }
--- a/Source/Soak/fault_tracker.h
+++ b/Source/Soak/fault_tracker.h
@@ -28,6 +28,7 @@
 /// Make the current primary of a service unreachable.
 struct CrashPrimary {
   std::size_t service = 0;
+  LinkState state = LinkState::kDown;
   bool operator==(const CrashPrimary&) const = default;
 };
 
@@ -64,6 +65,12 @@
   bool operator==(const SetResponsesLost&) const = default;
 };
 
+/// Let promotions of all services take effect slowly, or promptly again.
+struct SetPromotionsSlow {
+  bool slow = false;
+  bool operator==(const SetPromotionsSlow&) const = default;
+};
+
 /// Set how the store responds.
 struct SetStoreState {
   platform::StoreState state = platform::StoreState::kUp;
@@ -96,7 +103,8 @@
     std::variant<SignalProxy, SignalAllProxies, CrashPrimary, RestoreDatabases,
                  ResetDatabaseConnections, SetDatabaseLinks, SetReplicasLag,
                  SetResponsesLost, SetStoreState, DropStoreHistory,
-                 SetStoreLink, PublishConfiguration, ToggleKey>;
+                 SetStoreLink, PublishConfiguration, ToggleKey,
+                 SetPromotionsSlow>;
 
 /// Decides by which actions the faults of a schedule begin and end. Where
 /// faults overlap that change the same state, the one that began last
--- a/Source/Soak/guarantee_checker.cc
+++ b/Source/Soak/guarantee_checker.cc
@@ -120,6 +120,21 @@
   if (has_run || age > kLossSlack) this->Report("cut_by_stop", detail);
 }
 
+void GuaranteeChecker::OnPromoted(const std::string& service,
+                                  const std::string& endpoint,
+                                  const std::set<std::string>& held_commits) {
+  std::size_t missing = 0;
+  std::string first_missing;
+  for (const AcknowledgedCommit& commit : this->commits[service]) {
+    if (held_commits.contains(commit.id)) continue;
+    if (missing++ == 0) first_missing = commit.id;
+  }
+  if (missing == 0) return;
+  this->Report("promotion_lacks_commit",
+               "endpoint=" + endpoint + " lacks=" + first_missing +
+                   " missing=" + std::to_string(missing));
+}
+
 void GuaranteeChecker::CheckFinalLog(
     const std::string& service, const std::vector<std::string>& committed) {
   std::map<std::string, std::size_t> counts;
--- a/Source/Soak/guarantee_checker.h
+++ b/Source/Soak/guarantee_checker.h
@@ -67,6 +67,11 @@
   void OnConnectionLost(const std::string& id, bool only_planned_operations,
                         common::SteadyTime now);
 
+  /// Called when a promotion takes effect. The log of the promoted database
+  /// must have all commits that were acknowledged.
+  void OnPromoted(const std::string& service, const std::string& endpoint,
+                  const std::set<std::string>& held_commits);
+
   /// Compares all reported outcomes with the log of a service's primary at the
   /// end of the run.
   void CheckFinalLog(const std::string& service,
--- a/Source/Soak/soak_run.cc
+++ b/Source/Soak/soak_run.cc
@@ -62,7 +62,8 @@
     this->context.services.push_back("service" + std::to_string(index));
     this->groups.push_back(std::make_unique<DatabaseGroup>(
         &this->loop, this->store.get(), &this->checker,
-        this->context.services.back()));
+        this->context.services.back(),
+        this->settings.seed * 1000 + static_cast<std::uint64_t>(index)));
     this->groups.back()->Register();
   }
   for (const std::string& workspace : kWorkspaces) {
@@ -160,7 +161,7 @@
             }
           },
           [this](const CrashPrimary& crash) {
-            this->groups[crash.service]->CrashPrimary();
+            this->groups[crash.service]->CrashPrimary(crash.state);
           },
           [this](const RestoreDatabases& restore) {
             this->groups[restore.service]->RestoreAll();
@@ -177,6 +178,11 @@
           [this](const SetResponsesLost& responses) {
             this->groups[responses.service]->SetLoseResponses(responses.lose);
           },
+          [this](const SetPromotionsSlow& promotions) {
+            for (const auto& group : this->groups) {
+              group->SetPromotionsSlow(promotions.slow);
+            }
+          },
           [this](const SetStoreState& store) {
             this->store->SetState(store.state);
           },
--- a/Source/UnitTests/Soak/database_group_test.cc
+++ b/Source/UnitTests/Soak/database_group_test.cc
@@ -43,11 +43,23 @@
     return responds;
   }
 
+  /// Whether the database becomes the primary within the time.
+  bool LeadsWithin(const std::string& id, std::chrono::milliseconds limit) {
+    constexpr std::chrono::milliseconds kInterval(20);
+    const common::SteadyTime end = common::SteadyNow() + limit;
+    const auto timer = this->loop.Every(kInterval, [&] {
+      const bool leads = this->group.LeaderId() == id;
+      if (leads || common::SteadyNow() >= end) this->loop.Stop();
+    });
+    this->loop.Run();
+    return this->group.LeaderId() == id;
+  }
+
   connection::EventLoop loop;
   GuaranteeChecker checker;
   platform::FakeStore store{
       &this->loop, [](const std::string&, const std::string&) { return true; }};
-  DatabaseGroup group{&this->loop, &this->store, &this->checker, "svc"};
+  DatabaseGroup group{&this->loop, &this->store, &this->checker, "svc", 1};
   platform::StoreClient client{&this->loop, this->store.Address(),
                                this->store.Address()};
 };
@@ -64,5 +76,32 @@
   EXPECT_TRUE(this->Responds("svc-0"));
 }
 
+// Guards against promotions that are never slow, with which the soak would not
+// show an order that takes effect late.
+TEST_F(DatabaseGroupTest, SetPromotionsSlow_Promotion_TakesEffectLater) {
+  using std::chrono::milliseconds;
+  EXPECT_TRUE(this->group.Promote("svc-1"));
+  EXPECT_TRUE(this->LeadsWithin("svc-1", milliseconds(1000)));
+  this->group.SetPromotionsSlow(true);
+  EXPECT_TRUE(this->group.Promote("svc-2"));
+  EXPECT_FALSE(this->LeadsWithin("svc-2", milliseconds(1000)));
+  EXPECT_TRUE(this->LeadsWithin("svc-2", milliseconds(8000)));
+}
+
+// Guards against promotions that the checker doesn't see.
+TEST_F(DatabaseGroupTest, Promote_LogWithoutAnAcknowledgedCommit_IsViolation) {
+  SentStatement statement;
+  statement.id = "a";
+  statement.service = "svc";
+  statement.commits = true;
+  this->checker.OnSent(statement);
+  this->checker.OnOutcome("a", ClientOutcome::kDone, common::SteadyNow());
+  EXPECT_TRUE(this->group.Promote("svc-1"));
+  EXPECT_TRUE(this->LeadsWithin("svc-1", std::chrono::milliseconds(1000)));
+  EXPECT_EQ(this->checker.Violations(),
+            std::vector<std::string>{
+                "promotion_lacks_commit endpoint=svc-1 lacks=a missing=1"});
+}
+
 }  // namespace
 }  // namespace camphorferry::soak
--- a/Source/UnitTests/Soak/fault_tracker_test.cc
+++ b/Source/UnitTests/Soak/fault_tracker_test.cc
@@ -56,7 +56,9 @@
       {FaultKind::kReplicasLag, SetReplicasLag{0, false}},
       {FaultKind::kDatabaseAnswersLost, SetResponsesLost{0, false}},
       {FaultKind::kStoreBusy, SetStoreState{StoreState::kUp}},
-      {FaultKind::kProxyCutFromStore, SetStoreLink{0, LinkState::kOpen}}};
+      {FaultKind::kProxyCutFromStore, SetStoreLink{0, LinkState::kOpen}},
+      {FaultKind::kSlowPromotions, SetPromotionsSlow{false}},
+      {FaultKind::kSilentPrimary, RestoreDatabases{0}}};
   for (const auto& [kind, reversal] : kinds) {
     const Fault first = Make(kind);
     const Fault second = Make(kind, 0, milliseconds(500));
--- a/Source/UnitTests/Soak/guarantee_checker_test.cc
+++ b/Source/UnitTests/Soak/guarantee_checker_test.cc
@@ -85,6 +85,28 @@
   EXPECT_TRUE(this->HasViolation("kept_though_refused"));
 }
 
+// Guards against a loss that no read meets.
+TEST_F(GuaranteeCheckerTest, OnPromoted_LogWithoutACommit_IsViolation) {
+  this->Commit("a", milliseconds(0));
+  this->Commit("b", milliseconds(10));
+  this->checker.OnPromoted("s", "s-1", {"a", "b"});
+  this->checker.OnPromoted("other", "other-1", {});
+  EXPECT_TRUE(this->checker.Violations().empty());
+  this->checker.OnPromoted("s", "s-1", {"a"});
+  EXPECT_EQ(this->checker.Violations(),
+            std::vector<std::string>{
+                "promotion_lacks_commit endpoint=s-1 lacks=b missing=1"});
+}
+
+// A commit whose outcome its client does not know may be missing.
+TEST_F(GuaranteeCheckerTest, OnPromoted_LogWithoutUnknownCommit_IsNoViolation) {
+  this->Send("a", milliseconds(0), true);
+  this->Run("a", milliseconds(1));
+  this->checker.OnOutcome("a", ClientOutcome::kUnknown, kStart);
+  this->checker.OnPromoted("s", "s-1", {});
+  EXPECT_TRUE(this->checker.Violations().empty());
+}
+
 TEST_F(GuaranteeCheckerTest, OnExecuted_LatestReadWithoutACommit_IsStale) {
   this->Commit("a", milliseconds(0));
   this->Send("r", milliseconds(10));
@@ -189,5 +211,20 @@
   }
 }
 
+// Guards against delayed promotions that leave clients without a primary in the
+// quiet end, and against a fault that no run injects.
+TEST_F(FaultScheduleTest, MakeSchedule_SlowPromotions_EndEarlyInHalfOfSeeds) {
+  int slow = 0;
+  for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+    for (const Fault& fault : MakeSchedule(seed, seconds(25))) {
+      if (fault.kind != FaultKind::kSlowPromotions) continue;
+      ++slow;
+      EXPECT_EQ(fault.at + fault.duration, seconds(25) - seconds(14));
+    }
+  }
+  EXPECT_GT(slow, 70);
+  EXPECT_LT(slow, 130);
+}
+
 }  // namespace
 }  // namespace camphorferry::soak
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -28,7 +28,7 @@
 run() {
   "$build/Source/Soak/camphorferry-soak" \
     --program "$build/platform/camphorferry-proxy" --folder "$folder" "$@" |
-    grep -v event=fault_begins
+    grep -vE 'event=(fault_begins|promotion_accepted|promotion_effective)'
 }
 
 if ! $regression; then
