Tests: Let HoldAnsweredLongAgo fail if answers count from their processing

The other replica now answers 100 ms before. With the time of processing in OnStatus the test fails; with the code as it is, it passes.

--- a/Source/UnitTests/Core/Session/promotion_model_test.cc
+++ b/Source/UnitTests/Core/Session/promotion_model_test.cc
@@ -275,8 +275,8 @@
 // Guards against the same if the answer has waited while the daemon did not
 // run.
 TEST_F(PromotionLossTest, HoldAnsweredLongAgo_OtherAnswers_OrdersNothing) {
-  this->Answer(this->b, Replica(3, 10, 4));
   this->plan.OnStatus(this->a, Replica(3, 10, 0), kStart + kFencePause);
+  this->Answer(this->b, Replica(3, 10, 4), milliseconds(1400));
   this->Record(
       this->plan.OnStatus(this->a, Replica(3, 10, 4),
                           kStart + milliseconds(1500), kStart + kFencePause),
