Session: One comparison of held logs, and less repetition around orders

- The comparison of two held logs stood twice in PromotionPlan; HasAllOf serves both.
- PromotionTask::Begin cleared the given orders, which End has cleared before.
- Two tests of RecordedOrderTest requested the same two orders; a step of the fixture does so now, with the same assertions.
- The comment at kAbandonedHoldAfter did not allow for promotions that wait for an earlier order.

--- a/Source/Core/Session/primary_monitor.cc
+++ b/Source/Core/Session/primary_monitor.cc
@@ -23,8 +23,9 @@
 /// primary counts as cut off from its replicas.
 constexpr int kMinStalledCommits = 2;
 constexpr std::chrono::milliseconds kStalledAfter(300);
-/// A replica that stays held for this long belongs to no promotion in progress:
-/// a promotion fences for at most 2,000 ms and takes effect within 1,000 ms.
+/// A replica that stays held for this long belongs to no usual promotion, which
+/// fences for at most 2,000 ms and takes effect within 1,000 ms. One that takes
+/// longer keeps the promotion lease, so that no other one begins.
 constexpr std::chrono::milliseconds kAbandonedHoldAfter(3500);
 /// A status older than this does not show whether a replica is still held.
 constexpr std::chrono::milliseconds kMaxHeldStatusAge(1000);
--- a/Source/Core/Session/promotion_plan.cc
+++ b/Source/Core/Session/promotion_plan.cc
@@ -273,6 +273,12 @@
   return best_id;
 }
 
+bool PromotionPlan::HasAllOf(const common::EndpointId& id,
+                             const common::EndpointId& other) const {
+  return this->members.at(id).fenced->received >=
+         this->members.at(other).fenced->received;
+}
+
 std::set<common::EndpointId> PromotionPlan::Missing(
     common::SteadyTime now) const {
   // Processes of one member never run at the same time, so each member counts
@@ -341,8 +347,7 @@
   const auto found = this->members.find(ordered);
   const bool has_all = found != this->members.end() &&
                        IsHeld(found->second, now) &&
-                       found->second.fenced->received >=
-                           this->members.at(*best).fenced->received;
+                       this->HasAllOf(ordered, *best);
   return has_all ? std::optional(ordered) : std::nullopt;
 }
 
@@ -380,8 +385,7 @@
       this->MostAdvanced(this->primary, now);
   std::optional<common::EndpointId> best = this->MostAdvanced({}, now);
   const bool has_all = replica.has_value() && best.has_value() &&
-                       this->members.at(*replica).fenced->received >=
-                           this->members.at(*best).fenced->received;
+                       this->HasAllOf(*replica, *best);
   if (missing.empty()) {
     // What only the old primary has was acknowledged only if a member that had
     // confirmed it has lost its log since.
--- a/Source/Core/Session/promotion_plan.h
+++ b/Source/Core/Session/promotion_plan.h
@@ -224,6 +224,9 @@
   std::optional<common::EndpointId> MostAdvanced(
       const std::optional<common::EndpointId>& without,
       common::SteadyTime now) const;
+  /// Whether a held member has all that another held one has.
+  bool HasAllOf(const common::EndpointId& id,
+                const common::EndpointId& other) const;
   OrderPromotion Order(common::SteadyTime now);
   /// Whether an order, also of an earlier plan, may still take effect.
   bool OrderMayExecute(common::SteadyTime now) const;
--- a/Source/Core/Session/promotion_task.cc
+++ b/Source/Core/Session/promotion_task.cc
@@ -105,7 +105,6 @@
   std::set<common::EndpointId> former_ids;
   for (const auto& [id, incarnation] : former) former_ids.insert(id);
   this->old_primary = primary;
-  this->given.reset();
   common::Log(Subsystem::kConnection, LogLevel::kWarning, "promotion_started",
               {{"service", this->service},
                {"reason", ToString(reason)},
--- a/Source/UnitTests/Core/Session/promotion_lease_test.cc
+++ b/Source/UnitTests/Core/Session/promotion_lease_test.cc
@@ -126,6 +126,17 @@
     return lease.OpenOrderOf(this->service, common::SteadyNow());
   }
 
+  /// Has the first daemon request to record orders of two services before the
+  /// store answers, and counts those that are recorded.
+  void RequestTwoOrders() {
+    const auto count = [this](const auto& record) {
+      this->recorded += record.has_value();
+    };
+    this->platform.answers_later = true;
+    this->first.RecordOrder(this->service, this->a, 3, count);
+    this->first.RecordOrder(common::ServiceId("other"), this->b, 5, count);
+  }
+
   /// Has the second daemon take the lease over.
   void TakeOver() {
     this->first.Release();
@@ -135,6 +146,7 @@
   common::ServiceId service{"svc"};
   common::EndpointId a{"a"};
   common::EndpointId b{"b"};
+  int recorded = 0;
 };
 
 // Guards against a holder of the lease that has another member promoted while
@@ -213,16 +225,10 @@
 TEST_F(RecordedOrderTest, TakenOver_QueuedWrites_KeepTheNewHolder) {
   this->platform.lease_record.holder = common::HostId("h2");
   this->platform.lease_record.revision.number = ++this->platform.revision;
-  this->platform.answers_later = true;
-  int recorded = 0;
-  const auto count = [&](const auto& record) {
-    recorded += record.has_value();
-  };
-  this->first.RecordOrder(this->service, this->a, 3, count);
-  this->first.RecordOrder(common::ServiceId("other"), this->b, 5, count);
+  this->RequestTwoOrders();
   this->first.Release();
   this->platform.AnswerAll();
-  EXPECT_EQ(recorded, 0);
+  EXPECT_EQ(this->recorded, 0);
   EXPECT_EQ(this->platform.lease_record.holder.Value(), "h2");
   EXPECT_TRUE(this->platform.lease_record.active);
   EXPECT_TRUE(this->platform.lease_record.orders.empty());
@@ -254,15 +260,9 @@
 // of which would meet the revision of the other.
 TEST_F(RecordedOrderTest, OtherServiceAtTheSameTime_RecordOrder_Succeeds) {
   ASSERT_TRUE(Acquire(&this->first));
-  int recorded = 0;
-  const auto count = [&](const auto& record) {
-    recorded += record.has_value();
-  };
-  this->platform.answers_later = true;
-  this->first.RecordOrder(this->service, this->a, 3, count);
-  this->first.RecordOrder(common::ServiceId("other"), this->b, 5, count);
+  this->RequestTwoOrders();
   this->platform.AnswerAll();
-  EXPECT_EQ(recorded, 2);
+  EXPECT_EQ(this->recorded, 2);
   EXPECT_EQ(this->platform.lease_record.orders.size(), 2U);
 }
 
