Session: Log changes of the promotion lease and the token of each order

promotion_lease_acquired, _abandoned, _released and _lost name the record's revision and the reason; promotion_order_answered names the token. No change of behaviour.

--- a/Source/Core/Session/promotion_lease.cc
+++ b/Source/Core/Session/promotion_lease.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "Common/common.h"
+
 namespace camphorferry::session {
 
 namespace {
@@ -15,6 +17,19 @@
 /// Leaves numbers of orders below 2^53, so that JSON keeps them exactly.
 constexpr int kOrderNumberShift = 11;
 
+/// Logs a change of this daemon's use of the lease and the record that it is
+/// based on.
+void LogLease(const char* event, const char* reason,
+              const PromotionLeaseRecord& record) {
+  common::Log(common::Subsystem::kConnection, common::LogLevel::kWarning, event,
+              {{"reason", reason},
+               {"holder", record.holder},
+               {"active", record.active ? "yes" : "no"},
+               {"era", record.revision.era},
+               {"revision", record.revision.number},
+               {"open_orders", record.orders.size()}});
+}
+
 }  // namespace
 
 PromotionLease::PromotionLease(Platform* platform, common::HostId host)
@@ -27,6 +42,7 @@
   this->era = store_era;
   this->era_known_since = now;
   if (this->users > 0 && this->record.revision.era < store_era) {
+    LogLease("promotion_lease_lost", "store_restored", this->record);
     this->lost = true;
     this->confirmed_at.reset();
   }
@@ -78,8 +94,16 @@
           done(false);
           return;
         }
-        this->Write(true, {}, [this, done](bool written) {
-          if (written) ++this->users;
+        this->Write(true, {}, [this, done, former = *stored](bool written) {
+          if (written) {
+            ++this->users;
+            const bool same = former.holder == this->host;
+            LogLease("promotion_lease_acquired",
+                     same            ? "own"
+                     : former.active ? "taken_over"
+                                     : "released",
+                     this->record);
+          }
           done(written);
         });
       });
@@ -192,6 +216,7 @@
 }
 
 void PromotionLease::Abandon() {
+  LogLease("promotion_lease_abandoned", "may_execute", this->record);
   this->abandoned_at = common::SteadyNow();
   this->Release();
 }
@@ -201,8 +226,11 @@
   this->confirmed_at.reset();
   if (std::exchange(this->lost, false)) return;
   if (this->WasAbandoned(common::SteadyNow())) return;
-  this->Write(false, {},
-              [this](bool /*written*/) { this->confirmed_at.reset(); });
+  this->Write(false, {}, [this](bool written) {
+    this->confirmed_at.reset();
+    LogLease("promotion_lease_released", written ? "unused" : "not_written",
+             this->record);
+  });
 }
 
 bool PromotionLease::WasAbandoned(common::SteadyTime now) const {
@@ -269,6 +297,9 @@
     // daemon is its own write that had no answer.
     const bool taken_over = conflict->record.holder != this->host;
     this->lost = this->users > 0 && taken_over;
+    if (this->lost) {
+      LogLease("promotion_lease_lost", "taken_over", this->record);
+    }
     if (taken_over) {
       this->FailAllWrites();
       return;
--- a/Source/Core/Session/promotion_task.cc
+++ b/Source/Core/Session/promotion_task.cc
@@ -348,19 +348,21 @@
   common::Log(Subsystem::kConnection, LogLevel::kWarning, "promotion_ordered",
               {{"service", this->service},
                {"endpoint", order.endpoint},
-               {"token", FencingToken(record)}});
+               {"token", FencingToken(record)},
+               {"revision", record.revision.number}});
   if (!this->given.has_value()) this->given = {order.endpoint, now, 0};
   ++this->given->count;
   this->context.platform->Promote(
       this->service, order.endpoint, record,
       [this, still_alive = this->alive, current, id = order.endpoint, number,
-       now](PromotionAnswer answer) {
+       token = FencingToken(record), now](PromotionAnswer answer) {
         if (!*still_alive) return;
         const common::Duration taken = common::SteadyNow() - now;
         common::Log(Subsystem::kConnection, LogLevel::kWarning,
                     "promotion_order_answered",
                     {{"service", this->service},
                      {"endpoint", id},
+                     {"token", token},
                      {"answer", ToString(answer)},
                      {"after_ms", common::ToMilliseconds(taken).count()}});
         if (answer == PromotionAnswer::kRejected) {
