Soak: Promotions by changing holders, on paths that deliver late

Neither the soak nor the model could show it: the soak's relay drops bytes to a cut target for good, its runs have few promotions, and the model judged no tokens.

The model judges the tokens of the orders that arrive, also up to 8.9 s late.

--- a/Source/Soak/fault_schedule.cc
+++ b/Source/Soak/fault_schedule.cc
@@ -39,6 +39,12 @@
 /// Time between the end of slow promotions and the end of a run. An order may
 /// take effect 8 s later, and another one may be given only 10 s later.
 constexpr std::chrono::seconds kPromptPromotionsEnd(14);
+/// Time without faults at the end of a run of promotions. An order without an
+/// answer may bar others for 10 s.
+constexpr std::chrono::seconds kFaultFreePromotionEnd(17);
+/// Targets are drawn below this number; it is divisible by usual numbers of
+/// proxies.
+constexpr std::uint64_t kManyProxies = 840;
 
 /// Appends the time of slow promotions, if the seed has one. The primary of one
 /// service is silent for its first seconds and the replicas lag, so that
@@ -113,6 +119,8 @@
       return "slow_promotions";
     case FaultKind::kSilentPrimary:
       return "silent_primary";
+    case FaultKind::kPromotionPathHeld:
+      return "promotion_path_held";
   }
   return "unknown";
 }
@@ -148,4 +156,42 @@
   return faults;
 }
 
+std::vector<Fault> MakePromotionSchedule(std::uint64_t seed,
+                                         common::Duration length) {
+  std::mt19937_64 random(seed);
+  const auto milliseconds = [&](int least, int most) {
+    return std::chrono::milliseconds(
+        least + static_cast<int>(random() % (most - least)));
+  };
+  std::vector<Fault> faults;
+  const common::Duration end = length - kFaultFreePromotionEnd;
+  const auto add = [&](FaultKind kind, common::Duration at,
+                       common::Duration duration, std::uint64_t target) {
+    const common::Duration limited =
+        std::min<common::Duration>(duration, end - at);
+    if (limited <= common::Duration::zero()) return;
+    faults.push_back({kind, at, limited, target});
+  };
+  std::uint64_t service = 0;
+  for (common::Duration at = kFaultFreeStart; at < end;
+       at += milliseconds(700, 1300)) {
+    const FaultKind kind = random() % 2 == 0 ? FaultKind::kCrashPrimary
+                                             : FaultKind::kSilentPrimary;
+    add(kind, at, milliseconds(1500, 2500), service++);
+  }
+  for (common::Duration at = kFaultFreeStart; at < end;
+       at += milliseconds(2000, 5000)) {
+    const std::uint64_t first = random();
+    const std::uint64_t count = 1 + random() % 3;
+    for (std::uint64_t proxy = first % kManyProxies;
+         proxy < first % kManyProxies + count; ++proxy) {
+      add(FaultKind::kPromotionPathHeld, at, milliseconds(1000, 14000), proxy);
+      const FaultKind kind =
+          random() % 2 == 0 ? FaultKind::kKillProxy : FaultKind::kFreezeProxy;
+      add(kind, at + milliseconds(300, 3000), milliseconds(500, 5000), proxy);
+    }
+  }
+  return faults;
+}
+
 }  // namespace camphorferry::soak
--- a/Source/Soak/fault_schedule.h
+++ b/Source/Soak/fault_schedule.h
@@ -33,7 +33,8 @@
   kKeyWithdrawn,
   kSettingsSignal,
   kSlowPromotions,
-  kSilentPrimary
+  kSilentPrimary,
+  kPromotionPathHeld
 };
 
 /// Name of a fault for logs.
@@ -56,6 +57,13 @@
 /// it.
 std::vector<Fault> MakeSchedule(std::uint64_t seed, common::Duration length);
 
+/// Generates faults that have primaries replaced about once per second, while
+/// the paths from some proxies to the promotion API are held, and proxies with
+/// a held path are killed or suspended. The last seconds of the run have no
+/// faults.
+std::vector<Fault> MakePromotionSchedule(std::uint64_t seed,
+                                         common::Duration length);
+
 }  // namespace camphorferry::soak
 
 #endif  // CAMPHORFERRY_SOAK_FAULT_SCHEDULE_H_
--- a/Source/Soak/fault_tracker.cc
+++ b/Source/Soak/fault_tracker.cc
@@ -79,6 +79,8 @@
       return SetPromotionsSlow{true};
     case FaultKind::kSilentPrimary:
       return CrashPrimary{service, LinkState::kSilent};
+    case FaultKind::kPromotionPathHeld:
+      return SetPromotionLink{proxy, LinkState::kHeld};
   }
   return PublishConfiguration{};
 }
@@ -110,6 +112,8 @@
       return SetStoreLink{proxy, LinkState::kOpen};
     case FaultKind::kSlowPromotions:
       return SetPromotionsSlow{false};
+    case FaultKind::kPromotionPathHeld:
+      return SetPromotionLink{proxy, LinkState::kOpen};
     default:
       return std::nullopt;
   }
--- a/Source/Soak/fault_tracker.h
+++ b/Source/Soak/fault_tracker.h
@@ -89,6 +89,13 @@
   bool operator==(const SetStoreLink&) const = default;
 };
 
+/// Set the state of the link between a proxy and the promotion API.
+struct SetPromotionLink {
+  std::size_t proxy = 0;
+  LinkState state = LinkState::kOpen;
+  bool operator==(const SetPromotionLink&) const = default;
+};
+
 /// Publish a new version of the configuration.
 struct PublishConfiguration {
   bool operator==(const PublishConfiguration&) const = default;
@@ -104,7 +111,7 @@
                  ResetDatabaseConnections, SetDatabaseLinks, SetReplicasLag,
                  SetResponsesLost, SetStoreState, DropStoreHistory,
                  SetStoreLink, PublishConfiguration, ToggleKey,
-                 SetPromotionsSlow>;
+                 SetPromotionsSlow, SetPromotionLink>;
 
 /// Decides by which actions the faults of a schedule begin and end. Where
 /// faults overlap that change the same state, the one that began last
--- a/Source/Soak/main.cc
+++ b/Source/Soak/main.cc
@@ -15,6 +15,7 @@
 
 using camphorferry::soak::SoakResult;
 using camphorferry::soak::SoakRun;
+using camphorferry::soak::SoakSchedule;
 using camphorferry::soak::SoakSettings;
 
 constexpr int kExitOk = 0;
@@ -29,6 +30,8 @@
   int seconds = 25;
   int proxies = 4;
   int clients = 24;
+  int services = 2;
+  int promotions = 0;
 };
 
 bool ReadOptions(int argc, const char** argv, Options* options) {
@@ -44,6 +47,9 @@
        "Length of a run, at least 15", "T"},
       {"daemons", 0, POPT_ARG_INT, &options->proxies, 0, "Proxies to run", "D"},
       {"clients", 0, POPT_ARG_INT, &options->clients, 0, "Clients to run", "C"},
+      {"services", 0, POPT_ARG_INT, &options->services, 0, "Services", "S"},
+      {"promotions", 0, POPT_ARG_NONE, &options->promotions, 0,
+       "Play many promotions, some of whose orders arrive late", nullptr},
       POPT_AUTOHELP POPT_TABLEEND};
   poptContext context = poptGetContext(nullptr, argc, argv, table, 0);
   const bool parsed =
@@ -52,7 +58,7 @@
   constexpr int kMinSeconds = 15;
   return parsed && options->program != nullptr && options->folder != nullptr &&
          options->seeds > 0 && options->seconds >= kMinSeconds &&
-         options->proxies > 0 && options->clients > 0;
+         options->proxies > 0 && options->clients > 0 && options->services > 0;
 }
 
 /// Executions one seed. Returns true if no guarantee was violated.
@@ -66,10 +72,13 @@
   settings.length = std::chrono::seconds(options.seconds);
   settings.proxies = options.proxies;
   settings.clients = options.clients;
+  settings.services = options.services;
+  if (options.promotions != 0) settings.schedule = SoakSchedule::kPromotions;
   const SoakResult result = SoakRun(settings).Run();
   std::cout << "soak: seed=" << seed << " broken=" << result.violations.size()
             << " acknowledged=" << result.acknowledged
-            << " runs=" << result.executions << "\n";
+            << " runs=" << result.executions
+            << " promotion_calls=" << result.promotion_calls << "\n";
   constexpr std::size_t kMaxPrintedViolations = 10;
   for (std::size_t index = 0;
        index < std::min(result.violations.size(), kMaxPrintedViolations);
--- a/Source/Soak/proxy_process.cc
+++ b/Source/Soak/proxy_process.cc
@@ -39,7 +39,8 @@
     : Error("cannot start " + program) {}
 
 ProxyProcess::ProxyProcess(std::string program, const std::string& folder,
-                           int index, const connection::SocketAddress& store)
+                           int index, const connection::SocketAddress& store,
+                           const connection::SocketAddress& promotion)
     : program(std::move(program)),
       settings_path(folder + "/proxy-" + std::to_string(index) + ".json"),
       log_path(folder + "/proxy-" + std::to_string(index) + ".log"),
@@ -54,7 +55,7 @@
   settings.peers = {this->ip, kFirstPeerPort};
   settings.rate_tolerance = kRateTolerance;
   std::ofstream(this->settings_path)
-      << platform::EncodeSettings(settings, store).dump(2);
+      << platform::EncodeSettings(settings, store, promotion).dump(2);
 }
 
 ProxyProcess::~ProxyProcess() {
--- a/Source/Soak/proxy_process.h
+++ b/Source/Soak/proxy_process.h
@@ -21,7 +21,8 @@
  public:
   /// Writes the settings of the proxy to the folder, which also gets its log.
   ProxyProcess(std::string program, const std::string& folder, int index,
-               const connection::SocketAddress& store);
+               const connection::SocketAddress& store,
+               const connection::SocketAddress& promotion);
   ~ProxyProcess();
   ProxyProcess(const ProxyProcess&) = delete;
   ProxyProcess& operator=(const ProxyProcess&) = delete;
--- a/Source/Soak/soak_run.cc
+++ b/Source/Soak/soak_run.cc
@@ -1,5 +1,6 @@
 #include "soak_run.h"
 
+#include <map>
 #include <utility>
 
 namespace camphorferry::soak {
@@ -102,9 +103,12 @@
   for (int index = 0; index < this->settings.proxies; ++index) {
     this->store_relays.push_back(
         std::make_unique<TcpRelay>(&this->loop, this->store->Address()));
+    this->promotion_relays.push_back(
+        std::make_unique<TcpRelay>(&this->loop, this->store->Address()));
     this->proxies.push_back(std::make_unique<ProxyProcess>(
         this->settings.program, this->settings.folder, index,
-        this->store_relays.back()->Address()));
+        this->store_relays.back()->Address(),
+        this->promotion_relays.back()->Address()));
     this->proxies.back()->Start();
   }
 }
@@ -190,6 +194,9 @@
           [this](const SetStoreLink& link) {
             this->store_relays[link.proxy]->SetState(link.state);
           },
+          [this](const SetPromotionLink& link) {
+            this->promotion_relays[link.proxy]->SetState(link.state);
+          },
           [this](const PublishConfiguration&) { this->PutConfiguration(); },
           [this](const ToggleKey&) {
             this->key_withdrawn = !this->key_withdrawn;
@@ -223,21 +230,45 @@
     if (withdrawn || since < kMaxTimeSinceSuccess) continue;
     this->violations.push_back("not_served client=" + std::to_string(index));
   }
-  for (std::size_t index = 1; index < this->store->PromotionTokens().size();
-       ++index) {
-    const auto& tokens = this->store->PromotionTokens();
-    if (tokens[index] < tokens[index - 1]) {
+}
+
+void SoakRun::CheckFencingTokens() {
+  using platform::PromotionCall;
+  const auto describe = [](const PromotionCall& call) {
+    return call.service + " " + call.endpoint + " holder=" + call.holder +
+           " token=" + std::to_string(call.token);
+  };
+  std::optional<PromotionCall> latest;
+  std::map<std::string, PromotionCall> latest_of_service;
+  for (const PromotionCall& call : this->store->PromotionCalls()) {
+    const auto [seen, is_first] =
+        latest_of_service.try_emplace(call.service, call);
+    const bool falls = call.token < seen->second.token;
+    const bool shared =
+        call.token == seen->second.token && call.holder != seen->second.holder;
+    if (falls || shared) {
+      this->violations.push_back("fence_falls " + describe(call) + " after " +
+                                 describe(seen->second));
+    } else {
+      seen->second = call;
+    }
+    const bool falls_for_any = latest.has_value() && call.token < latest->token;
+    if (falls_for_any && this->settings.schedule == SoakSchedule::kMixed) {
       this->violations.push_back("token_falls token=" +
-                                 std::to_string(tokens[index]));
+                                 std::to_string(call.token));
     }
+    latest = call;
   }
 }
 
 SoakResult SoakRun::Run() {
   this->StartProxies();
   this->StartClients();
-  for (const Fault& fault :
-       MakeSchedule(this->settings.seed, this->settings.length)) {
+  const std::vector<Fault> faults =
+      this->settings.schedule == SoakSchedule::kPromotions
+          ? MakePromotionSchedule(this->settings.seed, this->settings.length)
+          : MakeSchedule(this->settings.seed, this->settings.length);
+  for (const Fault& fault : faults) {
     this->loop.RunLater(fault.at, [this, fault] { this->BeginFault(fault); });
     this->loop.RunLater(fault.at + fault.duration,
                         [this, fault] { this->EndFault(fault); });
@@ -254,6 +285,7 @@
     this->loop.RunLater(kFinishTimeout, [this] { this->loop.Stop(); });
   });
   this->loop.Run();
+  this->CheckFencingTokens();
   for (const auto& group : this->groups) {
     this->checker.CheckFinalLog(group->Service(), group->CommittedIds());
   }
@@ -263,6 +295,7 @@
                            this->violations.end());
   result.acknowledged = this->checker.Acknowledged();
   result.executions = this->checker.Executions();
+  result.promotion_calls = this->store->PromotionCalls().size();
   this->clients.clear();
   this->proxies.clear();
   return result;
--- a/Source/Soak/soak_run.h
+++ b/Source/Soak/soak_run.h
@@ -15,6 +15,14 @@
 
 namespace camphorferry::soak {
 
+/// The faults that a run injects.
+enum class SoakSchedule {
+  kMixed,
+  /// Many promotions by changing holders of the lease, some of whose orders
+  /// arrive late.
+  kPromotions
+};
+
 /// Settings of a run.
 struct SoakSettings {
   std::string program;
@@ -25,6 +33,7 @@
   int proxies = 4;
   int services = 2;
   int clients = 24;
+  SoakSchedule schedule = SoakSchedule::kMixed;
 };
 
 /// Result of a run.
@@ -32,6 +41,7 @@
   std::vector<std::string> violations;
   std::size_t acknowledged = 0;
   std::size_t executions = 0;
+  std::size_t promotion_calls = 0;
 };
 
 /// One run: starts proxy processes with a simulated store and simulated
@@ -54,6 +64,9 @@
   void RestartExitedProxies();
   void CheckResources();
   void CheckFinalState();
+  /// Checks that promotion calls arrive with rising fencing tokens. Those of
+  /// one service always do; those of all services if none is delivered late.
+  void CheckFencingTokens();
   bool OnlyPlannedOperations(common::SteadyTime since) const;
 
   SoakSettings settings;
@@ -63,6 +76,7 @@
   std::unique_ptr<platform::FakeStore> store;
   std::vector<std::unique_ptr<DatabaseGroup>> groups;
   std::vector<std::unique_ptr<TcpRelay>> store_relays;
+  std::vector<std::unique_ptr<TcpRelay>> promotion_relays;
   std::vector<std::unique_ptr<ProxyProcess>> proxies;
   std::vector<std::unique_ptr<SoakClient>> clients;
   SoakContext context;
--- a/Source/Soak/tcp_relay.cc
+++ b/Source/Soak/tcp_relay.cc
@@ -8,6 +8,7 @@
 
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace camphorferry::soak {
 
@@ -33,6 +34,9 @@
   /// be dropped too, or the stream would be corrupt.
   bool dropping_forward = false;
   bool dropping_backward = false;
+  /// Ends that were reached while the link was held.
+  bool held_end_of_client = false;
+  bool held_end_of_target = false;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 
   ~RelayedConnection() {
@@ -66,8 +70,27 @@
 }
 
 void TcpRelay::SetState(LinkState changed) {
-  this->state = changed;
+  const LinkState before = std::exchange(this->state, changed);
   if (changed == LinkState::kDown) this->ResetAll();
+  if (before == LinkState::kHeld && changed != before) this->DeliverHeld();
+}
+
+void TcpRelay::DeliverHeld() {
+  std::vector<RelayedConnection*> waiting;
+  for (const auto& [raw, relayed] : this->relayed_connections) {
+    waiting.push_back(raw);
+  }
+  for (RelayedConnection* relayed : waiting) {
+    for (const bool forward : {true, false}) {
+      const bool ended =
+          forward ? relayed->held_end_of_client : relayed->held_end_of_target;
+      if (ended) {
+        this->End(relayed, forward);
+        break;
+      }
+      this->Forward(relayed, forward);
+    }
+  }
 }
 
 void TcpRelay::ResetAll() {
@@ -109,6 +132,7 @@
 }
 
 void TcpRelay::Forward(RelayedConnection* relayed, bool forward) {
+  if (this->state == LinkState::kHeld) return;
   const bool cut = this->state == LinkState::kSilent ||
                    this->state == (forward ? LinkState::kCutForward
                                            : LinkState::kCutBackward);
@@ -139,32 +163,38 @@
 void TcpRelay::OnEvent(bufferevent* from, short what, void* context) {
   if ((what & BEV_EVENT_CONNECTED) != 0) return;
   auto* relayed = static_cast<RelayedConnection*>(context);
-  TcpRelay* relay = relayed->relay;
+  relayed->relay->End(relayed, from == relayed->client);
+}
+
+void TcpRelay::End(RelayedConnection* relayed, bool by_client) {
+  if (this->state == LinkState::kHeld) {
+    (by_client ? relayed->held_end_of_client : relayed->held_end_of_target) =
+        true;
+    return;
+  }
   // Forwards the bytes that arrived before the end of the connection.
-  relay->Forward(relayed, from == relayed->client);
-  const bool end_is_dropped = from == relayed->client
-                                  ? relayed->dropping_forward
-                                  : relayed->dropping_backward;
+  this->Forward(relayed, by_client);
+  const bool end_is_dropped =
+      by_client ? relayed->dropping_forward : relayed->dropping_backward;
   if (end_is_dropped) {
     // The end of a connection doesn't cross a cut link. The other side notices
     // only by its timeout.
-    relay->loop->RunLater(kUnresponsivePeerTimeout,
-                          [relay, relayed, relayed_alive = relayed->alive] {
-                            if (*relayed_alive) relay->Close(relayed);
-                          });
+    this->loop->RunLater(kUnresponsivePeerTimeout,
+                         [this, relayed, relayed_alive = relayed->alive] {
+                           if (*relayed_alive) this->Close(relayed);
+                         });
     return;
   }
-  bufferevent* other =
-      from == relayed->client ? relayed->target : relayed->client;
+  bufferevent* other = by_client ? relayed->target : relayed->client;
   if (evbuffer_get_length(bufferevent_get_output(other)) == 0) {
-    relay->Close(relayed);
+    this->Close(relayed);
     return;
   }
   constexpr std::chrono::milliseconds kFlushDelay(50);
-  relay->loop->RunLater(kFlushDelay,
-                        [relay, relayed, relayed_alive = relayed->alive] {
-                          if (*relayed_alive) relay->Close(relayed);
-                        });
+  this->loop->RunLater(kFlushDelay,
+                       [this, relayed, relayed_alive = relayed->alive] {
+                         if (*relayed_alive) this->Close(relayed);
+                       });
 }
 
 void TcpRelay::Close(RelayedConnection* relayed) {
--- a/Source/Soak/tcp_relay.h
+++ b/Source/Soak/tcp_relay.h
@@ -24,6 +24,10 @@
   /// Bytes are dropped in both directions. New connections are accepted but get
   /// no response.
   kSilent,
+  /// Bytes and ends of connections are kept until the link is open again, and
+  /// are then delivered, also if the sender has closed or reset its connection
+  /// meanwhile. Like a path that is interrupted, or a target that doesn't run.
+  kHeld,
   /// Connections are reset; new ones are closed immediately.
   kDown
 };
@@ -57,6 +61,10 @@
   static void OnReadable(bufferevent* from, void* context);
   static void OnEvent(bufferevent* from, short what, void* context);
   void Forward(RelayedConnection* relayed, bool forward);
+  /// Passes on that an end of a connection has closed it.
+  void End(RelayedConnection* relayed, bool by_client);
+  /// Delivers all that was kept while the link was held.
+  void DeliverHeld();
   void Close(RelayedConnection* relayed);
 
   connection::EventLoop* loop;
--- a/Source/UnitTests/Core/Session/promotion_model.cc
+++ b/Source/UnitTests/Core/Session/promotion_model.cc
@@ -15,6 +15,10 @@
 constexpr milliseconds kOrderTimeout(1000);
 /// Longest time from an order to its effect if promotions are slow.
 constexpr milliseconds kLongestSlowPromotion(9500);
+/// Longest time from an order to its effect otherwise.
+constexpr milliseconds kLongestPromotion(1000);
+/// Until an unanswered order reaches the platform if it is held.
+constexpr milliseconds kLongestHeldOrder(8900);
 /// Share of the promotions that are slow, in percent.
 constexpr int kSlowPromotions = 30;
 /// A daemon starts no promotion for this long after one has ended.
@@ -346,8 +350,25 @@
   return this->StatusOf(index);
 }
 
-bool DatabaseGroupModel::Order(int index, std::uint64_t token,
+void DatabaseGroupModel::CheckToken(int daemon, std::uint64_t token) {
+  const bool falls = token < this->highest_token;
+  const bool shared =
+      token == this->highest_token && daemon != this->highest_token_daemon;
+  if (falls || shared) {
+    this->Report(ModelGuarantee::kFencesRise,
+                 "an order of daemon" + std::to_string(daemon) +
+                     " arrives with token " + std::to_string(token) +
+                     " after one of daemon" +
+                     std::to_string(this->highest_token_daemon) +
+                     " with token " + std::to_string(this->highest_token));
+  } else {
+    this->highest_token_daemon = daemon;
+  }
+}
+
+bool DatabaseGroupModel::Order(int index, int daemon, std::uint64_t token,
                                milliseconds age) {
+  this->CheckToken(daemon, token);
   if (this->checks_fence && token < this->highest_token) return false;
   this->highest_token = std::max(this->highest_token, token);
   if (!this->databases[index].alive) return false;
@@ -358,7 +379,8 @@
   const bool slow =
       this->faults.slow_promotions && this->context->Happens(kSlowPromotions);
   const milliseconds longest =
-      slow ? kLongestSlowPromotion - age : milliseconds(1000);
+      slow ? std::max(kLongestSlowPromotion - age, kLongestPromotion)
+           : kLongestPromotion;
   this->BeginOrder();
   this->context->time.RunLater(
       this->context->Between(600, static_cast<int>(longest.count())),
@@ -739,29 +761,35 @@
         kOrderTimeout, [answer] { answer(PromotionAnswer::kNoAnswer); });
     return;
   }
-  const int latest = answered ? 50 : (this->faults.late_orders ? 3000 : 200);
-  const milliseconds age = this->context->Between(5, latest);
+  const milliseconds age = this->context->Between(
+      5, static_cast<int>(this->LatestArrival(answered).count()));
   this->group->BeginOrder();
-  this->context->time.RunLater(
-      age, [this, index, token, age, answer, answered] {
-        const bool accepted = this->group->Order(index, token, age);
-        this->group->EndOrder();
-        this->context->Trace(
-            "the platform " + std::string(accepted ? "accepts" : "rejects") +
-            " the order for " + DatabaseGroupModel::NameOf(index) + " of " +
-            this->Name() + (answered ? "" : ", answer lost"));
-        if (!answered) return;
-        this->context->time.RunLater(
-            this->context->Between(1, 40), [answer, accepted] {
-              answer(accepted ? PromotionAnswer::kAccepted
-                              : PromotionAnswer::kRejected);
-            });
-      });
+  this->context->time.RunLater(age, [this, index, token, age, answer,
+                                     answered] {
+    const bool accepted = this->group->Order(index, this->number, token, age);
+    this->group->EndOrder();
+    this->context->Trace(
+        "the platform " + std::string(accepted ? "accepts" : "rejects") +
+        " the order for " + DatabaseGroupModel::NameOf(index) + " of " +
+        this->Name() + (answered ? "" : ", answer lost"));
+    if (!answered) return;
+    this->context->time.RunLater(
+        this->context->Between(1, 40), [answer, accepted] {
+          answer(accepted ? PromotionAnswer::kAccepted
+                          : PromotionAnswer::kRejected);
+        });
+  });
   if (answered) return;
   this->context->time.RunLater(
       kOrderTimeout, [answer] { answer(PromotionAnswer::kNoAnswer); });
 }
 
+milliseconds DaemonModel::LatestArrival(bool answered) const {
+  if (answered) return milliseconds(50);
+  if (this->faults.held_orders) return kLongestHeldOrder;
+  return milliseconds(this->faults.late_orders ? 3000 : 200);
+}
+
 void DaemonModel::ResumeAndEnd(const std::vector<common::EndpointId>& held,
                                const PromotionFinished& finished) {
   if (held.empty() || !this->Confirm()) {
--- a/Source/UnitTests/Core/Session/promotion_model.h
+++ b/Source/UnitTests/Core/Session/promotion_model.h
@@ -25,6 +25,8 @@
   bool late_commands = false;
   /// The platform executes unanswered orders up to 3 s late.
   bool late_orders = false;
+  /// Unanswered orders reach the platform up to 8.9 s late.
+  bool held_orders = false;
   /// Orders take effect up to 9.5 s after they were given, accepted or not.
   bool slow_promotions = false;
   /// Databases crash and come back with their logs.
@@ -114,7 +116,10 @@
   /// A promoted database has every commit that was acknowledged before.
   kNoneLost,
   /// After a promotion no other commit of an older term is acknowledged.
-  kOnePrimary
+  kOnePrimary,
+  /// Orders reach the platform with tokens that never fall, and that no two
+  /// daemons share.
+  kFencesRise
 };
 
 /// Virtual time with tasks that run later.
@@ -177,9 +182,10 @@
   std::optional<EndpointStatus> Execute(int index, ModelCommand command,
                                         common::Term term);
 
-  /// Handles an order that has reached the platform after the given time.
-  /// Returns whether it is accepted.
-  bool Order(int index, std::uint64_t token, std::chrono::milliseconds age);
+  /// Handles an order of a daemon that has reached the platform after the given
+  /// time. Returns whether it is accepted.
+  bool Order(int index, int daemon, std::uint64_t token,
+             std::chrono::milliseconds age);
 
   /// Announces an order, executed or not, until it has taken effect.
   void BeginOrder() { ++this->open_orders; }
@@ -222,6 +228,7 @@
                     const std::vector<LogEntry>& log, bool promotes);
   void OnConfirmed(int index, std::size_t length);
   void Report(ModelGuarantee broken, const std::string& how);
+  void CheckToken(int daemon, std::uint64_t token);
   void OnReached(int index);
   void TakeEffect(int index);
   void StartWhenNoOrder(int index, std::uint64_t process,
@@ -244,6 +251,8 @@
   int next_commit = 1;
   int open_orders = 0;
   std::uint64_t highest_token = 0;
+  /// The daemon whose order had the highest token.
+  int highest_token_daemon = -1;
 };
 
 /// The stored lease record.
@@ -279,6 +288,8 @@
   void Begin();
   void Perform(const std::vector<PromotionAction>& actions);
   void SendOrder(const common::EndpointId& id);
+  /// Longest time after which an order reaches the platform.
+  std::chrono::milliseconds LatestArrival(bool answered) const;
   void ResumeAndEnd(const std::vector<common::EndpointId>& held,
                     const PromotionFinished& finished);
   void End(const PromotionFinished& finished);
--- a/Source/UnitTests/Core/Session/promotion_model_test.cc
+++ b/Source/UnitTests/Core/Session/promotion_model_test.cc
@@ -575,6 +575,15 @@
                                  .joins = true,
                                  .store_cuts = true};
 
+constexpr ModelFaults kHeldFaults{.late_commands = true,
+                                  .held_orders = true,
+                                  .slow_promotions = true,
+                                  .crashes = true,
+                                  .rebirths = true,
+                                  .lapses = true,
+                                  .joins = true,
+                                  .store_cuts = true};
+
 // Guards against promotions that lose a commit after cut links, lost commands
 // and lost answers.
 RC_GTEST_PROP(PromotionModelTest, AnyCutLinks_Promoted_HoldsAllCommits, ()) {
@@ -656,5 +665,22 @@
   CheckAnySchedule(ModelGuarantee::kOnePrimary, kAllFaults);
 }
 
+// Guards against an order that reaches the platform after one of the next
+// holder of the lease (issue 36).
+RC_GTEST_PROP(PromotionModelTest, AnyHeldOrders_Ordered_FencesRise, ()) {
+  CheckAnySchedule(ModelGuarantee::kFencesRise, {.held_orders = true});
+}
+
+// Guards against the same after combinations of all faults.
+RC_GTEST_PROP(PromotionModelTest, AnyFaultsHeldOrders_Ordered_FencesRise, ()) {
+  CheckAnySchedule(ModelGuarantee::kFencesRise, kHeldFaults);
+}
+
+// Guards against a promotion that loses a commit because an order was held.
+RC_GTEST_PROP(PromotionModelTest, AnyFaultsHeldOrders_Promoted_HoldsAllCommits,
+              ()) {
+  CheckAnySchedule(ModelGuarantee::kNoneLost, kHeldFaults);
+}
+
 }  // namespace
 }  // namespace camphorferry::session
--- a/Source/UnitTests/Platform/fake_documents.cc
+++ b/Source/UnitTests/Platform/fake_documents.cc
@@ -75,7 +75,8 @@
 }
 
 json EncodeSettings(const session::ProxySettings& settings,
-                    const connection::SocketAddress& store) {
+                    const connection::SocketAddress& store,
+                    const connection::SocketAddress& promotion) {
   json zones = json::object();
   for (const auto& [domain, region] : settings.location.region_of) {
     zones[domain.Value()] = region.Value();
@@ -97,7 +98,7 @@
             {"contactMs", Milliseconds(settings.settling_time)},
             {"configApplyMs", Milliseconds(settings.change_bound)}}},
           {"platform", {{"addr", connection::ToString(store)}}},
-          {"cloudApi", {{"addr", connection::ToString(store)}}}};
+          {"cloudApi", {{"addr", connection::ToString(promotion)}}}};
 }
 
 }  // namespace camphorferry::platform
--- a/Source/UnitTests/Platform/fake_documents.h
+++ b/Source/UnitTests/Platform/fake_documents.h
@@ -14,10 +14,11 @@
 /// Encodes the registration of a database.
 nlohmann::json EncodeMember(const session::GroupMember& member);
 
-/// Encodes the settings file of a proxy, with the store and the promotion API
-/// at the same address.
+/// Encodes the settings file of a proxy, with the addresses of the store and of
+/// the promotion API.
 nlohmann::json EncodeSettings(const session::ProxySettings& settings,
-                              const connection::SocketAddress& store);
+                              const connection::SocketAddress& store,
+                              const connection::SocketAddress& promotion);
 
 }  // namespace camphorferry::platform
 
--- a/Source/UnitTests/Platform/fake_store.cc
+++ b/Source/UnitTests/Platform/fake_store.cc
@@ -270,10 +270,12 @@
 HttpResponse FakeStore::ServePromotion(const HttpRequest& request) {
   const json body = json::parse(request.body, nullptr, false);
   if (body.is_discarded()) return Json(kBadRequest, {});
-  this->promotion_tokens.push_back(
-      std::stoull("0" + request.Header("x-fencing-token")));
-  const bool accepted =
-      this->promoter(body.value("service", ""), body.value("id", ""));
+  const PromotionCall call{
+      body.value("service", ""), body.value("id", ""),
+      request.Header("x-duty-holder"),
+      std::stoull("0" + request.Header("x-fencing-token"))};
+  this->promotion_calls.push_back(call);
+  const bool accepted = this->promoter(call.service, call.endpoint);
   return Json(accepted ? 200 : kConflict, json::object());
 }
 
--- a/Source/UnitTests/Platform/fake_store.h
+++ b/Source/UnitTests/Platform/fake_store.h
@@ -31,6 +31,14 @@
   kLosesAnswers
 };
 
+/// A promotion call, accepted or not.
+struct PromotionCall {
+  std::string service;
+  std::string endpoint;
+  std::string holder;
+  std::uint64_t token = 0;
+};
+
 /// Fake of the platform's object store and promotion API, as far as the proxy
 /// uses them: lists, watches, conditional writes, a change history that can be
 /// discarded, and a return to an earlier state.
@@ -71,9 +79,9 @@
   /// Number of calls received.
   std::size_t Calls() const { return this->calls; }
 
-  /// Fencing tokens of all promotion calls, in order of arrival.
-  const std::vector<std::uint64_t>& PromotionTokens() const {
-    return this->promotion_tokens;
+  /// All promotion calls, in order of arrival.
+  const std::vector<PromotionCall>& PromotionCalls() const {
+    return this->promotion_calls;
   }
 
  private:
@@ -131,7 +139,7 @@
   /// Calls that are never answered.
   std::vector<Responder> lost;
   std::size_t calls = 0;
-  std::vector<std::uint64_t> promotion_tokens;
+  std::vector<PromotionCall> promotion_calls;
   std::unique_ptr<connection::HttpServer> server;
   std::unique_ptr<connection::Timer> watch_timer;
 };
--- a/Source/UnitTests/Soak/fault_tracker_test.cc
+++ b/Source/UnitTests/Soak/fault_tracker_test.cc
@@ -58,6 +58,7 @@
       {FaultKind::kStoreBusy, SetStoreState{StoreState::kUp}},
       {FaultKind::kProxyCutFromStore, SetStoreLink{0, LinkState::kOpen}},
       {FaultKind::kSlowPromotions, SetPromotionsSlow{false}},
+      {FaultKind::kPromotionPathHeld, SetPromotionLink{0, LinkState::kOpen}},
       {FaultKind::kSilentPrimary, RestoreDatabases{0}}};
   for (const auto& [kind, reversal] : kinds) {
     const Fault first = Make(kind);
--- a/Source/UnitTests/Soak/proxy_process_test.cc
+++ b/Source/UnitTests/Soak/proxy_process_test.cc
@@ -31,7 +31,8 @@
   std::filesystem::permissions(program, std::filesystem::perms::owner_all);
   const std::string marker = this->folder + "/held-open";
   const std::ofstream held(marker);
-  ProxyProcess process(program, this->folder, 0, {"127.0.0.1", 1});
+  ProxyProcess process(program, this->folder, 0, {"127.0.0.1", 1},
+                       {"127.0.0.1", 1});
   process.Start();
   while (process.Running()) std::this_thread::yield();
   std::ostringstream listed;
