Session: Give all orders of a holder of the lease one token

Cause: the token was the revision of the record's last change, and each order changes the record.

The token is now the revision at which the holder changed. It is part of the record, so that it also stays the same when the daemon acquires the lease again. It rises when the holder changes: the new one is above the revision that is replaced. A record of an earlier version has no token, and its next one is above all that were given with its revisions.

Evidence: PromotionLeaseTest.RenewedOrHeldAgain_Token_IsTheSame fails before (4 tokens for 4 orders).

Ruled out: a token that is lower when the holder changes: the record's write requires the revision that the token is above.

--- a/Source/Core/Session/directory.cc
+++ b/Source/Core/Session/directory.cc
@@ -16,7 +16,7 @@
 
 std::uint64_t FencingToken(const PromotionLeaseRecord& record) {
   constexpr int kRevisionBits = 40;
-  return (record.revision.era << kRevisionBits) | record.revision.number;
+  return (record.held_since.era << kRevisionBits) | record.held_since.number;
 }
 
 }  // namespace camphorferry::session
--- a/Source/Core/Session/directory.h
+++ b/Source/Core/Session/directory.h
@@ -181,12 +181,16 @@
   std::uint64_t written_in_era = 0;
   /// Orders that may still be executed, also those of former holders.
   std::map<common::ServiceId, PromotionOrderRecord> orders = {};
+  /// First revision that the record could get with this holder, in the era in
+  /// which it became the holder; number 0 if it isn't known.
+  StoreRevision held_since = {};
 };
 
 /// The fencing token of a record that its holder has written. Rises with every
 /// change of the holder, also when the store has been restored from a backup
-/// and gives its revisions out again. Below 2^53 for less than 2^40 changes and
-/// 2^13 eras; the revision itself if the store doesn't state eras.
+/// and gives its revisions out again, and is the same for all orders of one
+/// holder: a repeated order may arrive before the first one. Below 2^53 for
+/// less than 2^40 changes and 2^13 eras.
 std::uint64_t FencingToken(const PromotionLeaseRecord& record);
 
 /// The record was changed by another daemon; its current state.
--- a/Source/Core/Session/promotion_lease.cc
+++ b/Source/Core/Session/promotion_lease.cc
@@ -249,6 +249,14 @@
   if (!this->write_in_flight) this->StartNextWrite();
 }
 
+StoreRevision PromotionLease::HeldSince() const {
+  const bool is_holder =
+      this->record.holder == this->host && this->record.held_since.number > 0 &&
+      this->record.held_since.era == this->record.revision.era;
+  if (is_holder) return this->record.held_since;
+  return {this->record.revision.era, this->record.revision.number + 1};
+}
+
 void PromotionLease::StartNextWrite() {
   this->write_in_flight = true;
   const common::SteadyTime sent = common::SteadyNow();
@@ -256,6 +264,7 @@
   wanted.holder = this->host;
   wanted.active = this->writes.front().active;
   wanted.written_in_era = wanted.revision.era;
+  wanted.held_since = this->HeldSince();
   std::erase_if(wanted.orders, [&](const auto& order) {
     return !this->OpenOrderOf(order.first, sent).has_value();
   });
--- a/Source/Core/Session/promotion_lease.h
+++ b/Source/Core/Session/promotion_lease.h
@@ -16,12 +16,12 @@
 /// Client of the fleet-wide promotion lease, which stored objects, headers and
 /// metrics call "duty": only the daemon that holds it may order promotions. The
 /// record in the platform's store decides who that is. Every change of the
-/// record is conditional on its revision, and the revision with its era serves
-/// as the fencing token. An order is given only shortly after a successful
-/// change of the record; another daemon takes the lease over only after the
-/// record has not changed for longer than an order can be in flight. A lease of
-/// an earlier era is lost. As its record may be lost too, the first holder of
-/// an era waits as if there were one.
+/// record is conditional on its revision, and the revision at which the holder
+/// changed, with its era, serves as the fencing token. An order is given only
+/// shortly after a successful change of the record; another daemon takes the
+/// lease over only after the record has not changed for longer than an order
+/// can be in flight. A lease of an earlier era is lost. As its record may be
+/// lost too, the first holder of an era waits as if there were one.
 ///
 /// An order may take effect long after it was given, when the lease has passed
 /// on. So the record names the member that is promoted before the order is
@@ -101,6 +101,9 @@
   void Write(bool active, const RecordChange& change,
              std::function<void(bool written)> done);
   void StartNextWrite();
+  /// Since when this daemon is the holder, if it is the last known one or
+  /// becomes it by the next write.
+  StoreRevision HeldSince() const;
   void OnWritten(common::SteadyTime sent, std::uint64_t era_before,
                  const PromotionLeaseResult& result);
   void EndWrite(bool written);
--- a/Source/UnitTests/Core/Session/promotion_lease_test.cc
+++ b/Source/UnitTests/Core/Session/promotion_lease_test.cc
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <optional>
+#include <set>
 #include <thread>
 
 #include "fake_platform.h"
@@ -44,6 +45,43 @@
   EXPECT_GT(second_token, first_token);
 }
 
+// Guards against a repeated order with a higher token, after which the first
+// one may still arrive (issue 36).
+TEST_F(PromotionLeaseTest, RenewedOrHeldAgain_Token_IsTheSame) {
+  std::set<std::uint64_t> tokens;
+  const auto add = [&](const auto& record) {
+    tokens.insert(FencingToken(*record));
+  };
+  for (int acquisition = 0; acquisition < 2; ++acquisition) {
+    ASSERT_TRUE(Acquire(&this->first));
+    this->first.RecordOrder(common::ServiceId("svc"), common::EndpointId("a"),
+                            3, add);
+    this->first.RecordOrder(common::ServiceId("svc"), common::EndpointId("a"),
+                            3, add);
+    this->first.Release();
+  }
+  EXPECT_EQ(tokens.size(), 1U);
+  ASSERT_TRUE(Acquire(&this->second));
+  this->second.Confirm(add);
+  ASSERT_EQ(tokens.size(), 2U);
+  this->second.Release();
+  ASSERT_TRUE(Acquire(&this->first));
+  const std::uint64_t highest = *tokens.rbegin();
+  this->first.Confirm(add);
+  EXPECT_EQ(tokens.size(), 3U);
+  EXPECT_GT(*tokens.rbegin(), highest);
+}
+
+// Guards against a token that an earlier version of the program has given with
+// a higher revision of the record.
+TEST_F(PromotionLeaseTest, RecordWithoutToken_Token_IsAboveItsRevision) {
+  this->platform.lease_record.holder = common::HostId("h1");
+  this->platform.lease_record.revision.number = this->platform.revision;
+  ASSERT_TRUE(Acquire(&this->first));
+  this->first.Confirm(
+      [&](const auto& record) { EXPECT_GT(FencingToken(*record), 10U); });
+}
+
 // Guards against an order by a daemon that has lost the lease in the meantime.
 TEST_F(PromotionLeaseTest, TakenOver_Confirm_GivesNoToken) {
   ASSERT_TRUE(Acquire(&this->first));
--- a/Source/UnitTests/Core/Session/promotion_model.cc
+++ b/Source/UnitTests/Core/Session/promotion_model.cc
@@ -747,7 +747,7 @@
     return;
   }
   const int index = this->group->IndexOf(id);
-  const std::uint64_t token = this->record.revision;
+  const std::uint64_t token = this->record.held_since;
   this->context->Trace(this->Name() + " ORDERS " + id.Value() + ", token " +
                        std::to_string(token));
   const auto answer = [this, current = this->plan](PromotionAnswer given) {
@@ -874,8 +874,11 @@
     this->lost_lease = this->holds_lease;
     return false;
   }
-  *this->store = ModelLeaseRecord{
-      this->number, active, this->record.revision + 1, this->record.order};
+  const std::uint64_t revision = this->record.revision + 1;
+  const bool is_holder = this->record.holder == this->number;
+  *this->store =
+      ModelLeaseRecord{this->number, active, revision, this->record.order,
+                       is_holder ? this->record.held_since : revision};
   this->SetRecord(*this->store);
   this->confirmed_at = now;
   this->context->Trace(this->Name() + (active ? " holds" : " releases") +
--- a/Source/UnitTests/Core/Session/promotion_model.h
+++ b/Source/UnitTests/Core/Session/promotion_model.h
@@ -261,6 +261,8 @@
   bool active = false;
   std::uint64_t revision = 1;
   std::optional<PromotionOrderRecord> order;
+  /// First revision with this holder, which is its token.
+  std::uint64_t held_since = 0;
 };
 
 /// A daemon: its belief about the group, its use of the promotion lease as in
--- a/Source/UnitTests/Platform/documents_test.cc
+++ b/Source/UnitTests/Platform/documents_test.cc
@@ -230,6 +230,17 @@
   }
 }
 
+// Guards against a fencing token that differs between the orders of a holder,
+// or that a record of an earlier version has without having been given it.
+TEST_F(DocumentsTest, LeaseRecord_EncodedAndDecoded_KeepsToken) {
+  session::PromotionLeaseRecord record{common::HostId("h"), true, {2, 9}, 2};
+  record.held_since = {2, 4};
+  json object = {{"meta", {{"rev", 9}}}, {"spec", EncodeLeaseRecord(record)}};
+  EXPECT_EQ(FencingToken(DecodeLeaseRecord(object, 2)), FencingToken(record));
+  object["spec"].erase("heldSince");
+  EXPECT_EQ(DecodeLeaseRecord(object, 2).held_since.number, 0U);
+}
+
 // Guards against open orders that the next holder of the lease cannot read.
 TEST_F(DocumentsTest, LeaseRecord_EncodedAndDecoded_KeepsOrders) {
   session::PromotionLeaseRecord record{common::HostId("h"), true, {2, 4}, 2};
