Session: Order nothing while another holder's order may still arrive

Cause: the record with the lease names the member that an order was given for, but not whether the platform has answered. The next holder ordered the same member at once, after the takeover delay of 3 s, with a higher token. An order without an answer may be on its way for longer than that. The 3 s bound when orders are given, not when they arrive.

The record now has the daemon that gave the orders and the number without an answer. While there are some, the orders of another daemon wait until the first one has taken effect or can no longer be executed (10 s). The holder itself goes on, with the same token.

RecordedOrderTest.OrderUnanswered_NextHolder_RecordsNone and EarlierOrderTest.ReplicasEqual_OrderMayArrive_OrdersNothing fail without the two checks.

RecordedOrderTest.OrderOpen_NextHolder_RecordsNoOtherMember had the next holder record the same member without an answer to the first order, which is this fault. The order is now answered there, and the new test has the other half.

Ruled out: waiting for all services (the platform's subject is the service); a longer takeover delay, which every takeover would pay.

--- a/Source/Core/Session/promotion_lease.cc
+++ b/Source/Core/Session/promotion_lease.cc
@@ -143,10 +143,15 @@
                                order](PromotionLeaseRecord* changed) {
     const std::optional<OpenOrder> open =
         this->OpenOrderOf(service, common::SteadyNow());
-    if (open.has_value() && open->record.endpoint != endpoint) return false;
+    if (open.has_value() &&
+        (open->record.endpoint != endpoint || open->may_arrive)) {
+      return false;
+    }
     *order = open.has_value() ? open->record
                               : PromotionOrderRecord{endpoint, term, 0, 0};
+    order->holder = this->host;
     ++order->count;
+    ++order->unanswered;
     order->number = this->random() >> kOrderNumberShift;
     changed->orders[service] = *order;
     return true;
@@ -155,7 +160,7 @@
               [this, service, order, done = std::move(done)](bool written) {
                 // Without an answer, the record may have been written.
                 if (!written && order->count > 0) {
-                  this->CorrectCount(service, *order, order->count - 1);
+                  this->RemoveLatest(service, *order);
                 }
                 done(written ? std::optional(this->record) : std::nullopt);
               });
@@ -166,20 +171,38 @@
   const auto found = this->record.orders.find(service);
   if (found == this->record.orders.end()) return;
   if (found->second.number != number) return;
-  this->CorrectCount(service, found->second, found->second.count - 1);
+  this->RemoveLatest(service, found->second);
+}
+
+void PromotionLease::OnOrderAccepted(const common::ServiceId& service,
+                                     std::uint64_t number) {
+  const auto found = this->record.orders.find(service);
+  if (found == this->record.orders.end()) return;
+  if (found->second.number != number || found->second.unanswered == 0) return;
+  PromotionOrderRecord corrected = found->second;
+  --corrected.unanswered;
+  this->CorrectOrder(service, corrected);
 }
 
 void PromotionLease::SettleOrder(const common::ServiceId& service) {
   const auto found = this->record.orders.find(service);
   if (found == this->record.orders.end()) return;
-  this->CorrectCount(service, found->second, 0);
+  PromotionOrderRecord corrected = found->second;
+  corrected.count = 0;
+  this->CorrectOrder(service, corrected);
+}
+
+void PromotionLease::RemoveLatest(const common::ServiceId& service,
+                                  const PromotionOrderRecord& order) {
+  PromotionOrderRecord corrected = order;
+  --corrected.count;
+  if (corrected.unanswered > 0) --corrected.unanswered;
+  this->CorrectOrder(service, corrected);
 }
 
-void PromotionLease::CorrectCount(const common::ServiceId& service,
-                                  const PromotionOrderRecord& order,
-                                  std::uint32_t count) {
-  this->corrected_orders[service] = order;
-  this->corrected_orders[service].count = count;
+void PromotionLease::CorrectOrder(const common::ServiceId& service,
+                                  const PromotionOrderRecord& corrected) {
+  this->corrected_orders[service] = corrected;
   this->SetRecord(this->record);
 }
 
@@ -190,7 +213,9 @@
   const common::SteadyTime until =
       this->seen_orders.at(service).since + kOrderLifetime;
   if (now >= until) return std::nullopt;
-  return OpenOrder{found->second, until};
+  const PromotionOrderRecord& order = found->second;
+  return OpenOrder{order, until,
+                   order.unanswered > 0 && order.holder != this->host};
 }
 
 void PromotionLease::SetRecord(const PromotionLeaseRecord& changed) {
@@ -199,7 +224,7 @@
     const auto found = this->record.orders.find(service);
     if (found == this->record.orders.end()) continue;
     if (found->second.number != corrected.number) continue;
-    found->second.count = corrected.count;
+    found->second = corrected;
     if (corrected.count == 0) this->record.orders.erase(found);
   }
   const common::SteadyTime now = common::SteadyNow();
--- a/Source/Core/Session/promotion_lease.h
+++ b/Source/Core/Session/promotion_lease.h
@@ -46,7 +46,8 @@
 
   /// Records an order that is about to be given for a member of a service whose
   /// newest term is the given one. Calls back like Confirm; with none as well
-  /// if an order for another member of the service is open.
+  /// if an order for another member of the service is open, or one of another
+  /// daemon that may still be on its way.
   void RecordOrder(
       const common::ServiceId& service, const common::EndpointId& endpoint,
       common::Term term,
@@ -56,6 +57,10 @@
   /// Does nothing if another one has been recorded since.
   void WithdrawOrder(const common::ServiceId& service, std::uint64_t number);
 
+  /// The platform has accepted the order that was recorded under a number. Does
+  /// nothing if another one has been recorded since.
+  void OnOrderAccepted(const common::ServiceId& service, std::uint64_t number);
+
   /// All recorded orders of the service have been executed.
   void SettleOrder(const common::ServiceId& service);
 
@@ -113,10 +118,12 @@
   /// Replaces the last known state of the record, apart from what this daemon
   /// knows better.
   void SetRecord(const PromotionLeaseRecord& changed);
-  /// Sets how many of the orders that the record has under a number can still
-  /// be executed.
-  void CorrectCount(const common::ServiceId& service,
-                    const PromotionOrderRecord& order, std::uint32_t count);
+  /// Replaces the orders that the record has under a number.
+  void CorrectOrder(const common::ServiceId& service,
+                    const PromotionOrderRecord& corrected);
+  /// Removes the latest of the orders that the record has under a number.
+  void RemoveLatest(const common::ServiceId& service,
+                    const PromotionOrderRecord& order);
   /// Whether another daemon may still give orders under the stored record, or
   /// under one that a restored store has lost.
   bool MayBeHeldByAnother(const PromotionLeaseRecord& stored,
@@ -128,8 +135,8 @@
   PromotionLeaseRecord record;
   /// When the orders in the record were first seen.
   std::map<common::ServiceId, SeenOrder> seen_orders;
-  /// Orders of which the stored record has a higher count, because they were
-  /// not given, rejected or executed since it was written.
+  /// Orders of which the stored record has higher counts, because they were not
+  /// given, answered or executed since it was written.
   std::map<common::ServiceId, PromotionOrderRecord> corrected_orders;
   /// Writes that have been requested; the first one may be on its way.
   std::deque<PendingWrite> writes;
--- a/Source/Core/Session/promotion_plan.cc
+++ b/Source/Core/Session/promotion_plan.cc
@@ -343,6 +343,7 @@
     common::SteadyTime now) const {
   std::optional<common::EndpointId> best = this->ChooseByLogs(now);
   if (!best.has_value() || !this->EarlierOrderMayExecute(now)) return best;
+  if (this->earlier_order->may_arrive) return std::nullopt;
   const common::EndpointId& ordered = this->earlier_order->record.endpoint;
   const auto found = this->members.find(ordered);
   const bool has_all = found != this->members.end() &&
--- a/Source/Core/Session/promotion_task.cc
+++ b/Source/Core/Session/promotion_task.cc
@@ -128,6 +128,8 @@
          {"endpoint", open->record.endpoint},
          {"term", open->record.term},
          {"orders", open->record.count},
+         {"holder", open->record.holder},
+         {"unanswered", open->record.unanswered},
          {"lasts_ms", common::ToMilliseconds(open->until - now).count()}});
     this->plan->SetEarlierOrder(*open);
   }
@@ -367,6 +369,8 @@
                      {"after_ms", common::ToMilliseconds(taken).count()}});
         if (answer == PromotionAnswer::kRejected) {
           this->WithdrawOrder(id, number, "rejected");
+        } else if (answer == PromotionAnswer::kAccepted) {
+          this->context.promotion_lease->OnOrderAccepted(this->service, number);
         }
         if (this->plan != current) return;
         this->Perform(current->OnOrderAnswer(answer, common::SteadyNow()));
--- a/Source/UnitTests/Core/Session/promotion_lease_test.cc
+++ b/Source/UnitTests/Core/Session/promotion_lease_test.cc
@@ -191,6 +191,8 @@
 // the order of the holder before may still take effect (issue 33).
 TEST_F(RecordedOrderTest, OrderOpen_NextHolder_RecordsNoOtherMember) {
   ASSERT_TRUE(this->Record(&this->first, this->a));
+  this->first.OnOrderAccepted(this->service,
+                              this->Open(this->first)->record.number);
   this->TakeOver();
   const std::optional<OpenOrder> open = this->Open(this->second);
   ASSERT_TRUE(open.has_value());
@@ -200,6 +202,23 @@
   EXPECT_EQ(this->Open(this->second)->record.count, 2U);
 }
 
+// Guards against a holder of the lease that orders the same member while the
+// order of the holder before may still arrive, with a lower token (issue 36).
+TEST_F(RecordedOrderTest, OrderUnanswered_NextHolder_RecordsNone) {
+  ASSERT_TRUE(this->Record(&this->first, this->a));
+  ASSERT_TRUE(this->Record(&this->first, this->a));
+  this->first.OnOrderAccepted(this->service,
+                              this->Open(this->first)->record.number);
+  this->TakeOver();
+  ASSERT_TRUE(this->Open(this->second).has_value());
+  EXPECT_TRUE(this->Open(this->second)->may_arrive);
+  EXPECT_FALSE(this->Record(&this->second, this->a));
+  EXPECT_FALSE(this->Record(&this->second, this->b));
+  this->second.Release();
+  ASSERT_TRUE(Acquire(&this->first));
+  EXPECT_TRUE(this->Record(&this->first, this->a));
+}
+
 // Guards against the same for a daemon that reads the record while another one
 // holds the lease, and takes it over later.
 TEST_F(RecordedOrderTest, OrderSeenBefore_NextHolder_CountsFromThen) {
--- a/Source/UnitTests/Core/Session/promotion_model.cc
+++ b/Source/UnitTests/Core/Session/promotion_model.cc
@@ -752,6 +752,7 @@
                        std::to_string(token));
   const auto answer = [this, current = this->plan](PromotionAnswer given) {
     if (given == PromotionAnswer::kRejected) this->WithdrawOrder();
+    if (given == PromotionAnswer::kAccepted) this->OnOrderAccepted();
     if (this->plan != current || current == nullptr) return;
     this->Perform(current->OnOrderAnswer(given, this->context->time.Now()));
   };
@@ -893,10 +894,12 @@
   const std::optional<PromotionOrderRecord> before = this->record.order;
   PromotionOrderRecord order{id, newest, 0, 0};
   if (const std::optional<OpenOrder> open = this->OpenOrderOfGroup()) {
-    if (open->record.endpoint != id) return false;
+    if (open->record.endpoint != id || open->may_arrive) return false;
     order = open->record;
   }
+  order.holder = common::HostId(this->Name());
   ++order.count;
+  ++order.unanswered;
   order.number = this->record.revision;
   this->record.order = order;
   if (this->WriteLease(true)) return true;
@@ -906,9 +909,15 @@
 
 void DaemonModel::WithdrawOrder() {
   if (!this->record.order.has_value()) return;
+  if (this->record.order->unanswered > 0) --this->record.order->unanswered;
   if (--this->record.order->count == 0) this->record.order.reset();
 }
 
+void DaemonModel::OnOrderAccepted() {
+  if (!this->record.order.has_value()) return;
+  if (this->record.order->unanswered > 0) --this->record.order->unanswered;
+}
+
 void DaemonModel::SettleExecutedOrder() {
   const std::optional<OpenOrder> open = this->OpenOrderOfGroup();
   const std::optional<common::EndpointId> primary = this->view.Primary();
@@ -923,7 +932,10 @@
   if (!this->record.order.has_value() || this->context->time.Now() >= until) {
     return std::nullopt;
   }
-  return OpenOrder{*this->record.order, until};
+  const PromotionOrderRecord& order = *this->record.order;
+  return OpenOrder{
+      order, until,
+      order.unanswered > 0 && order.holder != common::HostId(this->Name())};
 }
 
 void DaemonModel::SetRecord(const ModelLeaseRecord& changed) {
--- a/Source/UnitTests/Core/Session/promotion_model.h
+++ b/Source/UnitTests/Core/Session/promotion_model.h
@@ -306,6 +306,7 @@
   bool WriteLease(bool active);
   bool RecordOrder(const common::EndpointId& id, common::Term newest);
   void WithdrawOrder();
+  void OnOrderAccepted();
   void SettleExecutedOrder();
   std::optional<OpenOrder> OpenOrderOfGroup() const;
   void SetRecord(const ModelLeaseRecord& changed);
--- a/Source/UnitTests/Core/Session/promotion_model_test.cc
+++ b/Source/UnitTests/Core/Session/promotion_model_test.cc
@@ -488,6 +488,22 @@
   EXPECT_EQ(this->ordered, this->a);
 }
 
+// Guards against repeating an order of another daemon that may still arrive,
+// after this one, with a lower token (issue 36).
+TEST_F(EarlierOrderTest, ReplicasEqual_OrderMayArrive_OrdersNothing) {
+  this->plan = PromotionPlan({Member("p"), Member("a"), Member("b")}, {},
+                             this->p, 3, 3, kStart);
+  this->plan.SetEarlierOrder({{this->a, 3, 1, 7}, kStart + kOpen, true});
+  this->Record(this->plan.Begin(kStart), milliseconds(0));
+  this->Answer(this->b, Replica(3, 11, 4));
+  this->Answer(this->a, Replica(3, 11, 4));
+  this->TickUntil(kOpen - milliseconds(100));
+  EXPECT_FALSE(this->ordered.has_value());
+  this->Answer(this->a, Replica(3, 11, 4), kOpen);
+  this->Answer(this->b, Replica(3, 11, 4), kOpen);
+  EXPECT_TRUE(this->ordered.has_value());
+}
+
 // Guards against ending the holds that an earlier order relies on, because the
 // plan cannot hold enough members.
 TEST_F(EarlierOrderTest, MembersUnreachable_OrderOpen_DoesNotEnd) {
--- a/Source/UnitTests/Platform/documents_test.cc
+++ b/Source/UnitTests/Platform/documents_test.cc
@@ -244,10 +244,15 @@
 // Guards against open orders that the next holder of the lease cannot read.
 TEST_F(DocumentsTest, LeaseRecord_EncodedAndDecoded_KeepsOrders) {
   session::PromotionLeaseRecord record{common::HostId("h"), true, {2, 4}, 2};
-  record.orders[common::ServiceId("s")] = {common::EndpointId("n"), 5, 2, 3};
-  const json object = {{"meta", {{"rev", 4}}},
-                       {"spec", EncodeLeaseRecord(record)}};
+  const common::ServiceId service("s");
+  record.orders[service] = {common::EndpointId("n"), 5, 2, 3,
+                            common::HostId("h"),     1};
+  json object = {{"meta", {{"rev", 4}}}, {"spec", EncodeLeaseRecord(record)}};
   EXPECT_EQ(DecodeLeaseRecord(object, 2).orders, record.orders);
+  // Of an earlier version.
+  object["spec"]["orders"]["s"].erase("holder");
+  object["spec"]["orders"]["s"].erase("unanswered");
+  EXPECT_EQ(DecodeLeaseRecord(object, 2).orders.at(service).unanswered, 2U);
 }
 
 // Guards against fakes whose documents do not match what the decoders read:
