Session: Order a promotion only on a connection that the platform has just answered

Cause: an order was given without knowing whether the platform would receive it: the lease was checked, the connection was made and the request written in later turns of the loop, and after 1 s the connection was closed, which leaves the kernel, the path and the platform's queue to deliver it whenever they can.

The daemon now has the promotion API answer a request that changes nothing, records the order, and gives it on the same connection if the answer is younger than 600 ms. Without an answer it gives and records none, and leaves the lease to another daemon. The connection of an order is reset when it is given up, also by a kill, and after 1 s without an acknowledgement by the kernel, so that nothing of it is sent later.

Ruled out as sufficient: the reset alone.

--- a/Source/Core/Connection/http_client.cc
+++ b/Source/Core/Connection/http_client.cc
@@ -12,6 +12,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <cerrno>
 #include <utility>
 
 namespace camphorferry::connection {
@@ -46,6 +47,24 @@
              sizeof(kKeepAliveMaxProbes));
 }
 
+/// Makes the kernel discard what the peer has not acknowledged when the socket
+/// is closed or the timeout has passed.
+void DiscardUnsentBytes(evhttp_connection* connection,
+                        common::Duration timeout) {
+  const int socket =
+      bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
+  if (socket < 0) return;
+  const linger reset{1, 0};
+  const auto limit =
+      static_cast<unsigned>(common::ToMilliseconds(timeout).count());
+  if (setsockopt(socket, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset)) != 0 ||
+      setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit,
+                 sizeof(limit)) != 0) {
+    common::Log(common::Subsystem::kConnection, common::LogLevel::kWarning,
+                "socket_option_failed", {{"error", errno}});
+  }
+}
+
 evhttp_cmd_type MethodType(const std::string& method) {
   if (method == "POST") return EVHTTP_REQ_POST;
   if (method == "PUT") return EVHTTP_REQ_PUT;
@@ -93,8 +112,8 @@
 
 struct HttpClientConnection::State
     : std::enable_shared_from_this<HttpClientConnection::State> {
-  State(EventLoop* loop, SocketAddress address)
-      : loop(loop), address(std::move(address)) {}
+  State(EventLoop* loop, SocketAddress address, UnsentBytes unsent)
+      : loop(loop), address(std::move(address)), unsent(unsent) {}
   ~State() { this->Close(); }
 
   /// Completes the pending request with a response, a failure or a timeout.
@@ -160,6 +179,7 @@
 
   EventLoop* loop;
   SocketAddress address;
+  UnsentBytes unsent;
   evhttp_connection* connection = nullptr;
   Callback callback;
   /// Owned by the pending request; keeps this object alive until libevent has
@@ -176,8 +196,9 @@
 };
 
 HttpClientConnection::HttpClientConnection(EventLoop* loop,
-                                           SocketAddress address)
-    : state(std::make_shared<State>(loop, std::move(address))) {
+                                           SocketAddress address,
+                                           UnsentBytes unsent)
+    : state(std::make_shared<State>(loop, std::move(address), unsent)) {
   this->state->connection = evhttp_connection_base_new(
       loop->Base(), nullptr, this->state->address.ip.c_str(),
       this->state->address.port);
@@ -238,8 +259,10 @@
                       MethodType(request.method),
                       EncodeTarget(request).c_str());
   // Libevent creates the socket only when the first request is made.
-  if (this->state->connection != nullptr) {
-    EnableTcpKeepAlive(this->state->connection);
+  if (this->state->connection == nullptr) return;
+  EnableTcpKeepAlive(this->state->connection);
+  if (this->state->unsent == UnsentBytes::kDiscard) {
+    DiscardUnsentBytes(this->state->connection, timeout);
   }
 }
 
--- a/Source/Core/Connection/http_client.h
+++ b/Source/Core/Connection/http_client.h
@@ -13,6 +13,17 @@
 /// Response to a client's request, or the reason why there is none.
 using HttpResult = std::variant<HttpResponse, HttpFailure>;
 
+/// What becomes of bytes that have not reached the server when the connection
+/// is closed, also by the end of this process.
+enum class UnsentBytes {
+  /// The kernel goes on delivering them.
+  kDeliver,
+  /// They are discarded, and the server gets a reset. The connection also ends
+  /// if the server doesn't acknowledge them within the timeout of the request,
+  /// whether this process runs or not.
+  kDiscard
+};
+
 /// Client connection that carries one request at a time. After a failure it is
 /// closed permanently and must be replaced, so that a late response can never
 /// be matched to a later request.
@@ -20,7 +31,8 @@
  public:
   using Callback = std::function<void(HttpResult)>;
 
-  HttpClientConnection(EventLoop* loop, SocketAddress address);
+  HttpClientConnection(EventLoop* loop, SocketAddress address,
+                       UnsentBytes unsent = UnsentBytes::kDeliver);
   /// Closes the connection. The callback of a pending request is not called.
   ~HttpClientConnection();
   HttpClientConnection(const HttpClientConnection&) = delete;
--- a/Source/Core/Session/directory.h
+++ b/Source/Core/Session/directory.h
@@ -210,6 +210,13 @@
 /// latency, and fifty times slower when it is degraded.
 inline constexpr std::chrono::milliseconds kStoreCallTimeout(1000);
 
+/// Orders the promotion of an endpoint with the lease's fencing token. Calls
+/// back once, from the event loop.
+using PromoteCall = std::function<void(
+    const common::ServiceId& service, const common::EndpointId& endpoint,
+    const PromotionLeaseRecord& record,
+    std::function<void(PromotionAnswer)> done)>;
+
 /// Interface to the platform: directory, lease record and promotions. Callbacks
 /// are called once, from the event loop.
 class Platform {
@@ -252,11 +259,13 @@
       const PromotionLeaseRecord& record,
       std::function<void(PromotionLeaseResult)> done) = 0;
 
-  /// Orders the promotion of an endpoint with the lease's fencing token.
-  virtual void Promote(const common::ServiceId& service,
-                       const common::EndpointId& endpoint,
-                       const PromotionLeaseRecord& record,
-                       std::function<void(PromotionAnswer)> done) = 0;
+  /// Connects to the promotion API and has it answer a request that changes
+  /// nothing. Calls back with the call that gives an order on this connection;
+  /// an empty function if there was no answer. An order that is given at once
+  /// can't wait behind an interruption of the path, or of the platform, that
+  /// began before the answer, and is discarded if it can't be delivered.
+  virtual void ConnectForPromotion(
+      std::function<void(PromoteCall promote)> done) = 0;
 };
 
 }  // namespace camphorferry::session
--- a/Source/Core/Session/promotion_plan.cc
+++ b/Source/Core/Session/promotion_plan.cc
@@ -440,6 +440,16 @@
   }
 }
 
+std::vector<PromotionAction> PromotionPlan::OnPlatformNotReached(
+    common::SteadyTime now) {
+  this->OnOrderNotSent();
+  if (this->phase != Phase::kFencing) return {};
+  std::vector<PromotionAction> actions =
+      this->Finish("platform_not_reached", now);
+  std::get<PromotionFinished>(actions.back()).platform_not_reached = true;
+  return actions;
+}
+
 bool PromotionPlan::OrderMayExecute(common::SteadyTime now) const {
   if (this->unanswered_orders > 0) return true;
   if (this->EarlierOrderMayExecute(now)) return true;
--- a/Source/Core/Session/promotion_plan.h
+++ b/Source/Core/Session/promotion_plan.h
@@ -49,6 +49,8 @@
   const char* reason = "";
   /// An order or another command of the plan may still be executed.
   bool command_may_execute = false;
+  /// The platform did not answer before the order was given.
+  bool platform_not_reached = false;
 };
 
 /// Processes of members, by identifier and incarnation, that have disappeared.
@@ -148,6 +150,10 @@
   /// Handles that an order was not sent. The plan fences and chooses again.
   void OnOrderNotSent();
 
+  /// Handles that an order was not sent because the platform did not answer
+  /// before. Ends the plan unless it has given an order.
+  std::vector<PromotionAction> OnPlatformNotReached(common::SteadyTime now);
+
   /// Handles the passing of time. Must be called every kPromotionTickInterval.
   std::vector<PromotionAction> OnTick(common::SteadyTime now);
 
--- a/Source/Core/Session/promotion_task.cc
+++ b/Source/Core/Session/promotion_task.cc
@@ -19,6 +19,13 @@
 /// Interval at which the lease is renewed while an order is outstanding. Well
 /// below the time after which another daemon takes it over.
 constexpr std::chrono::milliseconds kRenewalInterval(1000);
+/// An order is given only within this time after the platform has answered on
+/// the same connection. Enough for the write that records the order, also at a
+/// store that is fifty times slower.
+constexpr std::chrono::milliseconds kMaxPlatformAnswerAge(600);
+/// Delay before the next promotion of a daemon that the platform did not
+/// answer, so that another one acquires the lease.
+constexpr std::chrono::milliseconds kDelayWithoutPlatform(2000);
 
 const char* ToString(PromotionAnswer answer) {
   switch (answer) {
@@ -318,13 +325,32 @@
 
 void PromotionTask::SendOrder(const OrderPromotion& order) {
   this->RecordPhase("fence");
+  this->context.platform->ConnectForPromotion([this, still_alive = this->alive,
+                                               current = this->plan,
+                                               order](PromoteCall promote) {
+    if (!*still_alive || this->plan != current) return;
+    if (promote) {
+      this->RecordOrder(current, order,
+                        {std::move(promote), common::SteadyNow()});
+      return;
+    }
+    common::Log(Subsystem::kConnection, LogLevel::kWarning,
+                "promotion_platform_not_reached",
+                {{"service", this->service}, {"endpoint", order.endpoint}});
+    this->Perform(current->OnPlatformNotReached(common::SteadyNow()));
+  });
+}
+
+void PromotionTask::RecordOrder(const std::shared_ptr<PromotionPlan>& current,
+                                const OrderPromotion& order,
+                                const OpenPromoteCall& call) {
   this->context.promotion_lease->RecordOrder(
-      this->service, order.endpoint, this->plan->NewestTerm(),
-      [this, still_alive = this->alive, current = this->plan,
-       order](const std::optional<PromotionLeaseRecord>& record) {
+      this->service, order.endpoint, current->NewestTerm(),
+      [this, still_alive = this->alive, current, order,
+       call](const std::optional<PromotionLeaseRecord>& record) {
         if (!*still_alive) return;
         if (record.has_value()) {
-          this->SendRecordedOrder(current, order, *record);
+          this->SendRecordedOrder(current, order, *record, call);
           return;
         }
         if (this->plan != current) return;
@@ -336,13 +362,14 @@
 
 void PromotionTask::SendRecordedOrder(
     const std::shared_ptr<PromotionPlan>& current, const OrderPromotion& order,
-    const PromotionLeaseRecord& record) {
+    const PromotionLeaseRecord& record, const OpenPromoteCall& call) {
   const common::SteadyTime now = common::SteadyNow();
   const std::uint64_t number = record.orders.at(this->service).number;
   if (this->plan == current) this->LogEvidence(order.endpoint, now);
   // Recording may have taken a second, in which a hold may have ended.
   if (this->plan != current || !current->IsChosen(order.endpoint, now) ||
-      !this->context.promotion_lease->MayOrder(now)) {
+      !this->context.promotion_lease->MayOrder(now) ||
+      now - call.since >= kMaxPlatformAnswerAge) {
     this->WithdrawOrder(order.endpoint, number, "not_given");
     if (this->plan == current) current->OnOrderNotSent();
     return;
@@ -354,7 +381,7 @@
                {"revision", record.revision.number}});
   if (!this->given.has_value()) this->given = {order.endpoint, now, 0};
   ++this->given->count;
-  this->context.platform->Promote(
+  call.promote(
       this->service, order.endpoint, record,
       [this, still_alive = this->alive, current, id = order.endpoint, number,
        token = FencingToken(record), now](PromotionAnswer answer) {
@@ -439,7 +466,9 @@
   } else {
     this->context.promotion_lease->Release();
   }
-  this->next_start = common::SteadyNow() + kRestartDelay;
+  this->next_start =
+      common::SteadyNow() +
+      (finished.platform_not_reached ? kDelayWithoutPlatform : kRestartDelay);
 }
 
 }  // namespace camphorferry::session
--- a/Source/Core/Session/promotion_task.h
+++ b/Source/Core/Session/promotion_task.h
@@ -67,11 +67,21 @@
   void Perform(const std::vector<PromotionAction>& actions);
   void SendCommand(const common::EndpointId& id, const MemberCommand& command,
                    CommandCallback done);
+  /// A call that gives an order, and since when the platform has answered.
+  struct OpenPromoteCall {
+    PromoteCall promote;
+    common::SteadyTime since;
+  };
+
   void SendOrder(const OrderPromotion& order);
+  /// Records an order that is about to be given, and gives it.
+  void RecordOrder(const std::shared_ptr<PromotionPlan>& current,
+                   const OrderPromotion& order, const OpenPromoteCall& call);
   /// Gives an order that has been recorded, if it may still be given.
   void SendRecordedOrder(const std::shared_ptr<PromotionPlan>& current,
                          const OrderPromotion& order,
-                         const PromotionLeaseRecord& record);
+                         const PromotionLeaseRecord& record,
+                         const OpenPromoteCall& call);
   /// Removes the recorded orders of the service if the known primary shows that
   /// they have been executed.
   void SettleExecutedOrder(common::SteadyTime now);
--- a/Source/UnitTests/Core/Connection/http_client_test.cc
+++ b/Source/UnitTests/Core/Connection/http_client_test.cc
@@ -2,8 +2,11 @@
 #include <event2/listener.h>
 #include <gtest/gtest.h>
 #include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <optional>
 #include <string>
 
@@ -112,5 +115,53 @@
   EXPECT_LT(common::SteadyNow() - start, milliseconds(3000));
 }
 
+/// A listening socket whose connections nobody reads.
+class UnsentBytesTest : public testing::Test {
+ protected:
+  UnsentBytesTest() : listener(socket(AF_INET, SOCK_STREAM, 0)) {
+    const sockaddr_in address = ToSockaddrIn({"127.0.0.1", 0});
+    bind(this->listener, reinterpret_cast<const sockaddr*>(&address),
+         sizeof(address));
+    listen(this->listener, 1);
+  }
+  ~UnsentBytesTest() override { close(this->listener); }
+
+  /// Gives up a request that the server has not received in full, and returns
+  /// how the server sees the connection end: the error number, or 0 if it was
+  /// closed without one.
+  int EndOfRequest(UnsentBytes unsent) {
+    HttpClientConnection client(
+        &this->loop, {"127.0.0.1", LocalPort(this->listener)}, unsent);
+    HttpRequest request;
+    request.method = "POST";
+    request.body.assign(std::size_t{1} << 24, 'x');
+    client.Send(request, milliseconds(100),
+                [this](const HttpResult&) { this->loop.Stop(); });
+    this->loop.Run();
+    const auto closed =
+        this->loop.After(milliseconds(20), [this] { this->loop.Stop(); });
+    this->loop.Run();
+    const int accepted = accept(this->listener, nullptr, nullptr);
+    std::string bytes(std::size_t{1} << 16, '\0');
+    ssize_t length = 0;
+    do {
+      length = recv(accepted, bytes.data(), bytes.size(), 0);
+    } while (length > 0);
+    const int error = length < 0 ? errno : 0;
+    close(accepted);
+    return error;
+  }
+
+  EventLoop loop;
+  int listener;
+};
+
+// Guards against a kernel that delivers a request after its daemon has given it
+// up, when another daemon has given a later order (issue 36).
+TEST_F(UnsentBytesTest, TimeOut_Discard_ResetsTheConnection) {
+  EXPECT_EQ(this->EndOfRequest(UnsentBytes::kDiscard), ECONNRESET);
+  EXPECT_EQ(this->EndOfRequest(UnsentBytes::kDeliver), 0);
+}
+
 }  // namespace
 }  // namespace camphorferry::connection
--- a/Source/UnitTests/Core/Session/fake_platform.h
+++ b/Source/UnitTests/Core/Session/fake_platform.h
@@ -114,13 +114,20 @@
     }
   }
 
-  void Promote(const common::ServiceId& service,
-               const common::EndpointId& endpoint,
-               const PromotionLeaseRecord& used,
-               std::function<void(PromotionAnswer)> done) override {
-    this->orders.push_back({service, endpoint, FencingToken(used)});
-    if (this->on_order) this->on_order(endpoint);
-    done(PromotionAnswer::kAccepted);
+  void ConnectForPromotion(
+      std::function<void(PromoteCall promote)> done) override {
+    if (this->promotions_down) {
+      done({});
+      return;
+    }
+    done([this](const common::ServiceId& service,
+                const common::EndpointId& endpoint,
+                const PromotionLeaseRecord& used,
+                const std::function<void(PromotionAnswer)>& answered) {
+      this->orders.push_back({service, endpoint, FencingToken(used)});
+      if (this->on_order) this->on_order(endpoint);
+      answered(PromotionAnswer::kAccepted);
+    });
   }
 
   std::function<void(std::uint64_t)> era_observer;
@@ -138,6 +145,8 @@
   std::uint64_t era = 0;
   std::uint64_t revision = 10;
   bool store_down = false;
+  /// The promotion API gives no answer.
+  bool promotions_down = false;
   /// Writes of the lease take effect without an answer.
   bool loses_answers = false;
   /// Writes of the lease are answered by AnswerAll.
--- a/Source/UnitTests/Core/Session/promotion_model_test.cc
+++ b/Source/UnitTests/Core/Session/promotion_model_test.cc
@@ -504,6 +504,36 @@
   EXPECT_TRUE(this->ordered.has_value());
 }
 
+// Guards against a daemon that the platform does not answer and that keeps the
+// lease from one that it does (issue 36).
+TEST_F(PromotionLossTest, PlatformNotReached_NoOrderGiven_EndsAndResumes) {
+  this->Answer(this->a, Replica(3, 10, 4));
+  this->Answer(this->b, Replica(3, 10, 4));
+  ASSERT_TRUE(this->ordered.has_value());
+  const auto actions = this->plan.OnPlatformNotReached(kStart + kFencePause);
+  const auto* finished = Find<PromotionFinished>(actions);
+  ASSERT_NE(finished, nullptr);
+  EXPECT_TRUE(finished->platform_not_reached);
+  EXPECT_FALSE(finished->command_may_execute);
+  EXPECT_NE(Find<SendResume>(actions), nullptr);
+}
+
+// Guards against ending a plan whose first order may still be executed.
+TEST_F(PromotionLossTest, PlatformNotReached_OrderGiven_DoesNotEnd) {
+  this->Answer(this->a, Replica(3, 10, 4));
+  this->Answer(this->b, Replica(3, 10, 4));
+  this->OrderAnswer(PromotionAnswer::kNoAnswer, milliseconds(1400));
+  for (milliseconds age(500); age <= milliseconds(2500);
+       age += kPromotionTickInterval) {
+    this->Answer(this->a, Replica(3, 10, 4), age);
+    this->Answer(this->b, Replica(3, 10, 4), age);
+    this->TickUntil(age);
+  }
+  ASSERT_GT(this->ordered_at, milliseconds(1400));
+  EXPECT_TRUE(
+      this->plan.OnPlatformNotReached(kStart + this->ordered_at).empty());
+}
+
 // Guards against ending the holds that an earlier order relies on, because the
 // plan cannot hold enough members.
 TEST_F(EarlierOrderTest, MembersUnreachable_OrderOpen_DoesNotEnd) {
--- a/Source/UnitTests/Platform/promotion_task_test.cc
+++ b/Source/UnitTests/Platform/promotion_task_test.cc
@@ -130,6 +130,35 @@
   EXPECT_EQ(recorded->count, 1U);
 }
 
+// Guards against an order that waits behind an interruption of the path to the
+// platform, and arrives after that of the next holder (issue 36): it would be
+// recorded as given, and hold up the others.
+TEST_F(PromotionTaskTest, Promotion_PlatformSilent_RecordsAndGivesNone) {
+  this->platform.promotions_down = true;
+  this->responsive.insert("b");
+  this->RunFor(milliseconds(300));
+  this->task->Tick(common::SteadyNow());
+  this->task->Tick(common::SteadyNow());
+  for (const auto& done : this->resumes) done({EndpointStatus(), true});
+  EXPECT_TRUE(this->platform.orders.empty());
+  EXPECT_TRUE(this->platform.lease_record.orders.empty());
+  EXPECT_FALSE(this->platform.lease_record.active);
+}
+
+// Guards against the same after the platform had answered, if the store takes
+// long to record the order.
+TEST_F(PromotionTaskTest, Promotion_RecordedLate_IsNotGiven) {
+  this->platform.answers_later = true;
+  this->responsive.insert("b");
+  this->RunFor(milliseconds(300));
+  this->task->Tick(common::SteadyNow());
+  this->task->Tick(common::SteadyNow());
+  this->RunFor(milliseconds(700));
+  this->platform.AnswerAll();
+  EXPECT_FALSE(this->platform.lease_record.orders.empty());
+  EXPECT_TRUE(this->platform.orders.empty());
+}
+
 // Guards against a resume that arrives after the next holder of the lease has
 // held the same replica.
 TEST_F(PromotionTaskTest, Promotion_ResumeOutstanding_KeepsTheLease) {
--- a/Source/UnitTests/Platform/store_client_test.cc
+++ b/Source/UnitTests/Platform/store_client_test.cc
@@ -148,6 +148,36 @@
   EXPECT_EQ(std::get<PromotionLeaseRecord>(read).holder.Value(), "one");
 }
 
+// Guards against a call to the platform that begins while it does not answer,
+// and is executed when another daemon has given a later order (issue 36).
+TEST_F(StoreClientTest, ConnectForPromotion_PlatformSilent_GivesNoCall) {
+  const auto connect = [this] {
+    return Await<session::PromoteCall>(&this->loop, [&](auto done) {
+      this->client.ConnectForPromotion(std::move(done));
+    });
+  };
+  this->store.SetState(StoreState::kSilent);
+  EXPECT_FALSE(connect());
+  this->store.SetState(StoreState::kUp);
+  const session::PromoteCall promote = connect();
+  ASSERT_TRUE(promote);
+  EXPECT_TRUE(this->store.PromotionCalls().empty());
+  PromotionLeaseRecord record{common::HostId("one"), true, {0, 9}, 0};
+  record.held_since = {0, 4};
+  const auto answer =
+      Await<session::PromotionAnswer>(&this->loop, [&](auto done) {
+        promote(common::ServiceId("svc"), common::EndpointId("a"), record,
+                std::move(done));
+      });
+  EXPECT_EQ(answer, session::PromotionAnswer::kAccepted);
+  ASSERT_EQ(this->store.PromotionCalls().size(), 1U);
+  const PromotionCall& call = this->store.PromotionCalls().front();
+  EXPECT_EQ(call.service, "svc");
+  EXPECT_EQ(call.endpoint, "a");
+  EXPECT_EQ(call.holder, "one");
+  EXPECT_EQ(call.token, 4U);
+}
+
 // Guards against unnecessary calls for a registration, at the first start and
 // at each restart, and against an outdated address that stays registered.
 TEST_F(StoreClientTest, RegisterHost_RepeatedAndMoved_CallsOnceUnlessChanged) {
