Session: Go on relaying commands to a member that has answered by a peer

What callers would see: a primary that this daemon does not reach, but others do, steps down and is not held before the order.

Cause: a command is relayed if the member was unresponsive when it was last contacted. A primary that accepts connections and closes them is responsive after each connection, so whether the hold is relayed depends on which of the two was seen last, after the step-down was relayed. Trace of a failed run: command_relayed for the step-down only, and promotion_evidence with p:not_held after 374 ms; in a good one both are relayed.

Peers now go on to send commands for 2.5 s after they have had the member's answer.

Ruled out: load (it failed one run at a time as well as 24 at once).

--- a/Source/Core/Session/service_group.cc
+++ b/Source/Core/Session/service_group.cc
@@ -17,6 +17,9 @@
 /// Minimum interval between two requests to peers to send a command of one kind
 /// to a member. A promotion repeats its commands more often.
 constexpr std::chrono::milliseconds kRelayInterval(300);
+/// Commands go on to be sent by peers for this long after they have had a
+/// member's answer: longer than the fencing of a promotion.
+constexpr std::chrono::milliseconds kRelayedDuration(2500);
 /// Reads prefer other members for this long after a member could not be
 /// reached.
 constexpr std::chrono::milliseconds kAvoidDuration(300);
@@ -294,9 +297,12 @@
                                     CommandCallback done) {
   const common::SteadyTime now = common::SteadyNow();
   const auto member = this->members.find(id);
-  const bool relays = member != this->members.end() &&
-                      member->second.unresponsive &&
-                      now >= member->second.next_relay[command.kind];
+  // A member that accepts this daemon's connections and closes them seems
+  // responsive after each of them.
+  const bool relays =
+      member != this->members.end() &&
+      (member->second.unresponsive || now < member->second.relayed_until) &&
+      now >= member->second.next_relay[command.kind];
   const CommandCallback finish =
       CombineAttempts(relays ? 2 : 1, std::move(done));
   if (relays) {
@@ -311,7 +317,14 @@
                       {{"service", this->service},
                        {"endpoint", id},
                        {"answered", status.has_value() ? "yes" : "no"}});
-          if (status.has_value()) this->OnStatus(id, *status);
+          if (status.has_value()) {
+            const auto answered = this->members.find(id);
+            if (answered != this->members.end()) {
+              answered->second.relayed_until =
+                  common::SteadyNow() + kRelayedDuration;
+            }
+            this->OnStatus(id, *status);
+          }
           finish({status, true});
         });
   }
--- a/Source/Core/Session/service_group.h
+++ b/Source/Core/Session/service_group.h
@@ -126,6 +126,9 @@
     bool unresponsive = false;
     /// Peers are not asked before to send a command of the kind to the member.
     std::map<MemberCommandKind, common::SteadyTime> next_relay;
+    /// Until when peers send commands to the member, since they have had an
+    /// answer of it.
+    common::SteadyTime relayed_until;
   };
 
   struct ProofWaiter {
