Session: Await unanswered orders by their token, not by their holder

Found when the fix was read anew: unanswered orders were awaited if another daemon had given them. A daemon that loses the lease to another one and gets it back has a new token, and ordered at once while its own order from before might still arrive.

The record now has the token of the orders in place of the daemon, and every order with another token is awaited.

--- a/Source/Core/Session/promotion_lease.cc
+++ b/Source/Core/Session/promotion_lease.cc
@@ -149,7 +149,7 @@
     }
     *order = open.has_value() ? open->record
                               : PromotionOrderRecord{endpoint, term, 0, 0};
-    order->holder = this->host;
+    order->token = this->OwnToken();
     ++order->count;
     ++order->unanswered;
     order->number = this->random() >> kOrderNumberShift;
@@ -215,7 +215,7 @@
   if (now >= until) return std::nullopt;
   const PromotionOrderRecord& order = found->second;
   return OpenOrder{order, until,
-                   order.unanswered > 0 && order.holder != this->host};
+                   order.unanswered > 0 && order.token != this->OwnToken()};
 }
 
 void PromotionLease::SetRecord(const PromotionLeaseRecord& changed) {
@@ -282,6 +282,12 @@
   return {this->record.revision.era, this->record.revision.number + 1};
 }
 
+std::uint64_t PromotionLease::OwnToken() const {
+  PromotionLeaseRecord own;
+  own.held_since = this->HeldSince();
+  return FencingToken(own);
+}
+
 void PromotionLease::StartNextWrite() {
   this->write_in_flight = true;
   const common::SteadyTime sent = common::SteadyNow();
--- a/Source/Core/Session/promotion_lease.h
+++ b/Source/Core/Session/promotion_lease.h
@@ -46,8 +46,8 @@
 
   /// Records an order that is about to be given for a member of a service whose
   /// newest term is the given one. Calls back like Confirm; with none as well
-  /// if an order for another member of the service is open, or one of another
-  /// daemon that may still be on its way.
+  /// if an order for another member of the service is open, or one with an
+  /// earlier token that may still be on its way.
   void RecordOrder(
       const common::ServiceId& service, const common::EndpointId& endpoint,
       common::Term term,
@@ -109,6 +109,8 @@
   /// Since when this daemon is the holder, if it is the last known one or
   /// becomes it by the next write.
   StoreRevision HeldSince() const;
+  /// The fencing token that goes with it.
+  std::uint64_t OwnToken() const;
   void OnWritten(common::SteadyTime sent, std::uint64_t era_before,
                  const PromotionLeaseResult& result);
   void EndWrite(bool written);
--- a/Source/Core/Session/promotion_order.h
+++ b/Source/Core/Session/promotion_order.h
@@ -24,10 +24,10 @@
   std::uint32_t count = 0;
   /// Random number of the latest order; differs between attempts to record one.
   std::uint64_t number = 0;
-  /// Daemon that has given the latest order.
-  common::HostId holder = {};
-  /// Number of orders of the holder without an answer from the platform, which
-  /// they may not have reached yet.
+  /// Fencing token of the latest order.
+  std::uint64_t token = 0;
+  /// Number of orders with that token and without an answer from the platform,
+  /// which they may not have reached yet.
   std::uint32_t unanswered = 0;
 
   bool operator==(const PromotionOrderRecord&) const = default;
@@ -43,8 +43,8 @@
   PromotionOrderRecord record;
   /// When they can no longer be executed.
   common::SteadyTime until;
-  /// An order of another daemon may still be on its way to the platform. It
-  /// must not arrive after one with a higher fencing token.
+  /// An order with an earlier token than this daemon would use may still be on
+  /// its way to the platform, and must not arrive after one with that token.
   bool may_arrive = false;
 };
 
--- a/Source/Core/Session/promotion_plan.h
+++ b/Source/Core/Session/promotion_plan.h
@@ -102,8 +102,8 @@
 
   /// Sets orders of earlier plans that may still be executed. Must be called
   /// before Begin. Until they no longer can be, the plan orders no other member
-  /// than theirs, none at all if an order of another daemon may still arrive,
-  /// and ends no hold.
+  /// than theirs, none at all if an order with an earlier token may still
+  /// arrive, and ends no hold.
   void SetEarlierOrder(const OpenOrder& order);
 
   /// Returns the first actions of the plan.
--- a/Source/Core/Session/promotion_task.cc
+++ b/Source/Core/Session/promotion_task.cc
@@ -135,7 +135,7 @@
          {"endpoint", open->record.endpoint},
          {"term", open->record.term},
          {"orders", open->record.count},
-         {"holder", open->record.holder},
+         {"token", open->record.token},
          {"unanswered", open->record.unanswered},
          {"lasts_ms", common::ToMilliseconds(open->until - now).count()}});
     this->plan->SetEarlierOrder(*open);
--- a/Source/UnitTests/Core/Connection/http_client_test.cc
+++ b/Source/UnitTests/Core/Connection/http_client_test.cc
@@ -120,9 +120,10 @@
  protected:
   UnsentBytesTest() : listener(socket(AF_INET, SOCK_STREAM, 0)) {
     const sockaddr_in address = ToSockaddrIn({"127.0.0.1", 0});
-    bind(this->listener, reinterpret_cast<const sockaddr*>(&address),
-         sizeof(address));
-    listen(this->listener, 1);
+    EXPECT_EQ(bind(this->listener, reinterpret_cast<const sockaddr*>(&address),
+                   sizeof(address)),
+              0);
+    EXPECT_EQ(listen(this->listener, 1), 0);
   }
   ~UnsentBytesTest() override { close(this->listener); }
 
--- a/Source/UnitTests/Core/Session/promotion_lease_test.cc
+++ b/Source/UnitTests/Core/Session/promotion_lease_test.cc
@@ -214,11 +214,27 @@
   EXPECT_TRUE(this->Open(this->second)->may_arrive);
   EXPECT_FALSE(this->Record(&this->second, this->a));
   EXPECT_FALSE(this->Record(&this->second, this->b));
-  this->second.Release();
+}
+
+// Guards against waiting for orders that have the same token.
+TEST_F(RecordedOrderTest, OrderUnanswered_HeldAgain_RecordsTheSameMember) {
+  ASSERT_TRUE(this->Record(&this->first, this->a));
+  this->first.Release();
   ASSERT_TRUE(Acquire(&this->first));
   EXPECT_TRUE(this->Record(&this->first, this->a));
 }
 
+// Guards against a daemon that gets the lease back from another one, and meets
+// its own order from before with the token that it gets then (issue 36).
+TEST_F(RecordedOrderTest, OrderUnanswered_HeldAgainAfterAnother_RecordsNone) {
+  ASSERT_TRUE(this->Record(&this->first, this->a));
+  this->TakeOver();
+  this->second.Release();
+  ASSERT_TRUE(Acquire(&this->first));
+  EXPECT_TRUE(this->Open(this->first)->may_arrive);
+  EXPECT_FALSE(this->Record(&this->first, this->a));
+}
+
 // Guards against the same for a daemon that reads the record while another one
 // holds the lease, and takes it over later.
 TEST_F(RecordedOrderTest, OrderSeenBefore_NextHolder_CountsFromThen) {
--- a/Source/UnitTests/Core/Session/promotion_model.cc
+++ b/Source/UnitTests/Core/Session/promotion_model.cc
@@ -973,7 +973,7 @@
     if (open->record.endpoint != id || open->may_arrive) return false;
     order = open->record;
   }
-  order.holder = common::HostId(this->Name());
+  order.token = this->OwnToken();
   ++order.count;
   ++order.unanswered;
   order.number = this->record.revision;
@@ -983,6 +983,11 @@
   return false;
 }
 
+std::uint64_t DaemonModel::OwnToken() const {
+  return this->record.holder == this->number ? this->record.held_since
+                                             : this->record.revision + 1;
+}
+
 void DaemonModel::WithdrawOrder() {
   if (!this->record.order.has_value()) return;
   if (this->record.order->unanswered > 0) --this->record.order->unanswered;
@@ -1009,9 +1014,8 @@
     return std::nullopt;
   }
   const PromotionOrderRecord& order = *this->record.order;
-  return OpenOrder{
-      order, until,
-      order.unanswered > 0 && order.holder != common::HostId(this->Name())};
+  return OpenOrder{order, until,
+                   order.unanswered > 0 && order.token != this->OwnToken()};
 }
 
 void DaemonModel::SetRecord(const ModelLeaseRecord& changed) {
--- a/Source/UnitTests/Core/Session/promotion_model.h
+++ b/Source/UnitTests/Core/Session/promotion_model.h
@@ -333,6 +333,8 @@
   bool RecordOrder(const common::EndpointId& id, common::Term newest);
   void WithdrawOrder();
   void OnOrderAccepted();
+  /// The token that this daemon has, or gets when it becomes the holder.
+  std::uint64_t OwnToken() const;
   void SettleExecutedOrder();
   std::optional<OpenOrder> OpenOrderOfGroup() const;
   void SetRecord(const ModelLeaseRecord& changed);
--- a/Source/UnitTests/Platform/documents_test.cc
+++ b/Source/UnitTests/Platform/documents_test.cc
@@ -245,12 +245,11 @@
 TEST_F(DocumentsTest, LeaseRecord_EncodedAndDecoded_KeepsOrders) {
   session::PromotionLeaseRecord record{common::HostId("h"), true, {2, 4}, 2};
   const common::ServiceId service("s");
-  record.orders[service] = {common::EndpointId("n"), 5, 2, 3,
-                            common::HostId("h"),     1};
+  record.orders[service] = {common::EndpointId("n"), 5, 2, 3, 9, 1};
   json object = {{"meta", {{"rev", 4}}}, {"spec", EncodeLeaseRecord(record)}};
   EXPECT_EQ(DecodeLeaseRecord(object, 2).orders, record.orders);
   // Of an earlier version.
-  object["spec"]["orders"]["s"].erase("holder");
+  object["spec"]["orders"]["s"].erase("token");
   object["spec"]["orders"]["s"].erase("unanswered");
   EXPECT_EQ(DecodeLeaseRecord(object, 2).orders.at(service).unanswered, 2U);
 }
