Soak: Draw both schedules with the same pieces, in a fixed order

Read again: MakePromotionSchedule had its own copies of how MakeSchedule draws times and shortens faults, and two draws stood in the arguments of one call, whose order C++ leaves to the compiler, so a seed could have meant another schedule elsewhere. The draws are now in the order that the compiler used. The bound of the drawn targets did nothing.

CheckFencingTokens keeps one number instead of a copy of the latest call, and DeliverHeld tells a connection that has ended from an open one without a loop over both directions.

--- a/Source/Soak/fault_schedule.cc
+++ b/Source/Soak/fault_schedule.cc
@@ -42,9 +42,22 @@
 /// Time without faults at the end of a run of promotions. An order without an
 /// answer may bar others for 10 s.
 constexpr std::chrono::seconds kFaultFreePromotionEnd(17);
-/// Targets are drawn below this number; it is divisible by usual numbers of
-/// proxies.
-constexpr std::uint64_t kManyProxies = 840;
+
+/// A random time from the least one up to, but not including, the most.
+std::chrono::milliseconds Between(int least, int most,
+                                  std::mt19937_64* random) {
+  return std::chrono::milliseconds(
+      least + static_cast<int>((*random)() % (most - least)));
+}
+
+/// Appends a fault, shortened to end at the given time. Returns false if it
+/// would not begin before.
+bool AddUntil(common::Duration end, Fault fault, std::vector<Fault>* faults) {
+  fault.duration = std::min<common::Duration>(fault.duration, end - fault.at);
+  if (fault.duration <= common::Duration::zero()) return false;
+  faults->push_back(fault);
+  return true;
+}
 
 /// Appends the time of slow promotions, if the seed has one. The primary of one
 /// service is silent for its first seconds and the replicas lag, so that
@@ -127,30 +140,24 @@
 
 std::vector<Fault> MakeSchedule(std::uint64_t seed, common::Duration length) {
   std::mt19937_64 random(seed);
-  const auto milliseconds = [&](int least, int most) {
-    return std::chrono::milliseconds(
-        least + static_cast<int>(random() % (most - least)));
-  };
   std::vector<Fault> faults;
+  const common::Duration end = length - kFaultFreeEnd;
   common::Duration at = kFaultFreeStart;
-  while (at < length - kFaultFreeEnd) {
+  while (at < end) {
     Fault fault;
     fault.kind = kAllFaultKinds[random() % kAllFaultKinds.size()];
     fault.at = at;
-    fault.duration = milliseconds(300, 4000);
+    fault.duration = Between(300, 4000, &random);
     fault.target_selector = random();
     // A third of the faults are repeated in quick succession.
     const int repetitions = random() % 3 == 0 ? 3 : 1;
     for (int count = 0; count < repetitions; ++count) {
-      fault.duration = std::min<common::Duration>(
-          fault.duration, length - kFaultFreeEnd - fault.at);
-      if (fault.duration <= common::Duration::zero()) break;
-      faults.push_back(fault);
-      fault.at += milliseconds(300, 1200);
+      if (!AddUntil(end, fault, &faults)) break;
+      fault.at += Between(300, 1200, &random);
       fault.target_selector = random();
     }
     // The next fault often starts before this one has ended.
-    at += milliseconds(500, 3500);
+    at += Between(500, 3500, &random);
   }
   AddSlowPromotions(seed, length, &faults);
   return faults;
@@ -159,36 +166,32 @@
 std::vector<Fault> MakePromotionSchedule(std::uint64_t seed,
                                          common::Duration length) {
   std::mt19937_64 random(seed);
-  const auto milliseconds = [&](int least, int most) {
-    return std::chrono::milliseconds(
-        least + static_cast<int>(random() % (most - least)));
-  };
   std::vector<Fault> faults;
   const common::Duration end = length - kFaultFreePromotionEnd;
-  const auto add = [&](FaultKind kind, common::Duration at,
-                       common::Duration duration, std::uint64_t target) {
-    const common::Duration limited =
-        std::min<common::Duration>(duration, end - at);
-    if (limited <= common::Duration::zero()) return;
-    faults.push_back({kind, at, limited, target});
-  };
   std::uint64_t service = 0;
   for (common::Duration at = kFaultFreeStart; at < end;
-       at += milliseconds(700, 1300)) {
+       at += Between(700, 1300, &random)) {
     const FaultKind kind = random() % 2 == 0 ? FaultKind::kCrashPrimary
                                              : FaultKind::kSilentPrimary;
-    add(kind, at, milliseconds(1500, 2500), service++);
+    AddUntil(end, {kind, at, Between(1500, 2500, &random), service++}, &faults);
   }
   for (common::Duration at = kFaultFreeStart; at < end;
-       at += milliseconds(2000, 5000)) {
+       at += Between(2000, 5000, &random)) {
     const std::uint64_t first = random();
     const std::uint64_t count = 1 + random() % 3;
-    for (std::uint64_t proxy = first % kManyProxies;
-         proxy < first % kManyProxies + count; ++proxy) {
-      add(FaultKind::kPromotionPathHeld, at, milliseconds(1000, 14000), proxy);
-      const FaultKind kind =
+    for (std::uint64_t offset = 0; offset < count; ++offset) {
+      const std::uint64_t proxy = first + offset;
+      AddUntil(end,
+               {FaultKind::kPromotionPathHeld, at,
+                Between(1000, 14000, &random), proxy},
+               &faults);
+      Fault stop;
+      stop.kind =
           random() % 2 == 0 ? FaultKind::kKillProxy : FaultKind::kFreezeProxy;
-      add(kind, at + milliseconds(300, 3000), milliseconds(500, 5000), proxy);
+      stop.duration = Between(500, 5000, &random);
+      stop.at = at + Between(300, 3000, &random);
+      stop.target_selector = proxy;
+      AddUntil(end, stop, &faults);
     }
   }
   return faults;
--- a/Source/Soak/soak_run.cc
+++ b/Source/Soak/soak_run.cc
@@ -238,26 +238,26 @@
     return call.service + " " + call.endpoint + " holder=" + call.holder +
            " token=" + std::to_string(call.token);
   };
-  std::optional<PromotionCall> latest;
-  std::map<std::string, PromotionCall> latest_of_service;
+  std::uint64_t latest_token = 0;
+  std::map<std::string, PromotionCall> highest_calls;
   for (const PromotionCall& call : this->store->PromotionCalls()) {
-    const auto [seen, is_first] =
-        latest_of_service.try_emplace(call.service, call);
-    const bool falls = call.token < seen->second.token;
+    PromotionCall& highest =
+        highest_calls.try_emplace(call.service, call).first->second;
+    const bool falls = call.token < highest.token;
     const bool shared =
-        call.token == seen->second.token && call.holder != seen->second.holder;
+        call.token == highest.token && call.holder != highest.holder;
     if (falls || shared) {
       this->violations.push_back("fence_falls " + describe(call) + " after " +
-                                 describe(seen->second));
+                                 describe(highest));
     } else {
-      seen->second = call;
+      highest = call;
     }
-    const bool falls_for_any = latest.has_value() && call.token < latest->token;
-    if (falls_for_any && this->settings.schedule == SoakSchedule::kMixed) {
+    if (call.token < latest_token &&
+        this->settings.schedule == SoakSchedule::kMixed) {
       this->violations.push_back("token_falls token=" +
                                  std::to_string(call.token));
     }
-    latest = call;
+    latest_token = call.token;
   }
 }
 
--- a/Source/Soak/tcp_relay.cc
+++ b/Source/Soak/tcp_relay.cc
@@ -81,14 +81,11 @@
     waiting.push_back(raw);
   }
   for (RelayedConnection* relayed : waiting) {
-    for (const bool forward : {true, false}) {
-      const bool ended =
-          forward ? relayed->held_end_of_client : relayed->held_end_of_target;
-      if (ended) {
-        this->End(relayed, forward);
-        break;
-      }
-      this->Forward(relayed, forward);
+    if (relayed->held_end_of_client || relayed->held_end_of_target) {
+      this->End(relayed, relayed->held_end_of_client);
+    } else {
+      this->Forward(relayed, true);
+      this->Forward(relayed, false);
     }
   }
 }
