--- a/Source/UnitTests/Core/Session/promotion_model_test.cc
+++ b/Source/UnitTests/Core/Session/promotion_model_test.cc
@@ -458,10 +458,14 @@
 /// The same plan while an order of an earlier one for the replica a is open.
 class EarlierOrderTest : public PromotionLossTest {
  protected:
-  EarlierOrderTest() {
+  EarlierOrderTest() { this->BeginPlan(false); }
+
+  /// Begins a plan while an order is open, which may still have to arrive.
+  void BeginPlan(bool may_arrive) {
     this->plan = PromotionPlan({Member("p"), Member("a"), Member("b")}, {},
                                this->p, 3, 3, kStart);
-    this->plan.SetEarlierOrder({{this->a, 3, 1, 7}, kStart + kOpen});
+    this->plan.SetEarlierOrder(
+        {{this->a, 3, 1, 7}, kStart + kOpen, may_arrive});
     this->Record(this->plan.Begin(kStart), milliseconds(0));
   }
 
@@ -491,10 +495,7 @@
 // Guards against repeating an order of another daemon that may still arrive,
 // after this one, with a lower token (issue 36).
 TEST_F(EarlierOrderTest, ReplicasEqual_OrderMayArrive_OrdersNothing) {
-  this->plan = PromotionPlan({Member("p"), Member("a"), Member("b")}, {},
-                             this->p, 3, 3, kStart);
-  this->plan.SetEarlierOrder({{this->a, 3, 1, 7}, kStart + kOpen, true});
-  this->Record(this->plan.Begin(kStart), milliseconds(0));
+  this->BeginPlan(true);
   this->Answer(this->b, Replica(3, 11, 4));
   this->Answer(this->a, Replica(3, 11, 4));
   this->TickUntil(kOpen - milliseconds(100));
--- a/Source/UnitTests/Platform/promotion_task_test.cc
+++ b/Source/UnitTests/Platform/promotion_task_test.cc
@@ -67,6 +67,14 @@
     this->loop.Run();
   }
 
+  /// Has the other replica answer as well, so that an order is due.
+  void AnswerByBothReplicas() {
+    this->responsive.insert("b");
+    this->RunFor(milliseconds(300));
+    this->task->Tick(common::SteadyNow());
+    this->task->Tick(common::SteadyNow());
+  }
+
   bool Resumed() const {
     return std::any_of(this->commands.begin(), this->commands.end(),
                        [](const std::string& command) {
@@ -102,10 +110,7 @@
 // Guards against another daemon that takes the lease over and orders another
 // member while an order of this daemon may still take effect.
 TEST_F(PromotionTaskTest, Promotion_OrderOutstanding_RenewsTheLease) {
-  this->responsive.insert("b");
-  this->RunFor(milliseconds(300));
-  this->task->Tick(common::SteadyNow());
-  this->task->Tick(common::SteadyNow());
+  this->AnswerByBothReplicas();
   const std::uint64_t ordered = this->platform.lease_record.revision.number;
   this->RunFor(milliseconds(1200));
   this->task->Tick(common::SteadyNow());
@@ -121,10 +126,7 @@
     recorded = this->platform.lease_record.orders[common::ServiceId("svc")];
     EXPECT_EQ(recorded->endpoint, ordered);
   };
-  this->responsive.insert("b");
-  this->RunFor(milliseconds(300));
-  this->task->Tick(common::SteadyNow());
-  this->task->Tick(common::SteadyNow());
+  this->AnswerByBothReplicas();
   ASSERT_TRUE(recorded.has_value());
   EXPECT_EQ(recorded->term, 1U);
   EXPECT_EQ(recorded->count, 1U);
@@ -135,10 +137,7 @@
 // recorded as given, and hold up the others.
 TEST_F(PromotionTaskTest, Promotion_PlatformSilent_RecordsAndGivesNone) {
   this->platform.promotions_down = true;
-  this->responsive.insert("b");
-  this->RunFor(milliseconds(300));
-  this->task->Tick(common::SteadyNow());
-  this->task->Tick(common::SteadyNow());
+  this->AnswerByBothReplicas();
   for (const auto& done : this->resumes) done({EndpointStatus(), true});
   EXPECT_TRUE(this->platform.orders.empty());
   EXPECT_TRUE(this->platform.lease_record.orders.empty());
@@ -149,10 +148,7 @@
 // long to record the order.
 TEST_F(PromotionTaskTest, Promotion_RecordedLate_IsNotGiven) {
   this->platform.answers_later = true;
-  this->responsive.insert("b");
-  this->RunFor(milliseconds(300));
-  this->task->Tick(common::SteadyNow());
-  this->task->Tick(common::SteadyNow());
+  this->AnswerByBothReplicas();
   this->RunFor(milliseconds(700));
   this->platform.AnswerAll();
   EXPECT_FALSE(this->platform.lease_record.orders.empty());
