--- a/Source/UnitTests/Platform/fake_documents.cc
+++ b/Source/UnitTests/Platform/fake_documents.cc
@@ -101,4 +101,9 @@
           {"cloudApi", {{"addr", connection::ToString(promotion)}}}};
 }
 
+json EncodeSettings(const session::ProxySettings& settings,
+                    const connection::SocketAddress& store) {
+  return EncodeSettings(settings, store, store);
+}
+
 }  // namespace camphorferry::platform
--- a/Source/UnitTests/Platform/fake_documents.h
+++ b/Source/UnitTests/Platform/fake_documents.h
@@ -20,6 +20,10 @@
                               const connection::SocketAddress& store,
                               const connection::SocketAddress& promotion);
 
+/// The same with the promotion API at the store's address.
+nlohmann::json EncodeSettings(const session::ProxySettings& settings,
+                              const connection::SocketAddress& store);
+
 }  // namespace camphorferry::platform
 
 #endif  // CAMPHORFERRY_UNIT_TESTS_PLATFORM_FAKE_DOCUMENTS_H_
