--- a/Source/Core/Session/client_session.cc
+++ b/Source/Core/Session/client_session.cc
@@ -297,7 +297,7 @@
     return;
   }
   if (transaction.has_value() && transaction->started &&
-      (this->pinned_channel == nullptr || !this->pinned_channel->Usable())) {
+      !IsUsable(this->pinned_channel)) {
     this->FailTransaction(commit);
     this->ReplyError(StatementError::kAborted,
                      "connection to the database ended");
@@ -317,7 +317,7 @@
     request.needs_primary = !transaction->read_only;
     request.received = transaction->begun_at;
     request.writes = commit ? transaction->wrote : request.writes;
-    request.channel = std::exchange(this->pinned_channel, nullptr);
+    request.channel = std::exchange(this->pinned_channel, std::monostate());
   } else {
     request.needs_primary = request.writes;
   }
@@ -433,8 +433,7 @@
 }
 
 void ClientSession::RollBackTransaction() {
-  if (this->pinned_channel == nullptr) return;
-  RollBackAndReturnToPool(std::exchange(this->pinned_channel, nullptr));
+  RollBack(&this->pinned_channel);
 }
 
 bool ClientSession::CloseIfIdle() {
--- a/Source/Core/Session/client_session.h
+++ b/Source/Core/Session/client_session.h
@@ -122,7 +122,8 @@
   /// An operation waits for its admission by the rate limiter.
   bool awaiting_admission = false;
   std::shared_ptr<StatementRun> run;
-  std::shared_ptr<EndpointChannel> pinned_channel;
+  /// The channel of the open transaction.
+  TransactionChannel pinned_channel;
   std::string current_request;
   common::SteadyTime current_received;
 };
--- a/Source/Core/Session/fleet_membership.cc
+++ b/Source/Core/Session/fleet_membership.cc
@@ -52,7 +52,8 @@
     peer.rank = common::RendezvousScore(this->own.host.Value(), host.id);
     peer.misses = 0;
     peer.has_replied = false;
-    this->owners.clear();
+    peer.stopping = false;
+    this->ForgetChoices();
   }
   peer.host = host;
 }
@@ -61,7 +62,7 @@
                               common::SteadyTime now) {
   const auto found = this->peers.find(host);
   if (found == this->peers.end()) return;
-  if (IsSilent(found->second)) this->owners.clear();
+  if (IsSilent(found->second)) this->ForgetChoices();
   found->second.last_reply = now;
   found->second.misses = 0;
   found->second.has_replied = true;
@@ -89,7 +90,7 @@
   const bool was_silent = IsSilent(found->second);
   ++found->second.misses;
   if (was_silent || !IsSilent(found->second)) return false;
-  this->owners.clear();
+  this->ForgetChoices();
   return true;
 }
 
@@ -108,6 +109,46 @@
   return this->owners;
 }
 
+void FleetMembership::ForgetChoices() {
+  this->owners.clear();
+  this->connection_owners.clear();
+}
+
+void FleetMembership::SetStopping(const common::HostId& host, bool stopping) {
+  const auto found = this->peers.find(host);
+  if (found == this->peers.end() || found->second.stopping == stopping) return;
+  found->second.stopping = stopping;
+  this->connection_owners.clear();
+}
+
+std::optional<FleetHost> FleetMembership::ConnectionOwnerOf(
+    const std::string& key, const common::FailureDomainId& domain) {
+  const auto [place, is_new] = this->connection_owners.try_emplace(domain);
+  std::vector<common::HostId>& candidates = place->second;
+  if (is_new) {
+    if (this->own.domain == domain) candidates.push_back(this->own.host);
+    for (const auto& [id, peer] : this->peers) {
+      const bool usable = !IsSilent(peer) && !peer.stopping;
+      if (usable && peer.host.domain == domain) candidates.push_back(id);
+    }
+  }
+  const auto owner = common::RendezvousFirst(key, candidates);
+  if (!owner.has_value()) return std::nullopt;
+  const auto found = this->peers.find(*owner);
+  if (found == this->peers.end()) return std::nullopt;
+  return found->second.host;
+}
+
+std::size_t FleetMembership::SizeOf(
+    const common::FailureDomainId& domain) const {
+  const auto others = std::count_if(
+      this->peers.begin(), this->peers.end(), [&](const auto& item) {
+        return item.second.host.domain == domain;
+      });
+  return static_cast<std::size_t>(others) +
+         (this->own.domain == domain ? 1 : 0);
+}
+
 std::optional<FleetHost> FleetMembership::RateOwnerOf(
     const common::WorkspaceId& workspace) {
   const auto rate_owner =
@@ -194,7 +235,7 @@
       continue;
     }
     lost.push_back(it->second.host);
-    this->owners.clear();
+    this->ForgetChoices();
     it = this->peers.erase(it);
   }
   return lost;
--- a/Source/Core/Session/fleet_membership.h
+++ b/Source/Core/Session/fleet_membership.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <string>
 #include <vector>
 
 #include "Session/group_context.h"
@@ -40,6 +41,19 @@
   /// The daemon that owns a workspace's rate; none if it is this one.
   std::optional<FleetHost> RateOwnerOf(const common::WorkspaceId& workspace);
 
+  /// A daemon has said whether it is shutting down.
+  void SetStopping(const common::HostId& host, bool stopping);
+
+  /// The daemon in the failure domain that owns the connections with this key;
+  /// none if it is this one, or if no daemon there takes statements. All daemons
+  /// that know the same fleet choose the same one.
+  std::optional<FleetHost> ConnectionOwnerOf(
+      const std::string& key, const common::FailureDomainId& domain);
+
+  /// Number of daemons in a failure domain that may be alive, including this
+  /// one.
+  std::size_t SizeOf(const common::FailureDomainId& domain) const;
+
   /// The daemons to exchange reports with now, those that are due for longest
   /// first. Each is due again after its interval. In a fleet that is not small
   /// their number is bounded over time, however many become known, or fall
@@ -75,6 +89,8 @@
     /// Order among peers that are due at the same time.
     std::uint64_t rank = 0;
     int misses = 0;
+    /// Has said that it shuts down.
+    bool stopping = false;
     /// Has answered or reported itself; false if it is only named by the
     /// directory.
     bool has_replied = false;
@@ -84,11 +100,17 @@
   /// Number of exchanges that may be started now.
   std::size_t TakeAllowance(common::SteadyTime now, std::size_t wanted);
   static bool IsSilent(const Peer& peer);
+  /// Makes the choices that depend on who is silent or stopping be made again.
+  void ForgetChoices();
 
   HostLocation own;
   std::map<common::HostId, Peer> peers;
   /// Empty when the owners have to be chosen again.
   std::vector<common::HostId> owners;
+  /// Daemons that take statements, by failure domain; empty when they have to
+  /// be chosen again.
+  std::map<common::FailureDomainId, std::vector<common::HostId>>
+      connection_owners;
   /// Exchanges that may be started at once, and since when it has been counted.
   std::size_t allowance;
   std::optional<common::SteadyTime> allowance_counted_at;
--- a/Source/Core/Session/fleet_task.cc
+++ b/Source/Core/Session/fleet_task.cc
@@ -23,6 +23,9 @@
 /// Limit of a command that a peer relays: a call between regions (40 ms) beside
 /// the time that the peer gives the member (400 ms).
 constexpr std::chrono::milliseconds kRelayTimeout(500);
+/// Limit of a proof by a peer: two status requests and a call, each at most a
+/// round trip between regions (40 ms), and a round that is in progress.
+constexpr std::chrono::milliseconds kProofTimeout(300);
 /// Number of peers that are asked at once to relay a command. In a small fleet
 /// it is all, since any of them may be the only one that reaches the member.
 constexpr std::size_t kMaxRelays = 8;
@@ -58,6 +61,17 @@
                                   RelayCallback done) {
     this->callbacks.relay_command(request, std::move(done));
   };
+  handlers.run_statement = [this](const ForwardedStatement& request,
+                                  ForwardedCallback done) {
+    this->callbacks.run_statement(request, std::move(done));
+  };
+  handlers.end_transaction = [this](const TransactionEnd& request) {
+    this->callbacks.end_transaction(request);
+  };
+  handlers.prove_leadership = [this](const common::ServiceId& service,
+                                     ProofCallback done) {
+    this->callbacks.prove_leadership(service, std::move(done));
+  };
   this->transport = NewGrpcFleetTransport(loop, listen, std::move(handlers));
   this->own.peer_address =
       connection::ToString({listen.ip, this->transport->Port()});
@@ -147,6 +161,7 @@
           if (!*still_alive) return;
           if (report.has_value()) {
             this->OnReply(id);
+            this->membership.SetStopping(id, report->stopping);
             this->callbacks.on_reply(*report, requested_at);
           } else {
             this->OnNoReply(id);
@@ -160,6 +175,7 @@
 FleetReport FleetTask::OnPeerReport(const FleetReport& report) {
   this->membership.Add(report.host, common::SteadyNow());
   this->OnReply(report.host.id);
+  this->membership.SetStopping(report.host.id, report.stopping);
   this->fleet_known = true;
   this->callbacks.on_peer_report(report);
   this->ReportPending();
@@ -223,6 +239,56 @@
       });
 }
 
+std::optional<FleetHost> FleetTask::ConnectionOwner(const std::string& caller,
+                                                    const GroupMember& member) {
+  return this->membership.ConnectionOwnerOf(caller + "/" + member.id.Value(),
+                                            member.domain);
+}
+
+void FleetTask::RunStatement(
+    const FleetHost& owner, ForwardedStatement request,
+    common::Duration timeout,
+    std::function<void(const ForwardingResult&)> done) {
+  request.requester = this->own.id;
+  this->transport->RunStatement(
+      owner.peer_address, request, timeout,
+      [this, still_alive = this->alive, id = owner.id,
+       done = std::move(done)](const ForwardingResult& result) {
+        if (!*still_alive) return;
+        if (const auto* reply = std::get_if<ForwardedResult>(&result)) {
+          this->OnReply(id);
+          const auto* failure = std::get_if<AttemptFailure>(&reply->outcome);
+          if (failure != nullptr && *failure == AttemptFailure::kStopping) {
+            this->membership.SetStopping(id, true);
+          }
+        } else {
+          this->OnNoReply(id);
+        }
+        done(result);
+      });
+}
+
+void FleetTask::EndTransaction(const FleetHost& owner, std::uint64_t number) {
+  this->transport->EndTransaction(owner.peer_address, {this->own.id, number},
+                                  kExchangeTimeout);
+}
+
+std::optional<FleetHost> FleetTask::ProverOf(const GroupMember& primary) {
+  return this->membership.ConnectionOwnerOf(primary.service.Value(),
+                                            primary.domain);
+}
+
+void FleetTask::ProveLeadership(const FleetHost& prover,
+                                const common::ServiceId& service,
+                                ProofCallback done) {
+  this->transport->ProveLeadership(
+      prover.peer_address, service, kProofTimeout,
+      [still_alive = this->alive, done = std::move(done)](
+          const std::optional<common::LogPosition>& position) {
+        if (*still_alive) done(position);
+      });
+}
+
 void FleetTask::QueryDirectory(const DirectoryQuery& query,
                                DirectoryReceiver done) {
   const std::optional<FleetHost> peer = this->membership.NextResponsive();
--- a/Source/Core/Session/fleet_task.h
+++ b/Source/Core/Session/fleet_task.h
@@ -37,6 +37,12 @@
   std::function<SharedDirectory(const DirectoryQuery&)> read_directory;
   /// Sends a command to a member for a peer.
   std::function<void(const CommandRelay&, RelayCallback)> relay_command;
+  /// Runs a statement for a peer on a connection of this daemon.
+  std::function<void(const ForwardedStatement&, ForwardedCallback)>
+      run_statement;
+  std::function<void(const TransactionEnd&)> end_transaction;
+  /// Proves for a peer who leads a service.
+  std::function<void(const common::ServiceId&, ProofCallback)> prove_leadership;
 };
 
 /// Registers this daemon, discovers the others, exchanges reports with them and
@@ -75,6 +81,32 @@
   /// the first answer of the member, or with nothing if there was none.
   void RelayCommand(const CommandRelay& request, RelayCallback done);
 
+  /// The peer that owns a caller's connections to a member; none if this daemon
+  /// opens them itself.
+  std::optional<FleetHost> ConnectionOwner(const std::string& caller,
+                                           const GroupMember& member);
+
+  /// Number of daemons in a failure domain that may be alive.
+  std::size_t SizeOf(const common::FailureDomainId& domain) const {
+    return this->membership.SizeOf(domain);
+  }
+
+  /// Has a connection owner run a statement. Calls back once.
+  void RunStatement(const FleetHost& owner, ForwardedStatement request,
+                    common::Duration timeout,
+                    std::function<void(const ForwardingResult&)> done);
+
+  /// Asks a connection owner to roll back a transaction.
+  void EndTransaction(const FleetHost& owner, std::uint64_t number);
+
+  /// The peer that proves for the fleet who leads a service; none if this
+  /// daemon asks the members itself.
+  std::optional<FleetHost> ProverOf(const GroupMember& primary);
+
+  /// Has a peer prove who leads a service. Calls back once.
+  void ProveLeadership(const FleetHost& prover,
+                       const common::ServiceId& service, ProofCallback done);
+
   /// Receives the part of the directory that a peer has given.
   using DirectoryReceiver =
       std::function<void(const common::HostId& peer, const SharedDirectory&)>;
--- a/Source/Core/Session/fleet_transport.h
+++ b/Source/Core/Session/fleet_transport.h
@@ -7,11 +7,13 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <variant>
 #include <vector>
 
 #include "Connection/connection.h"
 #include "Session/directory.h"
 #include "Session/member_command.h"
+#include "Session/statement_attempt.h"
 
 namespace camphorferry::session {
 
@@ -31,8 +33,57 @@
   std::uint64_t configuration_version = 0;
   /// Latest era of the store that the daemon knows; 0 for none.
   std::uint64_t store_era = 0;
+  /// The daemon shuts down and takes no statements of others any more.
+  bool stopping = false;
 };
 
+/// A statement that a daemon has the owner of the endpoint's connections run.
+struct ForwardedStatement {
+  common::HostId requester;
+  common::ServiceId service;
+  common::EndpointId endpoint;
+  AttemptRequest attempt;
+  /// Transaction that the statement continues; 0 for none.
+  std::uint64_t transaction = 0;
+};
+
+/// Load of an endpoint as a connection owner sees it.
+struct OwnerLoad {
+  /// Requests that wait for a channel at the owner.
+  std::uint32_t waiting = 0;
+  /// Channels of the owner that are in use.
+  std::uint32_t in_use = 0;
+};
+
+/// A connection owner's reply.
+struct ForwardedResult {
+  std::variant<EndpointAnswer, AttemptFailure> outcome;
+  /// The transaction that is open, or has failed at the endpoint, and that the
+  /// owner keeps; 0 for none.
+  std::uint64_t transaction = 0;
+  OwnerLoad load;
+};
+
+using ForwardedCallback = std::function<void(ForwardedResult)>;
+
+/// A connection owner gave no reply in time.
+struct OwnerSilent {
+  /// The statement may have reached the owner.
+  bool sent = true;
+};
+
+using ForwardingResult = std::variant<ForwardedResult, OwnerSilent>;
+
+/// Asks a connection owner to roll back a transaction.
+struct TransactionEnd {
+  common::HostId requester;
+  std::uint64_t number = 0;
+};
+
+/// The log position that was proved; none if there was no proof in time.
+using ProofCallback =
+    std::function<void(const std::optional<common::LogPosition>&)>;
+
 /// Request of a daemon to the owner of a workspace's rate to admit one
 /// operation.
 struct AdmissionRequest {
@@ -90,6 +141,24 @@
                             const CommandRelay& request,
                             common::Duration timeout, RelayCallback done) = 0;
 
+  /// Has a connection owner run a statement. Calls back once.
+  virtual void RunStatement(
+      const std::string& address, const ForwardedStatement& request,
+      common::Duration timeout,
+      std::function<void(const ForwardingResult&)> done) = 0;
+
+  /// Asks a connection owner to roll back a transaction.
+  virtual void EndTransaction(const std::string& address,
+                              const TransactionEnd& request,
+                              common::Duration timeout) = 0;
+
+  /// Asks a daemon for a proof of leadership that is begun after this call.
+  /// Calls back once.
+  virtual void ProveLeadership(const std::string& address,
+                               const common::ServiceId& service,
+                               common::Duration timeout,
+                               ProofCallback done) = 0;
+
   /// The local port that peers connect to.
   virtual std::uint16_t Port() const = 0;
 
@@ -105,6 +174,11 @@
   std::function<SharedDirectory(const DirectoryQuery&)> read_directory;
   /// Sends a command to a member for a peer.
   std::function<void(const CommandRelay&, RelayCallback)> relay_command;
+  /// Runs a statement on a connection of this daemon.
+  std::function<void(const ForwardedStatement&, ForwardedCallback)>
+      run_statement;
+  std::function<void(const TransactionEnd&)> end_transaction;
+  std::function<void(const common::ServiceId&, ProofCallback)> prove_leadership;
 };
 
 /// Thrown if the address for peers cannot be listened on.
--- /dev/null
+++ b/Source/Core/Session/forwarded_statements.cc
@@ -0,0 +1,176 @@
+#include "Session/forwarded_statements.h"
+
+#include <utility>
+
+namespace camphorferry::session {
+
+namespace {
+
+using common::LogLevel;
+using common::Subsystem;
+
+/// A transaction is kept for this much longer than its daemon keeps it, so that
+/// the daemon's own limit ends it first.
+constexpr std::chrono::milliseconds kIdleReserve(500);
+
+}  // namespace
+
+ForwardedStatements::ForwardedStatements(connection::EventLoop* loop,
+                                         const WireCodec* codec,
+                                         FindGroup find_group)
+    : loop(loop),
+      codec(codec),
+      find_group(std::move(find_group)),
+      next_number(static_cast<std::uint64_t>(
+          common::WallNow().time_since_epoch() /
+          std::chrono::microseconds(1))) {}
+
+ForwardedStatements::~ForwardedStatements() {
+  *this->alive = false;
+  for (const auto& [number, attempt] : this->attempts) attempt->Cancel();
+  for (auto& [number, transaction] : this->transactions) {
+    this->Close(&transaction);
+  }
+}
+
+void ForwardedStatements::Run(const ForwardedStatement& request,
+                              ForwardedCallback done) {
+  if (request.transaction != 0) {
+    this->Continue(request, std::move(done));
+  } else {
+    this->StartNew(request, std::move(done));
+  }
+}
+
+OwnerLoad ForwardedStatements::LoadOf(const ForwardedStatement& request) const {
+  const auto group = this->find_group(request.service);
+  const EndpointPool* pool =
+      group == nullptr ? nullptr : group->PoolOf(request.endpoint);
+  if (pool == nullptr) return {};
+  return {static_cast<std::uint32_t>(pool->Waiting()),
+          static_cast<std::uint32_t>(pool->Leased())};
+}
+
+void ForwardedStatements::StartNew(const ForwardedStatement& request,
+                                   ForwardedCallback done) {
+  if (this->refuses_new) {
+    done({AttemptFailure::kStopping, 0, {}});
+    return;
+  }
+  const auto group = this->find_group(request.service);
+  const auto pool =
+      group == nullptr ? nullptr : group->SharedPoolOf(request.endpoint);
+  if (pool == nullptr) {
+    done({AttemptFailure::kUnreachable, 0, {}});
+    return;
+  }
+  const std::uint64_t number = this->next_number++;
+  StatementAttempt::Observers observers;
+  observers.done = [this, still_alive = this->alive, number, request,
+                    done = std::move(done)](AttemptResult result) {
+    if (!*still_alive) return;
+    this->attempts.erase(number);
+    ForwardedResult reply{std::move(result.outcome), 0, this->LoadOf(request)};
+    if (result.channel != nullptr) {
+      Transaction& opened = this->transactions[number];
+      opened.requester = request.requester;
+      opened.channel = std::move(result.channel);
+      opened.idle_since = common::SteadyNow();
+      reply.transaction = number;
+    }
+    done(std::move(reply));
+  };
+  const auto attempt = std::make_shared<StatementAttempt>(
+      this->loop, this->codec, request.attempt, std::move(observers));
+  this->attempts[number] = attempt;
+  attempt->Start(pool);
+}
+
+void ForwardedStatements::Continue(const ForwardedStatement& request,
+                                   ForwardedCallback done) {
+  const auto found = this->transactions.find(request.transaction);
+  const bool usable = found != this->transactions.end() &&
+                      found->second.requester == request.requester &&
+                      found->second.channel != nullptr &&
+                      found->second.channel->Usable();
+  if (!usable) {
+    done({AttemptFailure::kNoTransaction, 0, {}});
+    return;
+  }
+  const std::uint64_t number = request.transaction;
+  StatementAttempt::Observers observers;
+  observers.done = [this, still_alive = this->alive, number, request,
+                    done = std::move(done)](AttemptResult result) {
+    if (!*still_alive) return;
+    ForwardedResult reply{std::move(result.outcome), 0, this->LoadOf(request)};
+    if (result.channel == nullptr) {
+      this->transactions.erase(number);
+    } else {
+      Transaction& open = this->transactions.at(number);
+      open.attempt.reset();
+      open.channel = std::move(result.channel);
+      open.idle_since = common::SteadyNow();
+      reply.transaction = number;
+    }
+    done(std::move(reply));
+  };
+  Transaction& transaction = found->second;
+  transaction.attempt = std::make_shared<StatementAttempt>(
+      this->loop, this->codec, request.attempt, std::move(observers));
+  const auto started = transaction.attempt;
+  started->Continue(std::exchange(transaction.channel, nullptr));
+}
+
+void ForwardedStatements::Close(Transaction* ended) {
+  if (ended->attempt != nullptr) ended->attempt->Cancel();
+  if (ended->channel != nullptr) RollBackAndReturnToPool(ended->channel);
+}
+
+void ForwardedStatements::EndTransaction(const TransactionEnd& request) {
+  const auto found = this->transactions.find(request.number);
+  if (found == this->transactions.end() ||
+      found->second.requester != request.requester) {
+    return;
+  }
+  Transaction ended = std::move(found->second);
+  this->transactions.erase(found);
+  this->Close(&ended);
+}
+
+void ForwardedStatements::EndIdle(common::SteadyTime now,
+                                  common::Duration limit) {
+  for (auto it = this->transactions.begin(); it != this->transactions.end();) {
+    const bool expired = it->second.channel != nullptr &&
+                         now - it->second.idle_since >= limit + kIdleReserve;
+    if (!expired) {
+      ++it;
+      continue;
+    }
+    common::Log(Subsystem::kRequest, LogLevel::kInfo,
+                "forwarded_transaction_ended",
+                {{"requester", it->second.requester},
+                 {"endpoint", it->second.channel->Endpoint()},
+                 {"reason", "idle"}});
+    Transaction ended = std::move(it->second);
+    it = this->transactions.erase(it);
+    this->Close(&ended);
+  }
+}
+
+void ForwardedStatements::EndTransactions() {
+  for (auto it = this->transactions.begin(); it != this->transactions.end();) {
+    if (it->second.channel == nullptr) {
+      ++it;
+      continue;
+    }
+    Transaction ended = std::move(it->second);
+    it = this->transactions.erase(it);
+    this->Close(&ended);
+  }
+}
+
+bool ForwardedStatements::Idle() const {
+  return this->attempts.empty() && this->transactions.empty();
+}
+
+}  // namespace camphorferry::session
--- a/Source/Core/Session/group_context.h
+++ b/Source/Core/Session/group_context.h
@@ -9,6 +9,7 @@
 #include "Session/member_command.h"
 #include "Session/promotion_lease.h"
 #include "Session/proxy_metrics.h"
+#include "Session/statement_forwarding.h"
 #include "Session/wire_codec.h"
 
 namespace camphorferry::session {
@@ -40,6 +41,7 @@
   std::function<void(std::function<void(bool listed)>)> refresh_members;
   /// Asks peers to send a command to a member.
   std::function<void(const CommandRelay&, RelayCallback)> relay_command;
+  StatementForwarding forwarding;
   ProxyMetrics* metrics = nullptr;
   HostLocation location;
 };
--- a/Source/Core/Session/grpc_fleet_transport.cc
+++ b/Source/Core/Session/grpc_fleet_transport.cc
@@ -5,15 +5,21 @@
 #include <map>
 #include <mutex>
 #include <set>
+#include <string_view>
 #include <utility>
 
 #include "Session/fleet_transport.h"
+#include "Session/statement_messages.h"
 #include "fleet.grpc.pb.h"
 
 namespace camphorferry::session {
 
 namespace {
 
+// The conversions below would hide those of the other header.
+using session::FromMessage;
+using session::ToMessage;
+
 fleet::v1::Report ToMessage(const FleetReport& report) {
   fleet::v1::Report message;
   message.set_host(report.host.id.Value());
@@ -31,6 +37,7 @@
   }
   message.set_configuration_version(report.configuration_version);
   message.set_store_era(report.store_era);
+  message.set_stopping(report.stopping);
   return message;
 }
 
@@ -46,6 +53,7 @@
   }
   report.configuration_version = message.configuration_version();
   report.store_era = message.store_era();
+  report.stopping = message.stopping();
   return report;
 }
 
@@ -192,6 +200,14 @@
 /// at both ends together.
 constexpr std::size_t kMaxChannels = 80;
 
+/// Whether a failed call may have reached the peer. gRPC fails a call that it
+/// could not send, for want of a connection, with this message.
+bool MayHaveBeenSent(const grpc::Status& status) {
+  constexpr std::string_view kNotConnected = "failed to connect to all";
+  return status.error_code() != grpc::StatusCode::UNAVAILABLE ||
+         status.error_message().find(kNotConnected) == std::string::npos;
+}
+
 std::shared_ptr<grpc::Channel> NewChannel(const std::string& address) {
   // A peer that has restarted is reconnected within two exchanges.
   constexpr int kReconnectMs = 500;
@@ -200,6 +216,14 @@
   // Messages are far smaller than the flow-control windows, and each bandwidth
   // probe costs two frames.
   arguments.SetInt(GRPC_ARG_HTTP2_BDP_PROBE, 0);
+  // The kernel gives up a connection whose data is not acknowledged for this
+  // long: longer than a few retransmissions between regions (40 ms), shorter
+  // than clients are willing to wait. A keep-alive time is needed to switch it
+  // on, and pings are of no use.
+  constexpr int kUnacknowledgedMs = 800;
+  constexpr int kNoPingsMs = 600'000;
+  arguments.SetInt(GRPC_ARG_KEEPALIVE_TIME_MS, kNoPingsMs);
+  arguments.SetInt(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, kUnacknowledgedMs);
   arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, kReconnectMs);
   arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, kReconnectMs);
   arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, kReconnectMs);
@@ -253,6 +277,42 @@
     });
   }
 
+  grpc::ServerUnaryReactor* RunStatement(
+      grpc::CallbackServerContext* context,
+      const fleet::v1::StatementRequest* request,
+      fleet::v1::StatementReply* reply) override {
+    return this->Serve(context, [this, request, reply](const Finish& finish) {
+      this->handlers.run_statement(
+          FromMessage(*request),
+          [reply, finish](const ForwardedResult& result) {
+            finish([&] { *reply = ToMessage(result); });
+          });
+    });
+  }
+
+  grpc::ServerUnaryReactor* EndTransaction(
+      grpc::CallbackServerContext* context,
+      const fleet::v1::EndTransactionRequest* request,
+      fleet::v1::EndTransactionReply* /*reply*/) override {
+    return this->ServeAtOnce(context, [this, request] {
+      this->handlers.end_transaction(FromMessage(*request));
+    });
+  }
+
+  grpc::ServerUnaryReactor* ProveLeadership(
+      grpc::CallbackServerContext* context,
+      const fleet::v1::ProofRequest* request,
+      fleet::v1::ProofReply* reply) override {
+    return this->Serve(context, [this, request, reply](const Finish& finish) {
+      this->handlers.prove_leadership(
+          common::ServiceId(request->service()),
+          [reply,
+           finish](const std::optional<common::LogPosition>& position) {
+            finish([&] { *reply = ToMessage(position); });
+          });
+    });
+  }
+
   /// Refuses calls in progress and later ones.
   void Stop() {
     const std::scoped_lock lock(this->open_calls->mutex);
@@ -396,6 +456,57 @@
         });
   }
 
+  void RunStatement(
+      const std::string& address, const ForwardedStatement& request,
+      common::Duration timeout,
+      std::function<void(const ForwardingResult&)> done) override {
+    this->CallWithStatus<fleet::v1::StatementRequest,
+                         fleet::v1::StatementReply>(
+        address, ToMessage(request), timeout,
+        [done = std::move(done)](const grpc::Status& status,
+                                 const fleet::v1::StatementReply& reply) {
+          if (status.ok()) {
+            done(FromMessage(reply));
+          } else {
+            done(OwnerSilent{MayHaveBeenSent(status)});
+          }
+        },
+        [](auto* calls, auto* state, auto ended) {
+          calls->RunStatement(&state->context, &state->request, &state->reply,
+                              std::move(ended));
+        });
+  }
+
+  void EndTransaction(const std::string& address, const TransactionEnd& request,
+                      common::Duration timeout) override {
+    this->CallWithStatus<fleet::v1::EndTransactionRequest,
+                         fleet::v1::EndTransactionReply>(
+        address, ToMessage(request), timeout,
+        [](const grpc::Status& /*status*/,
+           const fleet::v1::EndTransactionReply& /*reply*/) {},
+        [](auto* calls, auto* state, auto ended) {
+          calls->EndTransaction(&state->context, &state->request,
+                                &state->reply, std::move(ended));
+        });
+  }
+
+  void ProveLeadership(const std::string& address,
+                       const common::ServiceId& service,
+                       common::Duration timeout, ProofCallback done) override {
+    fleet::v1::ProofRequest request;
+    request.set_service(service.Value());
+    this->CallWithStatus<fleet::v1::ProofRequest, fleet::v1::ProofReply>(
+        address, std::move(request), timeout,
+        [done = std::move(done)](const grpc::Status& status,
+                                 const fleet::v1::ProofReply& reply) {
+          done(status.ok() ? FromMessage(reply) : std::nullopt);
+        },
+        [](auto* calls, auto* state, auto ended) {
+          calls->ProveLeadership(&state->context, &state->request,
+                                 &state->reply, std::move(ended));
+        });
+  }
+
   std::uint16_t Port() const override { return this->port; }
 
   void Disconnect(const std::string& address) override {
@@ -425,6 +536,21 @@
   void Call(const std::string& address, Request request,
             common::Duration timeout,
             std::function<void(std::optional<Result>)> done, Start start) {
+    this->CallWithStatus<Request, Reply>(
+        address, std::move(request), timeout,
+        [done = std::move(done)](const grpc::Status& status,
+                                 const Reply& reply) {
+          done(status.ok() ? std::optional<Result>(FromMessage(reply))
+                           : std::nullopt);
+        },
+        std::move(start));
+  }
+
+  /// Starts a call. The event loop delivers its status and the reply, which is
+  /// valid only if the status is good.
+  template <typename Request, typename Reply, typename Done, typename Start>
+  void CallWithStatus(const std::string& address, Request request,
+                      common::Duration timeout, Done done, Start start) {
     PeerChannel& peer = this->channels[address];
     peer.last_use = ++this->uses;
     if (peer.stub == nullptr) {
@@ -458,10 +584,8 @@
             // thread must not release it.
             this->loop->Post([still_alive = std::move(still_alive),
                               state = std::move(state), done = std::move(done),
-                              answered = status.ok()] {
-              if (!*still_alive) return;
-              done(answered ? std::optional<Result>(FromMessage(state->reply))
-                            : std::nullopt);
+                              status] {
+              if (*still_alive) done(status, state->reply);
             });
             this->calls.erase(ended);
             if (this->calls.empty()) this->calls_ended.notify_all();
--- a/Source/Core/Session/proxy.cc
+++ b/Source/Core/Session/proxy.cc
@@ -32,6 +32,8 @@
 /// change must be in force within 4,000 ms, and the store may not answer the
 /// queried daemon either.
 constexpr std::chrono::milliseconds kDirectoryQueryInterval(500);
+/// How long a proof for a peer may take; the peer gives up soon after.
+constexpr std::chrono::milliseconds kPeerProofWait(250);
 /// The process ends this long before the platform would kill it.
 constexpr std::chrono::milliseconds kStopReserve(600);
 
@@ -47,7 +49,10 @@
       codec(codec),
       platform(platform),
       settings(std::move(settings)),
-      promotion_lease(platform, this->settings.location.host) {
+      promotion_lease(platform, this->settings.location.host),
+      forwarded(loop, codec, [this](const common::ServiceId& service) {
+        return this->GroupOf(service);
+      }) {
   this->limiter.SetTolerance(this->settings.rate_tolerance);
   this->limiter.SetFleet(kMinAssumedFleetSize, 1);
   this->Listen();
@@ -117,6 +122,17 @@
           [done](const CommandResult& result) { done(result.status); });
     }
   };
+  callbacks.run_statement = [this](const ForwardedStatement& request,
+                                   ForwardedCallback done) {
+    this->forwarded.Run(request, std::move(done));
+  };
+  callbacks.end_transaction = [this](const TransactionEnd& request) {
+    this->forwarded.EndTransaction(request);
+  };
+  callbacks.prove_leadership = [this](const common::ServiceId& service,
+                                      const ProofCallback& done) {
+    this->ProveLeadership(service, done);
+  };
   callbacks.on_size_changed = [this](std::size_t size, std::size_t responsive) {
     this->OnFleetSize(size, responsive);
   };
@@ -364,6 +380,7 @@
                                      RelayCallback done) {
         this->fleet->RelayCommand(request, std::move(done));
       };
+      context.forwarding = this->NewForwarding();
       context.metrics = &this->metrics;
       context.location = this->settings.location;
       group = std::make_shared<ServiceGroup>(context, service);
@@ -376,11 +393,54 @@
   this->UpdateChannelLimits();
 }
 
+StatementForwarding Proxy::NewForwarding() {
+  StatementForwarding forwarding;
+  forwarding.connection_owner = [this](const std::string& caller,
+                                       const GroupMember& member) {
+    return this->fleet->ConnectionOwner(caller, member);
+  };
+  forwarding.run_statement =
+      [this](const FleetHost& owner, ForwardedStatement request,
+             common::Duration timeout,
+             std::function<void(const ForwardingResult&)> done) {
+        this->fleet->RunStatement(owner, std::move(request), timeout,
+                                  std::move(done));
+      };
+  forwarding.end_transaction = [this](const FleetHost& owner,
+                                      std::uint64_t transaction) {
+    this->fleet->EndTransaction(owner, transaction);
+  };
+  forwarding.prover = [this](const GroupMember& primary) {
+    return this->fleet->ProverOf(primary);
+  };
+  forwarding.prove_leadership = [this](const FleetHost& prover,
+                                       const common::ServiceId& service,
+                                       ProofCallback done) {
+    this->fleet->ProveLeadership(prover, service, std::move(done));
+  };
+  return forwarding;
+}
+
+void Proxy::ProveLeadership(const common::ServiceId& service,
+                            const ProofCallback& done) {
+  const std::shared_ptr<ServiceGroup> group = this->GroupOf(service);
+  if (group == nullptr) {
+    done(std::nullopt);
+    return;
+  }
+  const common::SteadyTime now = common::SteadyNow();
+  group->ProveByItself(now);
+  group->AwaitProof(now, kPeerProofWait, [group, now, done](bool /*proved*/) {
+    done(group->RequiredPosition(now));
+  });
+}
+
 FleetReport Proxy::MakeReport(bool with_proofs) {
   const common::SteadyTime now = common::SteadyNow();
   FleetReport report;
   report.host = this->fleet->Own();
   report.store_era = this->store_era.value_or(0);
+  report.stopping = this->stopping_since.has_value();
   if (const auto in_force = this->Configuration()) {
     report.configuration_version = in_force->version;
   }
@@ -475,6 +535,7 @@
 
 void Proxy::OnFleetSize(std::size_t size, std::size_t responsive) {
   const bool resized = std::exchange(this->fleet_size, size) != size;
+  this->hosts_in_domain = this->fleet->SizeOf(this->settings.location.domain);
   // A daemon that knows few others yet must not take their shares.
   this->limiter.SetFleet(std::max(size, kMinAssumedFleetSize), responsive);
   if (resized) this->UpdateChannelLimits();
@@ -482,12 +543,13 @@
 
 void Proxy::UpdateChannelLimits() {
   if (this->configuration == nullptr) return;
-  const std::size_t fleet = std::max(this->fleet_size, kMinAssumedFleetSize);
+  const std::size_t fleet_now =
+      std::max(this->fleet_size, kMinAssumedFleetSize);
   for (const auto& [service, group] : this->groups) {
     const auto declared = this->configuration->services.find(service);
     if (declared == this->configuration->services.end()) continue;
-    group->SetChannelLimits(
-        DivideChannels(declared->second.max_connections, fleet));
+    group->SetConnectionUsers({declared->second.max_connections, fleet_now},
+                              this->hosts_in_domain);
   }
 }
 
@@ -504,11 +566,13 @@
     session->EndIdleTransaction(now,
                                 this->configuration->transaction_idle_limit);
   }
+  this->forwarded.EndIdle(now, this->configuration->transaction_idle_limit);
 }
 
 void Proxy::BeginStop() {
   if (this->stopping_since.has_value()) return;
   this->stopping_since = common::SteadyNow();
+  this->forwarded.RefuseNew();
   common::Log(Subsystem::kProcess, LogLevel::kInfo, "stop_requested",
               {{"sessions", this->sessions.size()}});
   this->stop_timer =
@@ -528,8 +592,9 @@
     if (session->CloseIfIdle()) continue;
     if (transactions_end) session->AbortTransaction("stopping");
   }
+  if (transactions_end) this->forwarded.EndTransactions();
   const bool over = age >= this->settings.stop_grace - kStopReserve;
-  if (!over && !this->sessions.empty()) return;
+  if (!over && !(this->sessions.empty() && this->forwarded.Idle())) return;
   common::Log(Subsystem::kProcess, LogLevel::kInfo, "stopped",
               {{"sessions", this->sessions.size()},
                {"after_ms", common::ToMilliseconds(age).count()}});
--- a/Source/Core/Session/proxy.h
+++ b/Source/Core/Session/proxy.h
@@ -13,6 +13,7 @@
 #include "Session/directory.h"
 #include "Session/directory_watcher.h"
 #include "Session/fleet_task.h"
+#include "Session/forwarded_statements.h"
 #include "Session/initial_configuration_check.h"
 #include "Session/promotion_lease.h"
 #include "Session/proxy_metrics.h"
@@ -114,6 +115,10 @@
   void UpdateConfigurationWatch();
   void CountAdmission(const std::string& result);
   void UpdateChannelLimits();
+  StatementForwarding NewForwarding();
+  /// Proves for a peer who leads a service.
+  void ProveLeadership(const common::ServiceId& service,
+                       const ProofCallback& done);
   void Tick();
   void OnStopTick();
   bool Ready() const;
@@ -137,6 +142,7 @@
   std::map<common::ServiceId, std::shared_ptr<ServiceGroup>> groups;
   std::map<ClientSession*, std::shared_ptr<ClientSession>> sessions;
   std::size_t fleet_size = 1;
+  std::size_t hosts_in_domain = 1;
   bool members_known = false;
   /// Latest known era of the store; none before the first answer.
   std::optional<std::uint64_t> store_era;
@@ -147,6 +153,7 @@
   std::optional<common::SteadyTime> stopping_since;
   std::unique_ptr<DirectoryWatcher> configuration_watcher;
   std::unique_ptr<DirectoryWatcher> member_watcher;
+  ForwardedStatements forwarded;
   std::unique_ptr<FleetTask> fleet;
   std::unique_ptr<connection::Timer> tick;
   std::unique_ptr<connection::Timer> stop_timer;
--- a/Source/Core/Session/service_group.cc
+++ b/Source/Core/Session/service_group.cc
@@ -51,6 +51,10 @@
 /// sends them at once when a primary is lost.
 constexpr std::chrono::milliseconds kMinRoundBackoff(30);
 constexpr std::chrono::milliseconds kMaxRoundBackoff(400);
+/// A daemon goes on asking the members itself for this long after a peer has
+/// relied on it, or has failed to prove who leads.
+constexpr std::chrono::milliseconds kOwnRoundsForPeer(1000);
+constexpr std::chrono::milliseconds kOwnRoundsAfterFailure(400);
 /// Typical round trips within a failure domain, within a region and between
 /// regions.
 constexpr std::chrono::milliseconds kSameDomainRoundTrip(1);
@@ -156,7 +160,7 @@
     member.pool = std::make_shared<EndpointPool>(
         this->context.loop, this->context.codec, entry,
         this->context.location.host.Value(), std::move(observers));
-    member.pool->SetLimits(this->channel_limits);
+    member.pool->SetLimits(this->LimitsFor(entry));
     if (found != this->members.end()) {
       // Channels of the former database process may still call back.
       this->context.loop->Post([old = std::move(found->second.pool)] {});
@@ -185,9 +189,18 @@
   this->promotion->OnMembers(this->Entries(), common::SteadyNow());
 }
 
-void ServiceGroup::SetChannelLimits(const ChannelLimits& limits) {
-  this->channel_limits = limits;
-  for (auto& [id, member] : this->members) member.pool->SetLimits(limits);
+ChannelLimits ServiceGroup::LimitsFor(const GroupMember& member) const {
+  const bool near = member.domain == this->context.location.domain;
+  return PlanChannels(this->connection_users, near ? this->hosts_in_domain : 0);
+}
+
+void ServiceGroup::SetConnectionUsers(const ConnectionUsers& users,
+                                      std::size_t hosts) {
+  this->connection_users = users;
+  this->hosts_in_domain = hosts;
+  for (auto& [id, member] : this->members) {
+    member.pool->SetLimits(this->LimitsFor(member.entry));
+  }
 }
 
 void ServiceGroup::Tick(common::SteadyTime now) {
@@ -230,6 +243,37 @@
   return found == this->members.end() ? nullptr : found->second.pool.get();
 }
 
+std::shared_ptr<EndpointPool> ServiceGroup::SharedPoolOf(
+    const common::EndpointId& id) {
+  const auto found = this->members.find(id);
+  return found == this->members.end() ? nullptr : found->second.pool;
+}
+
+std::optional<FleetHost> ServiceGroup::ConnectionOwner(
+    const common::EndpointId& id, const std::string& caller) const {
+  const auto found = this->members.find(id);
+  if (found == this->members.end()) return std::nullopt;
+  if (!NeedsConnectionOwners(this->connection_users)) return std::nullopt;
+  return this->context.forwarding.connection_owner(caller, found->second.entry);
+}
+
+void ServiceGroup::ForwardStatement(
+    const FleetHost& owner, ForwardedStatement request,
+    common::Duration timeout,
+    std::function<void(const ForwardingResult&)> done) {
+  this->context.metrics->Count("forwarded_statements",
+                               "Statements sent to the daemon that owns the "
+                               "connection.",
+                               "service", this->service.Value());
+  this->context.forwarding.run_statement(owner, std::move(request), timeout,
+                                         std::move(done));
+}
+
+void ServiceGroup::EndForwardedTransaction(const FleetHost& owner,
+                                           std::uint64_t number) {
+  this->context.forwarding.end_transaction(owner, number);
+}
+
 std::optional<common::LogPosition> ServiceGroup::RequiredPosition(
     common::SteadyTime time) const {
   return this->leadership_proofs.RequiredPosition(time);
@@ -254,7 +298,9 @@
     if (member.entry.state == MemberState::kLeaving) continue;
     common::Duration delay = this->RoundTripTo(member.entry) +
                              kDelayPerQueuedRequest * member.pool->Waiting();
-    if (!member.pool->HasIdle(caller)) delay += kOpenDelay;
+    const bool opens = !this->ConnectionOwner(id, caller).has_value() &&
+                       !member.pool->HasIdle(caller);
+    if (opens) delay += kOpenDelay;
     if (member.avoid_until > now) delay += kAvoidDuration;
     delay += std::chrono::duration_cast<common::Duration>(
         kFailureDelay * member.failures.Probability(now));
@@ -544,6 +590,7 @@
 void ServiceGroup::StartRound() {
   if (!this->primary.has_value() || this->round.has_value()) return;
   if (common::SteadyNow() < this->round_not_before) return;
+  if (this->StartRoundAtPeer()) return;
   Round started;
   started.number = this->next_round++;
   started.started = common::SteadyNow();
@@ -564,6 +611,40 @@
   }
 }
 
+void ServiceGroup::ProveByItself(common::SteadyTime now) {
+  this->own_rounds_until =
+      std::max(this->own_rounds_until, now + kOwnRoundsForPeer);
+}
+
+bool ServiceGroup::StartRoundAtPeer() {
+  if (!NeedsConnectionOwners(this->connection_users)) return false;
+  if (common::SteadyNow() < this->own_rounds_until) return false;
+  const std::optional<FleetHost> prover =
+      this->context.forwarding.prover(this->members.at(*this->primary).entry);
+  if (!prover.has_value()) return false;
+  Round started;
+  started.number = this->next_round++;
+  started.started = common::SteadyNow();
+  started.by_peer = true;
+  this->round = started;
+  this->context.forwarding.prove_leadership(
+      *prover, this->service,
+      [this, still_alive = this->alive, number = started.number](
+          const std::optional<common::LogPosition>& position) {
+        if (!*still_alive || !this->round.has_value()) return;
+        if (this->round->number != number) return;
+        // The peer's round began after this one.
+        if (position.has_value()) {
+          this->leadership_proofs.Add(this->round->started, *position);
+        }
+        if (!position.has_value()) {
+          this->own_rounds_until = common::SteadyNow() + kOwnRoundsAfterFailure;
+        }
+        this->EndRound(position.has_value());
+      });
+  return true;
+}
+
 void ServiceGroup::OnRoundAnswer(std::uint64_t number, bool from_primary,
                                  const std::optional<EndpointStatus>& status) {
   if (!this->round.has_value() || this->round->number != number) return;
--- a/Source/Core/Session/service_group.h
+++ b/Source/Core/Session/service_group.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "Session/connection_plan.h"
 #include "Session/directory.h"
 #include "Session/endpoint_pool.h"
 #include "Session/failure_estimate.h"
@@ -35,8 +36,10 @@
   /// Sets the current members of the group.
   void SetMembers(const std::vector<GroupMember>& present);
 
-  /// Sets the limits of this daemon's channels to each member.
-  void SetChannelLimits(const ChannelLimits& limits);
+  /// Sets who may open connections to the members, and the number of daemons in
+  /// this daemon's failure domain.
+  void SetConnectionUsers(const ConnectionUsers& users,
+                          std::size_t hosts_in_domain);
 
   /// Must be called every kGroupTickInterval.
   void Tick(common::SteadyTime now);
@@ -56,6 +59,20 @@
 
   /// Connection pool of a member; null if the member is gone.
   EndpointPool* PoolOf(const common::EndpointId& id);
+  std::shared_ptr<EndpointPool> SharedPoolOf(const common::EndpointId& id);
+
+  /// The peer that owns a caller's connections to a member; none if this daemon
+  /// opens them itself.
+  std::optional<FleetHost> ConnectionOwner(const common::EndpointId& id,
+                                           const std::string& caller) const;
+
+  /// Has a connection owner run a statement. Calls back once.
+  void ForwardStatement(const FleetHost& owner, ForwardedStatement request,
+                        common::Duration timeout,
+                        std::function<void(const ForwardingResult&)> done);
+
+  /// Asks a connection owner to roll back a transaction.
+  void EndForwardedTransaction(const FleetHost& owner, std::uint64_t number);
 
   /// The lowest log position that a read has to see in order to include
   /// everything that was acknowledged before the given time; none if no proof
@@ -68,6 +85,11 @@
   void AwaitProof(common::SteadyTime not_before, common::Duration wait,
                   std::function<void(bool proved)> done);
 
+  /// Makes this daemon ask the members itself for some time, because a peer
+  /// takes it for the one that does. Without this, two daemons that disagree
+  /// would ask each other.
+  void ProveByItself(common::SteadyTime now);
+
   /// Starts a proof round unless there is a proof at or after the given time.
   void RefreshProof(common::SteadyTime not_before);
 
@@ -144,6 +166,8 @@
     std::optional<EndpointStatus> primary;
     std::optional<EndpointStatus> replica;
     common::EndpointId replica_id;
+    /// A peer asks the members.
+    bool by_peer = false;
   };
 
   /// A command to a member that waits for a channel or for its answer.
@@ -175,6 +199,11 @@
   void UpdateLeaving();
   void OnStatus(const common::EndpointId& id, const EndpointStatus& status);
   void StartRound();
+  /// Has a peer prove who leads. Returns false if this daemon has to do so
+  /// itself.
+  bool StartRoundAtPeer();
+  /// The limits of this daemon's channels to a member.
+  ChannelLimits LimitsFor(const GroupMember& member) const;
   void OnRoundAnswer(std::uint64_t number, bool from_primary,
                      const std::optional<EndpointStatus>& status);
   void EndRound(bool proved);
@@ -197,7 +226,8 @@
   /// Members that had announced their shutdown and are gone, and since when. A
   /// commit that was acknowledged later clears them.
   std::map<common::EndpointId, common::SteadyTime> ended_members;
-  ChannelLimits channel_limits;
+  ConnectionUsers connection_users;
+  std::size_t hosts_in_domain = 1;
   HedgeBudget hedge_budget;
 
   PrimaryView view;
@@ -206,6 +236,9 @@
   PrimaryMonitor monitor;
 
   std::optional<Round> round;
+  /// Until then, this daemon asks the members itself: a peer relies on it, or
+  /// the peer that it relies on has failed.
+  common::SteadyTime own_rounds_until;
   std::uint64_t next_round = 1;
   /// Pause after the next round without a proof, and earliest start of the next
   /// round.
--- a/Source/Core/Session/statement_run.cc
+++ b/Source/Core/Session/statement_run.cc
@@ -18,9 +18,10 @@
 constexpr std::chrono::milliseconds kNextMemberPause(2);
 /// How long one attempt waits for a channel before another member is chosen.
 constexpr std::chrono::milliseconds kChannelWait(250);
-/// Limit of a command that prepares a channel: a round trip between regions (40
-/// ms) and a reserve for a busy daemon.
-constexpr std::chrono::milliseconds kPrepareTimeout(500);
+/// Added to the time limits of an attempt that a connection owner makes: round
+/// trips between regions (40 ms), also those that prepare the channel, and a
+/// reserve for busy daemons.
+constexpr std::chrono::milliseconds kForwardingReserve(400);
 /// An operation that has waited for longer since its admission is admitted
 /// again. Otherwise all operations that waited for a new primary would reach it
 /// at once and exceed the rates of their workspaces. A tenth of the rate window
@@ -33,14 +34,6 @@
 constexpr std::chrono::milliseconds kStalenessMargin(100);
 /// Pause before a busy statement is sent again.
 constexpr std::chrono::milliseconds kBusyRetryPause(10);
-/// Maximum number of retries of a busy statement inside a transaction.
-constexpr int kMaxBusyRetries = 20;
-
-/// Whether an endpoint has answered with success and its signature.
-bool IsSigned(const EndpointAnswer& answer) {
-  return !answer.error.has_value() && answer.signature.has_value() &&
-         !answer.signature->empty() && *answer.signature != "-";
-}
 
 }  // namespace
 
@@ -58,31 +51,41 @@
 StatementRun::~StatementRun() = default;
 
 void StatementRun::Start() {
-  if (this->request.use == TransactionUse::kContinues) {
-    this->channel = this->request.channel;
-    this->endpoint = this->channel->Endpoint();
-    this->Prepare();
+  if (this->request.use != TransactionUse::kContinues) {
+    this->Attempt();
     return;
   }
-  this->Attempt();
+  this->channel = std::exchange(this->request.channel, std::monostate());
+  this->endpoint = EndpointOf(this->channel);
+  const std::uint64_t number = ++this->attempt_number;
+  if (const auto* forwarded =
+          std::get_if<ForwardedTransaction>(&this->channel)) {
+    this->Forward(forwarded->owner, forwarded->number);
+    return;
+  }
+  auto own = std::get<std::shared_ptr<EndpointChannel>>(
+      std::exchange(this->channel, std::monostate()));
+  this->attempt = std::make_shared<StatementAttempt>(
+      this->loop, this->codec, this->NewAttempt(), this->NewObservers(number));
+  const auto started = this->attempt;
+  started->Continue(std::move(own));
 }
 
 void StatementRun::Cancel() {
   this->done = nullptr;
   this->timer.reset();
-  this->CancelChannelRequest();
-  if (this->channel != nullptr) {
-    this->channel->Close();
-    this->ReleaseChannel();
+  ++this->attempt_number;
+  if (this->attempt != nullptr) {
+    std::exchange(this->attempt, nullptr)->Cancel();
   }
+  this->AbandonAttempts();
+  RollBack(&this->channel);
 }
 
-void StatementRun::CancelChannelRequest() {
-  if (!this->pool_request.has_value()) return;
-  if (EndpointPool* pool = this->group->PoolOf(this->endpoint)) {
-    pool->Cancel(*this->pool_request);
-  }
-  this->pool_request.reset();
+void StatementRun::AbandonAttempts() {
+  if (this->attempt != nullptr) this->earlier.push_back(this->attempt);
+  this->attempt.reset();
+  for (const auto& unused : std::exchange(this->earlier, {})) unused->Abandon();
 }
 
 common::SteadyTime StatementRun::StalenessBound() const {
@@ -145,7 +148,7 @@
     this->Readmit();
     return;
   }
-  this->AcquireFor(*target);
+  this->StartAt(*target);
 }
 
 void StatementRun::Readmit() {
@@ -189,162 +192,135 @@
   });
 }
 
-void StatementRun::AcquireFor(const common::EndpointId& id) {
-  this->endpoint = id;
-  this->statement_sent = false;
-  EndpointPool* pool = this->group->PoolOf(id);
-  if (pool == nullptr) {
-    this->Retry(kRetryPause, "member_gone");
-    return;
-  }
-  const auto keep = this->shared_from_this();
-  this->timer = this->loop->After(kChannelWait, [this] {
-    const auto self = this->shared_from_this();
-    if (!this->pool_request.has_value()) return;
-    this->CancelChannelRequest();
-    this->tried.insert(this->endpoint);
-    this->last_reason = "no_free_channel";
-    this->no_channel = true;
-    this->Attempt();
-  });
-  ChannelRequest channel_request;
-  channel_request.caller = this->request.caller;
-  channel_request.values = this->request.values;
-  channel_request.priority = this->request.priority + 1;
-  channel_request.done = [weak = this->weak_from_this()](
-                             const ChannelGrant& grant) {
+AttemptRequest StatementRun::NewAttempt() const {
+  AttemptRequest wanted;
+  wanted.statement = this->request.statement;
+  wanted.shape = this->request.shape;
+  wanted.use = this->request.use;
+  wanted.read_only = this->request.read_only;
+  wanted.writes = this->request.writes;
+  wanted.min_position = this->min_position;
+  wanted.values = this->request.values;
+  wanted.caller = this->request.caller;
+  wanted.priority = this->request.priority;
+  wanted.channel_wait = kChannelWait;
+  wanted.statement_timeout = this->request.statement_timeout;
+  return wanted;
+}
+
+StatementAttempt::Observers StatementRun::NewObservers(std::uint64_t number) {
+  StatementAttempt::Observers observers;
+  observers.sent = [weak = this->weak_from_this(), number] {
+    const auto run = weak.lock();
+    if (run == nullptr || number != run->attempt_number) return;
+    run->sent_once = true;
+    run->StartHedgeTimer();
+  };
+  observers.done = [weak = this->weak_from_this(),
+                    number](AttemptResult result) {
     const auto run = weak.lock();
-    if (run != nullptr && run->done) {
-      run->OnGrant(grant);
+    TransactionChannel open;
+    if (result.channel != nullptr) open = std::move(result.channel);
+    if (run == nullptr) {
+      RollBack(&open);
       return;
     }
-    const auto* unused = std::get_if<std::shared_ptr<EndpointChannel>>(&grant);
-    if (unused != nullptr) ReturnToPool(*unused);
+    run->OnAttemptResult(number, std::move(result.outcome), std::move(open));
   };
-  this->pool_request = 0;
-  const ChannelRequestId granted_or_waiting =
-      pool->Acquire(std::move(channel_request));
-  // The channel may have been granted before Acquire returned.
-  if (this->pool_request.has_value()) this->pool_request = granted_or_waiting;
+  return observers;
 }
 
-void StatementRun::OnGrant(const ChannelGrant& grant) {
-  this->pool_request.reset();
-  this->timer.reset();
-  const auto* granted = std::get_if<std::shared_ptr<EndpointChannel>>(&grant);
-  if (granted == nullptr) {
-    this->tried.insert(this->endpoint);
-    this->Retry(this->request.needs_primary
-                    ? common::Duration(kRetryPause)
-                    : common::Duration(kNextMemberPause),
-                "unreachable");
-    return;
-  }
-  this->channel = *granted;
-  this->Prepare();
-}
-
-void StatementRun::Prepare() {
-  const std::optional<ChannelPreparation> next =
-      this->channel->State().NextPreparation(this->request.values,
-                                             this->request.shape);
-  if (!next.has_value()) {
-    if (this->request.use == TransactionUse::kOpens) {
-      this->Begin();
-    } else {
-      this->SendStatement();
+void StatementRun::StartAt(const common::EndpointId& id) {
+  this->endpoint = id;
+  const std::uint64_t number = ++this->attempt_number;
+  if (!this->direct) {
+    const std::optional<FleetHost> owner =
+        this->group->ConnectionOwner(id, this->request.caller);
+    if (owner.has_value()) {
+      this->Forward(*owner, 0);
+      return;
     }
-    return;
-  }
-  const std::string command = std::visit(
-      common::Overloaded{
-          [this](const ResetChannel&) { return this->codec->EncodeReset(); },
-          [this](const SetChannelValue& set) {
-            return this->codec->EncodeSetValue(set.name, set.value);
-          },
-          [this](const PrepareOnChannel& prepare) {
-            return this->codec->EncodePrepare(prepare.endpoint_name,
-                                              prepare.shape);
-          },
-      },
-      *next);
-  this->channel->Send(command, kPrepareTimeout,
-                      [weak = this->weak_from_this(),
-                       preparation = *next](const ChannelResult& result) {
-                        if (const auto run = weak.lock()) {
-                          run->OnPrepared(preparation, result);
-                        }
-                      });
-}
-
-void StatementRun::OnPrepared(const ChannelPreparation& preparation,
-                              const ChannelResult& result) {
-  if (!this->done) return;
-  const auto* answer = std::get_if<EndpointAnswer>(&result);
-  if (answer != nullptr && !answer->error.has_value()) {
-    this->channel->State().OnApplied(preparation);
-    this->Prepare();
-    return;
   }
-  // The channel's state is unknown now, so the channel is not used any more.
-  if (answer == nullptr) this->group->OnUnresponsive(this->endpoint);
-  this->channel->Close();
-  if (this->request.use == TransactionUse::kContinues) {
-    this->Fail(StatementError::kAborted, "channel_lost");
+  const std::shared_ptr<EndpointPool> pool = this->group->SharedPoolOf(id);
+  if (pool == nullptr) {
+    this->Retry(kRetryPause, "member_gone");
     return;
   }
-  this->ReleaseChannel();
-  this->tried.insert(this->endpoint);
-  this->Retry(kNextMemberPause, "preparation_failed");
+  this->attempt = std::make_shared<StatementAttempt>(
+      this->loop, this->codec, this->NewAttempt(), this->NewObservers(number));
+  const auto started = this->attempt;
+  started->Start(pool);
 }
 
-void StatementRun::Begin() {
-  this->channel->Send(
-      this->codec->EncodeBegin(this->request.read_only, this->min_position),
-      kPrepareTimeout,
-      [weak = this->weak_from_this()](const ChannelResult& result) {
-        if (const auto run = weak.lock()) {
-          run->OnBegun(result);
+void StatementRun::Forward(const FleetHost& owner, std::uint64_t transaction) {
+  ForwardedStatement forwarded;
+  forwarded.service = this->group->Service();
+  forwarded.endpoint = this->endpoint;
+  forwarded.attempt = this->NewAttempt();
+  forwarded.transaction = transaction;
+  const common::Duration timeout = kForwardingReserve + kChannelWait +
+                                   this->request.statement_timeout;
+  this->sent_once = true;
+  this->StartHedgeTimer();
+  this->group->ForwardStatement(
+      owner, std::move(forwarded), timeout,
+      [weak = this->weak_from_this(), group = this->group, owner,
+       endpoint = this->endpoint,
+       number = this->attempt_number](const ForwardingResult& result) {
+        TransactionChannel open;
+        const auto* reply = std::get_if<ForwardedResult>(&result);
+        if (reply != nullptr && reply->transaction != 0) {
+          open = ForwardedTransaction{
+              owner, endpoint, reply->transaction,
+              [group, owner, ended = reply->transaction] {
+                group->EndForwardedTransaction(owner, ended);
+              }};
+        }
+        const auto run = weak.lock();
+        if (run == nullptr || !run->done) {
+          RollBack(&open);
+          return;
+        }
+        if (reply != nullptr) {
+          run->OnAttemptResult(number, reply->outcome, std::move(open));
+        } else {
+          run->OnOwnerSilent(number, owner, std::get<OwnerSilent>(result));
         }
       });
 }
 
-void StatementRun::OnBegun(const ChannelResult& result) {
-  if (!this->done) return;
-  const auto* answer = std::get_if<EndpointAnswer>(&result);
-  if (answer != nullptr && !answer->error.has_value() &&
-      answer->phase == TransactionPhase::kOpen) {
-    this->SendStatement();
+void StatementRun::OnOwnerSilent(std::uint64_t number, const FleetHost& owner,
+                                 const OwnerSilent& silence) {
+  // The endpoint is not to blame for the silence of the connection owner.
+  const auto keep = this->shared_from_this();
+  if (number != this->attempt_number) return;
+  RollBack(&this->channel);
+  common::Log(Subsystem::kConnection, LogLevel::kWarning,
+              "connection_owner_silent",
+              {{"owner", owner.id},
+               {"endpoint", this->endpoint},
+               {"request", this->request.statement.request_id},
+               {"sent", silence.sent ? "yes" : "no"}});
+  this->direct = true;
+  this->timer.reset();
+  const bool continues = this->request.use == TransactionUse::kContinues;
+  if (!silence.sent && !continues) {
+    this->Retry(kNextMemberPause, "owner_unreachable");
+    return;
+  }
+  if (silence.sent && this->EndsWrite()) {
+    this->Fail(StatementError::kUnknownOutcome, "no_answer_of_owner");
     return;
   }
-  if (answer == nullptr || !answer->error.has_value()) {
-    this->OnLost(answer == nullptr && std::get<ChannelLost>(result).silent);
+  if (continues) {
+    this->Fail(StatementError::kAborted, "no_answer_of_owner");
     return;
   }
-  this->OnRefused(*answer);
+  this->may_have_run = true;
+  this->Retry(kNextMemberPause, "no_answer_of_owner");
 }
 
-void StatementRun::SendStatement() {
-  const std::optional<common::LogPosition> bound =
-      this->request.use == TransactionUse::kNone && !this->request.writes
-          ? this->min_position
-          : std::nullopt;
-  const std::string command =
-      this->request.shape.has_value()
-          ? this->codec->EncodeExecute(
-                this->request.statement,
-                this->channel->State().PreparedName(*this->request.shape),
-                bound)
-          : this->codec->EncodeStatement(this->request.statement, bound);
-  this->sent_once = true;
-  this->statement_sent = true;
-  this->channel->Send(
-      command, this->request.statement_timeout,
-      [weak = this->weak_from_this()](const ChannelResult& result) {
-        if (const auto run = weak.lock()) {
-          run->OnAnswer(result);
-        }
-      });
+void StatementRun::StartHedgeTimer() {
   if (this->request.use != TransactionUse::kNone || this->request.writes) {
     return;
   }
@@ -363,90 +339,103 @@
   this->tried.insert(this->endpoint);
   this->may_have_run = true;
   this->last_reason = "slow_answer";
-  ReturnToPoolWhenAnswered(
-      std::exchange(this->channel, nullptr),
-      [weak = this->weak_from_this()](const ChannelResult& result) {
-        const auto run = weak.lock();
-        if (run != nullptr && run->done) run->OnEarlierAnswer(result);
-      });
+  if (this->attempt != nullptr) {
+    this->earlier.push_back(std::exchange(this->attempt, nullptr));
+  }
+  ++this->attempt_number;
   this->Attempt();
 }
 
-void StatementRun::OnEarlierAnswer(const ChannelResult& result) {
-  const auto* answer = std::get_if<EndpointAnswer>(&result);
+void StatementRun::OnAttemptResult(
+    std::uint64_t number, std::variant<EndpointAnswer, AttemptFailure> outcome,
+    TransactionChannel with_channel) {
+  const auto keep = this->shared_from_this();
+  if (!this->done || number != this->attempt_number) {
+    RollBack(&with_channel);
+    if (this->done) this->OnEarlierResult(outcome);
+    return;
+  }
+  this->attempt.reset();
+  this->timer.reset();
+  this->channel = std::move(with_channel);
+  if (const auto* answer = std::get_if<EndpointAnswer>(&outcome)) {
+    this->OnAnswer(*answer);
+  } else {
+    this->OnFailure(std::get<AttemptFailure>(outcome));
+  }
+}
+
+void StatementRun::OnEarlierResult(
+    const std::variant<EndpointAnswer, AttemptFailure>& outcome) {
+  const auto* answer = std::get_if<EndpointAnswer>(&outcome);
   // The current attempt continues if the earlier one has failed.
   if (answer == nullptr || !IsSigned(*answer)) return;
-  this->CancelChannelRequest();
-  if (this->channel != nullptr) {
-    if (this->statement_sent) {
-      ReturnToPoolWhenAnswered(std::exchange(this->channel, nullptr),
-                               [](const ChannelResult&) {});
-    } else {
-      // While a preparation command is in progress, the state of the channel is
-      // unknown.
-      this->channel->Close();
-      this->ReleaseChannel();
-    }
-  }
+  ++this->attempt_number;
   this->Deliver(*answer);
 }
 
-void StatementRun::OnAnswer(const ChannelResult& result) {
-  if (!this->done) return;
-  const bool ends_write =
-      this->request.writes &&
-      (this->request.use == TransactionUse::kNone ||
-       this->request.statement.kind == StatementKind::kCommit);
-  if (const auto* lost = std::get_if<ChannelLost>(&result)) {
-    if (ends_write) {
-      this->group->OnUnresponsive(this->endpoint);
-      this->group->OnCommitUnanswered(this->endpoint);
-      this->ReleaseChannel();
-      this->Fail(StatementError::kUnknownOutcome,
-                 lost->silent ? "no_answer" : "connection_lost");
-      return;
-    }
-    this->OnLost(lost->silent);
-    return;
-  }
-  const EndpointAnswer& answer = std::get<EndpointAnswer>(result);
+bool StatementRun::EndsWrite() const {
+  return this->request.writes &&
+         (this->request.use == TransactionUse::kNone ||
+          this->request.statement.kind == StatementKind::kCommit);
+}
+
+void StatementRun::OnAnswer(const EndpointAnswer& answer) {
   this->group->OnResponsive(this->endpoint);
   if (answer.error.has_value()) {
-    if (ends_write && answer.error->code == StatementError::kTimeout) {
+    if (this->EndsWrite() && answer.error->code == StatementError::kTimeout) {
       this->group->OnCommitUnanswered(this->endpoint);
     }
     this->OnRefused(answer);
     return;
   }
-  if (!IsSigned(answer)) {
-    // Without the endpoint's signature there is no proof that it ran the
-    // statement.
-    this->channel->Close();
-    if (ends_write) {
-      this->ReleaseChannel();
-      this->Fail(StatementError::kUnknownOutcome, "no_signature");
-    } else {
-      this->OnLost(false);
-    }
-    return;
-  }
   this->group->OnStatementSucceeded(this->endpoint);
-  if (ends_write) this->group->OnCommitSuccess(this->endpoint);
+  if (this->EndsWrite()) this->group->OnCommitSuccess(this->endpoint);
   this->Deliver(answer);
 }
 
-void StatementRun::OnLost(bool silent) {
-  this->group->OnUnresponsive(this->endpoint);
-  this->group->OnStatementFailed(this->endpoint);
-  this->channel->Close();
+void StatementRun::OnFailure(AttemptFailure failure) {
+  const bool may_have_run_now = MayHaveRun(failure);
+  if (may_have_run_now && failure != AttemptFailure::kNoSignature) {
+    this->group->OnUnresponsive(this->endpoint);
+  }
+  if (may_have_run_now && this->EndsWrite()) {
+    if (failure != AttemptFailure::kNoSignature) {
+      this->group->OnCommitUnanswered(this->endpoint);
+    }
+    this->Fail(StatementError::kUnknownOutcome, ToString(failure));
+    return;
+  }
+  if (may_have_run_now) this->group->OnStatementFailed(this->endpoint);
   if (this->request.use == TransactionUse::kContinues) {
-    this->Fail(StatementError::kAborted, "connection_lost");
+    this->Fail(StatementError::kAborted, ToString(failure));
     return;
   }
-  this->may_have_run = true;
-  this->ReleaseChannel();
-  this->tried.insert(this->endpoint);
-  this->Retry(kNextMemberPause, silent ? "no_answer" : "connection_lost");
+  if (may_have_run_now) this->may_have_run = true;
+  switch (failure) {
+    case AttemptFailure::kStopping:
+      this->direct = true;
+      this->Retry(kNextMemberPause, ToString(failure));
+      return;
+    case AttemptFailure::kNoFreeChannel:
+      this->tried.insert(this->endpoint);
+      this->last_reason = ToString(failure);
+      this->no_channel = true;
+      this->Attempt();
+      return;
+    case AttemptFailure::kUnreachable:
+    case AttemptFailure::kWrongEndpoint:
+      this->tried.insert(this->endpoint);
+      this->Retry(this->request.needs_primary
+                      ? common::Duration(kRetryPause)
+                      : common::Duration(kNextMemberPause),
+                  ToString(failure));
+      return;
+    default:
+      this->tried.insert(this->endpoint);
+      this->Retry(kNextMemberPause, ToString(failure));
+      return;
+  }
 }
 
 void StatementRun::OnRefused(const EndpointAnswer& answer) {
@@ -457,42 +446,19 @@
   if (code == StatementError::kFailed) {
     this->group->OnStatementFailed(this->endpoint);
   }
-  if (code == StatementError::kNoSuchStatement &&
-      this->request.shape.has_value()) {
-    this->channel->State().ForgetPrepared(*this->request.shape);
-  }
   if (this->request.use == TransactionUse::kContinues) {
-    const bool may_repeat = answer.phase == TransactionPhase::kOpen &&
-                            (code == StatementError::kBusy ||
-                             code == StatementError::kNoSuchStatement) &&
-                            ++this->attempts < kMaxBusyRetries;
-    if (may_repeat) {
-      this->timer = this->loop->After(kBusyRetryPause, [this] {
-        const auto keep = this->shared_from_this();
-        if (!this->channel->Usable()) {
-          this->OnLost(false);
-          return;
-        }
-        this->Prepare();
-      });
-      return;
-    }
     this->Fail(code == StatementError::kNoSuchStatement
                    ? StatementError::kAborted
                    : code,
                answer.error->text);
     return;
   }
-  // A transaction that the client does not know of yet is rolled back by
-  // closing the channel.
-  if (answer.phase != TransactionPhase::kIdle) this->channel->Close();
   const bool retry_read = !this->request.writes &&
                           code == StatementError::kFailed &&
                           this->request.use == TransactionUse::kNone;
   const bool retry_begin =
       this->request.use == TransactionUse::kOpens &&
       (code == StatementError::kFailed || code == StatementError::kTimeout);
-  this->ReleaseChannel();
   if (HasNotRun(code) || retry_read || retry_begin) {
     if (!HasNotRun(code)) this->may_have_run = true;
     if (code != StatementError::kNoSuchStatement) {
@@ -507,15 +473,11 @@
   this->Fail(code, answer.error->text);
 }
 
-void StatementRun::ReleaseChannel() {
-  if (this->channel == nullptr) return;
-  ReturnToPool(std::exchange(this->channel, nullptr));
-}
-
 void StatementRun::Fail(StatementError code, const std::string& text) {
   const auto keep = this->shared_from_this();
   this->timer.reset();
   const auto finished = std::exchange(this->done, nullptr);
+  this->AbandonAttempts();
   const common::Duration age = common::SteadyNow() - this->request.received;
   common::Log(Subsystem::kRequest, LogLevel::kInfo, "statement_refused",
               {{"request", this->request.statement.request_id},
@@ -527,21 +489,17 @@
                {"attempts", this->attempts},
                {"offered", this->sent_once ? "yes" : "no"},
                {"age_ms", common::ToMilliseconds(age).count()}});
-  finished(
-      RunResult{RunFailure{code, text}, std::exchange(this->channel, nullptr)});
+  finished(RunResult{RunFailure{code, text},
+                     std::exchange(this->channel, std::monostate())});
 }
 
 void StatementRun::Deliver(EndpointAnswer answer) {
   const auto keep = this->shared_from_this();
   this->timer.reset();
   const auto finished = std::exchange(this->done, nullptr);
-  std::shared_ptr<EndpointChannel> pinned;
-  if (answer.phase == TransactionPhase::kIdle) {
-    this->ReleaseChannel();
-  } else {
-    pinned = std::exchange(this->channel, nullptr);
-  }
-  finished(RunResult{std::move(answer), std::move(pinned)});
+  this->AbandonAttempts();
+  finished(RunResult{std::move(answer),
+                     std::exchange(this->channel, std::monostate())});
 }
 
 }  // namespace camphorferry::session
--- a/Source/Core/Session/statement_run.h
+++ b/Source/Core/Session/statement_run.h
@@ -7,24 +7,16 @@
 #include <set>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "Session/directory.h"
 #include "Session/service_group.h"
 #include "Session/statement.h"
+#include "Session/statement_attempt.h"
+#include "Session/transaction_channel.h"
 
 namespace camphorferry::session {
 
-/// How a statement relates to a transaction.
-enum class TransactionUse {
-  /// The statement is not part of a transaction.
-  kNone,
-  /// The statement is the first of a transaction, and the run opens the
-  /// transaction.
-  kOpens,
-  /// The statement runs in a transaction that is open on a given channel.
-  kContinues
-};
-
 /// One statement with everything that determines where and how it runs.
 struct RunRequest {
   Statement statement;
@@ -57,7 +49,7 @@
   /// The same for a statement whose latest attempt found no free channel.
   common::SteadyTime channel_deadline;
   /// For kContinues: the channel of the transaction.
-  std::shared_ptr<EndpointChannel> channel;
+  TransactionChannel channel;
   /// Checks the operation against its workspace's rate again, because it counts
   /// at the time when it reaches an endpoint. Calls back with the time until
   /// the next attempt if it is refused.
@@ -75,15 +67,16 @@
 struct RunResult {
   std::variant<EndpointAnswer, RunFailure> outcome;
   /// The channel of a transaction that is open or has failed at the endpoint,
-  /// which the receiver must give back; null if there is no such transaction.
-  std::shared_ptr<EndpointChannel> channel;
+  /// which the receiver must roll back or end; none if there is no such
+  /// transaction.
+  TransactionChannel channel;
 };
 
-/// Runs one statement: waits until reads are known to be fresh enough, gets a
-/// channel, sets the session's state on it, opens a transaction if requested,
-/// and sends the statement. Attempts that have not run are retried, at another
-/// member if possible; a write that may have run is never retried. Must be
-/// owned by a shared pointer.
+/// Runs one statement: waits until reads are known to be fresh enough, chooses a
+/// member and has an attempt made there, by this daemon or by the one that owns
+/// the connection. Attempts that have not run are retried, at another member if
+/// possible; a write that may have run is never retried. Must be owned by a
+/// shared pointer.
 class StatementRun : public std::enable_shared_from_this<StatementRun> {
  public:
   StatementRun(connection::EventLoop* loop, const WireCodec* codec,
@@ -105,24 +98,33 @@
   void Retry(common::Duration pause, const char* reason);
   void Readmit();
   void OnReadmitted(const std::optional<common::Duration>& retry_after);
-  void AcquireFor(const common::EndpointId& id);
-  void OnGrant(const ChannelGrant& grant);
-  void Prepare();
-  void OnPrepared(const ChannelPreparation& preparation,
-                  const ChannelResult& result);
-  void Begin();
-  void OnBegun(const ChannelResult& result);
-  void SendStatement();
+  /// The attempt request for the current state of the run.
+  AttemptRequest NewAttempt() const;
+  /// Starts an attempt at a member.
+  void StartAt(const common::EndpointId& id);
+  /// Has the connection owner make the attempt.
+  void Forward(const FleetHost& owner, std::uint64_t transaction);
+  StatementAttempt::Observers NewObservers(std::uint64_t number);
+  void StartHedgeTimer();
   /// Sends a read that has waited long for its answer to a second member as
   /// well, unless the group's hedge budget is used up.
   void SendHedge();
-  /// Handles the answer of a member that the read was sent to earlier.
-  void OnEarlierAnswer(const ChannelResult& result);
-  void OnAnswer(const ChannelResult& result);
-  void OnLost(bool silent);
+  /// The connection owner has not answered.
+  void OnOwnerSilent(std::uint64_t number, const FleetHost& owner,
+                     const OwnerSilent& silence);
+  void OnAttemptResult(std::uint64_t number,
+                       std::variant<EndpointAnswer, AttemptFailure> outcome,
+                       TransactionChannel with_channel);
+  /// Handles the result of an attempt that a hedge has followed.
+  void OnEarlierResult(
+      const std::variant<EndpointAnswer, AttemptFailure>& outcome);
+  void OnAnswer(const EndpointAnswer& answer);
+  void OnFailure(AttemptFailure failure);
   void OnRefused(const EndpointAnswer& answer);
-  void CancelChannelRequest();
-  void ReleaseChannel();
+  /// Ends all attempts without using their results.
+  void AbandonAttempts();
+  /// Whether the statement can take effect and can't be taken back.
+  bool EndsWrite() const;
   void Fail(StatementError code, const std::string& text);
   void Deliver(EndpointAnswer answer);
   std::optional<common::LogPosition> MinReadPosition() const;
@@ -136,8 +138,17 @@
   std::function<void(RunResult)> done;
 
   common::EndpointId endpoint;
-  std::optional<ChannelRequestId> pool_request;
-  std::shared_ptr<EndpointChannel> channel;
+  /// The current attempt, if this daemon makes it itself.
+  std::shared_ptr<StatementAttempt> attempt;
+  /// Attempts that a hedge has followed and that may still be answered.
+  std::vector<std::shared_ptr<StatementAttempt>> earlier;
+  /// Number of the current attempt, to tell late results apart.
+  std::uint64_t attempt_number = 0;
+  /// Channel of a transaction that the current attempt has left open.
+  TransactionChannel channel;
+  /// A connection owner gave no answer: this daemon makes all further attempts
+  /// itself.
+  bool direct = false;
   /// Members that have failed this statement; cleared when no other member is
   /// left.
   std::set<common::EndpointId> tried;
@@ -146,8 +157,6 @@
   common::SteadyTime admitted;
 
   bool sent_once = false;
-  /// The current attempt has sent the statement itself.
-  bool statement_sent = false;
   bool no_channel = false;
   /// An earlier attempt may have run, so the next one has to be admitted again.
   bool may_have_run = false;
