Session: Take off a rate what daemons that are cut off may admit

A daemon that was cut off took itself for the owner of the rate once it had given up the others, and admitted the whole rate alone; the owner went on at 1.05 times the rate; and it reserved for a silent daemon only from the moment at which it noticed the silence.

An owner now needs to hear a part of the fleet, of which a daemon stays a part for a minute after it was lost; it takes off what a silent daemon may admit, from that daemon's last request on, and replaces it by what the daemon reports.

Also tests of forwarded statements, from both sides.

--- a/Source/Core/Session/fleet_membership.cc
+++ b/Source/Core/Session/fleet_membership.cc
@@ -28,6 +28,11 @@
 constexpr std::chrono::milliseconds kSilentInterval(2000);
 /// Unanswered calls in a row after which a daemon counts as silent.
 constexpr int kMissesBeforeSilent = 2;
+/// A daemon counts as heard for this long, or for an exchange interval if that
+/// is longer.
+constexpr std::chrono::seconds kHeardFor(4);
+/// Daemons that were removed count as part of the fleet for this long.
+constexpr std::chrono::seconds kRemovedRetention(60);
 /// Key of the rendezvous hash by which the rate owners are chosen.
 constexpr const char* kRateOwnersKey = "rate-keepers";
 /// A daemon that has not replied for this long is removed. The directory or its
@@ -44,6 +49,7 @@
 
 void FleetMembership::Add(const FleetHost& host, common::SteadyTime now) {
   if (host.id == this->own.host || host.id.Empty()) return;
+  this->removed.erase(host.id);
   const auto [place, is_new] = this->peers.try_emplace(host.id);
   Peer& peer = place->second;
   if (is_new || peer.host.peer_address != host.peer_address) {
@@ -68,14 +74,41 @@
   found->second.has_replied = true;
 }
 
-std::size_t FleetMembership::ResponsiveCount() const {
-  const auto count = std::count_if(
+std::size_t FleetMembership::RecentSize() const {
+  // Entries of daemons that ended long ago stay in the directory, so those that
+  // have never answered don't count.
+  const auto known = std::count_if(
       this->peers.begin(), this->peers.end(), [](const auto& item) {
-        return item.second.has_replied && !IsSilent(item.second);
+        return item.second.has_replied || !IsSilent(item.second);
+      });
+  return static_cast<std::size_t>(known) + 1 + this->removed.size();
+}
+
+std::size_t FleetMembership::HeardCount(common::SteadyTime now) const {
+  const common::SteadyTime since =
+      std::max(now - std::max<common::Duration>(
+                         kHeardFor, kFarInterval * this->ExchangeRounds()),
+               this->rate_owner_lost_at);
+  const auto count = std::count_if(
+      this->peers.begin(), this->peers.end(), [since](const auto& item) {
+        return item.second.has_replied && !IsSilent(item.second) &&
+               item.second.last_reply >= since;
       });
   return static_cast<std::size_t>(count) + 1;
 }
 
+void FleetMembership::CheckRateOwner(const common::WorkspaceId& workspace,
+                                     common::SteadyTime now) {
+  const std::optional<FleetHost> rate_owner = this->RateOwnerOf(workspace);
+  if (rate_owner.has_value()) this->peers.at(rate_owner->id).due = now;
+}
+
+std::size_t FleetMembership::ExchangeRounds() const {
+  return this->peers.size() <= kSmallFleet
+             ? 1
+             : (this->peers.size() + kPeersPerInterval - 1) / kPeersPerInterval;
+}
+
 std::size_t FleetMembership::PendingCount() const {
   const auto count = std::count_if(
       this->peers.begin(), this->peers.end(), [](const auto& item) {
@@ -84,12 +117,17 @@
   return static_cast<std::size_t>(count);
 }
 
-bool FleetMembership::OnNoReply(const common::HostId& host) {
+bool FleetMembership::OnNoReply(const common::HostId& host,
+                                common::SteadyTime now) {
   const auto found = this->peers.find(host);
   if (found == this->peers.end()) return false;
   const bool was_silent = IsSilent(found->second);
   ++found->second.misses;
   if (was_silent || !IsSilent(found->second)) return false;
+  const auto& chosen = this->RateOwners();
+  if (std::find(chosen.begin(), chosen.end(), host) != chosen.end()) {
+    this->rate_owner_lost_at = now;
+  }
   this->ForgetChoices();
   return true;
 }
@@ -159,14 +197,10 @@
 }
 
 common::Duration FleetMembership::IntervalOf(const Peer& peer) const {
-  const std::size_t rounds =
-      this->peers.size() <= kSmallFleet
-          ? 1
-          : (this->peers.size() + kPeersPerInterval - 1) / kPeersPerInterval;
   const common::Duration interval =
       (this->own.InSameRegion(peer.host.domain) ? kNearInterval
                                                 : kFarInterval) *
-      rounds;
+      this->ExchangeRounds();
   return IsSilent(peer) ? std::max<common::Duration>(interval, kSilentInterval)
                         : interval;
 }
@@ -227,6 +261,9 @@
 
 std::vector<FleetHost> FleetMembership::RemoveLost(common::SteadyTime now) {
   std::vector<FleetHost> lost;
+  std::erase_if(this->removed, [now](const auto& item) {
+    return now - item.second >= kRemovedRetention;
+  });
   for (auto it = this->peers.begin(); it != this->peers.end();) {
     const common::Duration limit = std::max<common::Duration>(
         kLostAfter, this->IntervalOf(it->second) * kTurnsUntilLost);
@@ -235,6 +272,7 @@
       continue;
     }
     lost.push_back(it->second.host);
+    if (it->second.has_replied) this->removed[it->first] = now;
     this->ForgetChoices();
     it = this->peers.erase(it);
   }
--- a/Source/Core/Session/fleet_membership.h
+++ b/Source/Core/Session/fleet_membership.h
@@ -31,7 +31,7 @@
   void OnReply(const common::HostId& host, common::SteadyTime now);
 
   /// A daemon gave no answer. Returns true if it counts as silent from now on.
-  bool OnNoReply(const common::HostId& host);
+  bool OnNoReply(const common::HostId& host, common::SteadyTime now);
 
   /// The daemons that own the rates of workspaces ("keepers"): a limited number
   /// of those that are not silent. All daemons that know the same fleet choose
@@ -77,9 +77,20 @@
   /// Number of daemons that may be alive, including this one.
   std::size_t Size() const { return this->peers.size() + 1; }
 
-  /// Number of daemons that have answered or reported and are not silent,
-  /// including this one.
-  std::size_t ResponsiveCount() const;
+  /// Number of daemons that may be alive or were a minute ago, including this
+  /// one. A daemon that is cut off from the others soon knows none of them, and
+  /// must not take itself for the whole fleet.
+  std::size_t RecentSize() const;
+
+  /// Number of daemons that have been heard lately, including this one. Those
+  /// that were heard only before a rate owner fell silent don't count: this
+  /// daemon may be the one that is cut off.
+  std::size_t HeardCount(common::SteadyTime now) const;
+
+  /// Makes the rate owner of a workspace due for an exchange, because another
+  /// daemon does not reach it.
+  void CheckRateOwner(const common::WorkspaceId& workspace,
+                      common::SteadyTime now);
 
  private:
   struct Peer {
@@ -96,6 +107,8 @@
     bool has_replied = false;
   };
 
+  /// Number of exchange intervals until each peer has had its turn.
+  std::size_t ExchangeRounds() const;
   common::Duration IntervalOf(const Peer& peer) const;
   /// Number of exchanges that may be started now.
   std::size_t TakeAllowance(common::SteadyTime now, std::size_t wanted);
@@ -105,6 +118,10 @@
 
   HostLocation own;
   std::map<common::HostId, Peer> peers;
+  /// Daemons that were removed, and when.
+  std::map<common::HostId, common::SteadyTime> removed;
+  /// When a rate owner fell silent last.
+  common::SteadyTime rate_owner_lost_at;
   /// Empty when the owners have to be chosen again.
   std::vector<common::HostId> owners;
   /// Daemons that take statements, by failure domain; empty when they have to
--- a/Source/Core/Session/fleet_task.cc
+++ b/Source/Core/Session/fleet_task.cc
@@ -52,7 +52,11 @@
   };
   handlers.admit = [this](const AdmissionRequest& request) {
     this->OnReply(request.requester);
-    return this->callbacks.admit(request);
+    if (this->OwnsRate(request.workspace)) {
+      return this->callbacks.admit(request);
+    }
+    this->membership.CheckRateOwner(request.workspace, common::SteadyNow());
+    return AdmissionReply{std::nullopt, true};
   };
   handlers.read_directory = [this](const DirectoryQuery& query) {
     return this->callbacks.read_directory(query);
@@ -187,7 +191,7 @@
 }
 
 void FleetTask::OnNoReply(const common::HostId& peer) {
-  if (!this->membership.OnNoReply(peer)) return;
+  if (!this->membership.OnNoReply(peer, common::SteadyNow())) return;
   common::Log(Subsystem::kProcess, LogLevel::kWarning, "peer_silent",
               {{"peer", peer}});
 }
@@ -210,18 +214,22 @@
 }
 
 void FleetTask::RequestAdmission(
-    const common::WorkspaceId& workspace,
+    const common::WorkspaceId& workspace, std::uint32_t admitted_alone,
     std::function<void(std::optional<AdmissionDecision>)> done) {
   if (!this->fleet_known) {
     done(std::nullopt);
     return;
   }
-  const AdmissionRequest request{this->own.id, workspace};
+  const AdmissionRequest request{this->own.id, workspace, admitted_alone};
   const std::optional<FleetHost> rate_owner =
       this->membership.RateOwnerOf(workspace);
   if (!rate_owner.has_value()) {
-    done(AdmissionDecision{this->callbacks.admit(request).retry_after,
-                           this->own.id});
+    const AdmissionReply reply = this->callbacks.admit(request);
+    if (reply.declined) {
+      done(std::nullopt);
+    } else {
+      done(AdmissionDecision{reply.retry_after, this->own.id});
+    }
     return;
   }
   this->transport->Admit(
@@ -235,7 +243,11 @@
           return;
         }
         this->OnReply(id);
-        done(AdmissionDecision{reply->retry_after, id});
+        if (reply->declined) {
+          done(std::nullopt);
+        } else {
+          done(AdmissionDecision{reply->retry_after, id});
+        }
       });
 }
 
@@ -342,16 +354,16 @@
     this->last_rate_owners = this->membership.RateOwners();
     this->callbacks.rate_owners_changed();
   }
-  const std::size_t size = this->membership.Size();
-  const std::size_t responsive = this->membership.ResponsiveCount();
-  if (size == this->last_size && responsive == this->last_responsive) return;
-  if (size != this->last_size) {
+  const FleetSize size{this->membership.Size(), this->membership.RecentSize(),
+                       this->membership.HeardCount(common::SteadyNow()),
+                       this->hosts_listed};
+  if (size == this->last_size) return;
+  if (size.live != this->last_size.live) {
     common::Log(Subsystem::kProcess, LogLevel::kInfo, "fleet_size",
-                {{"size", size}, {"heard", responsive}});
+                {{"size", size.live}, {"heard", size.heard}});
   }
   this->last_size = size;
-  this->last_responsive = responsive;
-  this->callbacks.on_size_changed(size, responsive);
+  this->callbacks.on_size_changed(size);
 }
 
 }  // namespace camphorferry::session
--- a/Source/Core/Session/fleet_task.h
+++ b/Source/Core/Session/fleet_task.h
@@ -13,6 +13,20 @@
 
 namespace camphorferry::session {
 
+/// Numbers of daemons, each including this one.
+struct FleetSize {
+  /// Those that may be alive.
+  std::size_t live = 1;
+  /// Those that may be alive or were a minute ago.
+  std::size_t recent = 1;
+  /// Those that have been heard lately.
+  std::size_t heard = 1;
+  /// The hosts have been listed after this daemon's registration.
+  bool listed = false;
+
+  bool operator==(const FleetSize&) const = default;
+};
+
 /// Functions of the process that a FleetTask calls.
 struct FleetCallbacks {
   /// Returns this daemon's report. Only replies contain proofs.
@@ -23,9 +37,8 @@
   /// Takes the report that a peer sends with its request for this daemon's
   /// report.
   std::function<void(const FleetReport&)> on_peer_report;
-  /// The number of daemons that may be alive, or the number of those that
-  /// respond, has changed.
-  std::function<void(std::size_t size, std::size_t responsive)> on_size_changed;
+  /// The size of the fleet has changed.
+  std::function<void(const FleetSize&)> on_size_changed;
   /// The hosts have been listed, or one of them has answered or failed to. Gets
   /// the number of those that did neither yet.
   std::function<void(std::size_t pending)> on_hosts_pending;
@@ -74,7 +87,7 @@
   /// Asks the owner of a workspace's rate to admit an operation. Calls back,
   /// possibly before this returns, with nothing if no owner has answered.
   void RequestAdmission(
-      const common::WorkspaceId& workspace,
+      const common::WorkspaceId& workspace, std::uint32_t admitted_alone,
       std::function<void(std::optional<AdmissionDecision>)> done);
 
   /// Asks several peers to send a command to a member. Calls back once, with
@@ -143,8 +156,7 @@
   FleetHost own;
   FleetMembership membership;
   FleetCallbacks callbacks;
-  std::size_t last_size = 0;
-  std::size_t last_responsive = 0;
+  FleetSize last_size{0, 0, 0, false};
   std::vector<common::HostId> last_rate_owners;
   /// Another daemon or the whole directory is known. Before that, this daemon
   /// would take itself as the owner of every rate.
--- a/Source/Core/Session/fleet_transport.h
+++ b/Source/Core/Session/fleet_transport.h
@@ -89,6 +89,8 @@
 struct AdmissionRequest {
   common::HostId requester;
   common::WorkspaceId workspace;
+  /// Operations that the daemon has admitted alone since its last request.
+  std::uint32_t admitted_alone = 0;
 };
 
 /// The rate owner's answer.
@@ -96,6 +98,9 @@
   /// Time until the next operation would be admitted; none if this one is
   /// admitted.
   std::optional<common::Duration> retry_after;
+  /// The daemon does not decide: it takes another one for the owner, or hears
+  /// too few of the others.
+  bool declined = false;
 };
 
 /// Request for a part of the directory by a daemon that the store does not
--- a/Source/Core/Session/grpc_fleet_transport.cc
+++ b/Source/Core/Session/grpc_fleet_transport.cc
@@ -104,17 +104,19 @@
   fleet::v1::AdmissionRequest message;
   message.set_host(request.requester.Value());
   message.set_workspace(request.workspace.Value());
+  message.set_admitted_alone(request.admitted_alone);
   return message;
 }
 
 AdmissionRequest FromMessage(const fleet::v1::AdmissionRequest& message) {
   return {common::HostId(message.host()),
-          common::WorkspaceId(message.workspace())};
+          common::WorkspaceId(message.workspace()), message.admitted_alone()};
 }
 
 fleet::v1::AdmissionReply ToMessage(const AdmissionReply& reply) {
   fleet::v1::AdmissionReply message;
-  message.set_admitted(!reply.retry_after.has_value());
+  message.set_admitted(!reply.retry_after.has_value() && !reply.declined);
+  message.set_declined(reply.declined);
   if (reply.retry_after.has_value()) {
     message.set_retry_after_ms(static_cast<std::uint32_t>(
         common::ToMilliseconds(*reply.retry_after).count()));
@@ -124,6 +126,7 @@
 
 AdmissionReply FromMessage(const fleet::v1::AdmissionReply& message) {
   AdmissionReply reply;
+  reply.declined = message.declined();
   if (!message.admitted()) {
     reply.retry_after = std::chrono::milliseconds(message.retry_after_ms());
   }
--- a/Source/Core/Session/proxy.cc
+++ b/Source/Core/Session/proxy.cc
@@ -133,8 +133,8 @@
                                       const ProofCallback& done) {
     this->ProveLeadership(service, done);
   };
-  callbacks.on_size_changed = [this](std::size_t size, std::size_t responsive) {
-    this->OnFleetSize(size, responsive);
+  callbacks.on_size_changed = [this](const FleetSize& size) {
+    this->OnFleetSize(size);
   };
   callbacks.on_hosts_pending = [this](std::size_t pending) {
     if (!this->initial_check.has_value()) return;
@@ -143,8 +143,13 @@
   };
   callbacks.rate_owners_changed = [this] { this->UpdateRateOwners(); };
   callbacks.admit = [this](const AdmissionRequest& request) {
-    return AdmissionReply{this->limiter.Admit(
-        request.workspace, request.requester, common::SteadyNow())};
+    if (!this->limiter.HearsMajority()) {
+      return AdmissionReply{std::nullopt, true};
+    }
+    return AdmissionReply{
+        this->limiter.Admit(request.workspace, request.requester,
+                            common::SteadyNow(), request.admitted_alone),
+        false};
   };
   this->fleet =
       std::make_unique<FleetTask>(loop, platform, this->settings.location,
@@ -229,7 +234,8 @@
     return;
   }
   this->fleet->RequestAdmission(
-      workspace, [this, workspace, done = std::move(done)](
+      workspace, this->limiter.AdmittedAlone(workspace),
+      [this, workspace, done = std::move(done)](
                      const std::optional<AdmissionDecision>& owner_decision) {
         const common::SteadyTime now = common::SteadyNow();
         if (!owner_decision.has_value()) {
@@ -533,11 +539,14 @@
   }
 }
 
-void Proxy::OnFleetSize(std::size_t size, std::size_t responsive) {
-  const bool resized = std::exchange(this->fleet_size, size) != size;
+void Proxy::OnFleetSize(const FleetSize& size) {
+  const bool resized =
+      std::exchange(this->fleet_size, size.live) != size.live;
   this->hosts_in_domain = this->fleet->SizeOf(this->settings.location.domain);
   // A daemon that knows few others yet must not take their shares.
-  this->limiter.SetFleet(std::max(size, kMinAssumedFleetSize), responsive);
+  this->limiter.SetFleet(
+      size.listed ? size.recent : std::max(size.recent, kMinAssumedFleetSize),
+      size.heard);
   if (resized) this->UpdateChannelLimits();
 }
 
--- a/Source/Core/Session/proxy.h
+++ b/Source/Core/Session/proxy.h
@@ -110,7 +110,7 @@
   void OnDirectoryRelayed(DirectoryKind kind, const common::HostId& peer,
                           const SharedDirectory& shared);
   DirectoryWatcher* WatcherOf(DirectoryKind kind);
-  void OnFleetSize(std::size_t size, std::size_t responsive);
+  void OnFleetSize(const FleetSize& size);
   void UpdateRateOwners();
   void UpdateConfigurationWatch();
   void CountAdmission(const std::string& result);
--- a/Source/Core/Session/statement_run.cc
+++ b/Source/Core/Session/statement_run.cc
@@ -24,9 +24,9 @@
 constexpr std::chrono::milliseconds kForwardingReserve(400);
 /// An operation that has waited for longer since its admission is admitted
 /// again. Otherwise all operations that waited for a new primary would reach it
-/// at once and exceed the rates of their workspaces. A tenth of the rate window
-/// (5 s).
-constexpr std::chrono::milliseconds kMaxAdmissionAge(500);
+/// at once and exceed the rates of their workspaces. A twenty-fifth of the rate
+/// window (5 s).
+constexpr std::chrono::milliseconds kMaxAdmissionAge(200);
 /// Longest pause before an operation above its rate is admitted again; other
 /// operations of the workspace may end sooner than the rate owner expects.
 constexpr std::chrono::milliseconds kMaxRatePause(300);
--- a/Source/Core/Session/workspace_limiter.cc
+++ b/Source/Core/Session/workspace_limiter.cc
@@ -20,17 +20,17 @@
 constexpr double kOverdueIntervals = 3;
 constexpr std::chrono::milliseconds kMinSilence(500);
 
-/// Fraction of the rate's tolerance that rate owners use all the time. The rest
-/// is for daemons that admit locally.
-constexpr double kSteadyToleranceFraction = 0.5;
 /// Fraction of the tolerated operations that a new rate owner starts with, in
 /// addition to what the former owner has admitted within the window.
 constexpr double kInitialToleranceFraction = 0.5;
 /// Fraction of its even share that a daemon admits after it has not reached the
-/// rate owner for long. With a quarter of the fleet cut off this stays within
-/// the tolerance of a tenth.
+/// rate owner for long.
 constexpr double kLocalFraction = 0.25;
 
+/// The owner goes on reserving for a silent daemon for this long, which is
+/// longer than a daemon usually stays cut off.
+constexpr std::chrono::seconds kReservationLimit(60);
+
 /// Capacity of the local bucket, in seconds of its rate, and its minimum: with
 /// fewer tokens, evenly spaced operations would be refused.
 constexpr double kLocalBurstSeconds = 0.25;
@@ -57,11 +57,16 @@
   this->count += 1;
 }
 
-std::optional<common::Duration> WorkspaceLimiter::TokenBucket::TryTake(
-    double rate, double capacity, common::SteadyTime now) {
+void WorkspaceLimiter::TokenBucket::Fill(double rate, double capacity,
+                                         common::SteadyTime now) {
   this->level =
       std::min(capacity, this->level + rate * Seconds(now - this->filled));
   this->filled = now;
+}
+
+std::optional<common::Duration> WorkspaceLimiter::TokenBucket::TryTake(
+    double rate, double capacity, common::SteadyTime now) {
+  this->Fill(rate, capacity, now);
   if (this->level >= 1) {
     this->level -= 1;
     return std::nullopt;
@@ -134,40 +139,63 @@
   return this->HasLimit(workspace) ? &this->entries.at(workspace) : nullptr;
 }
 
-double WorkspaceLimiter::ReservedForSilentRequesters(
-    const WorkspaceEntry& entry, common::SteadyTime now) {
-  double reserved = 0;
-  for (const auto& [host, requester] : entry.requesters) {
-    const double rate = requester.granted.rate;
-    if (rate <= 0) continue;
-    const double silence = Seconds(now - requester.last_request);
-    const double expected_interval = 1 / rate;
+bool WorkspaceLimiter::HearsMajority() const {
+  return this->responsive * 2 > this->fleet_size || this->fleet_size == 1;
+}
+
+double WorkspaceLimiter::LocalRate(const WorkspaceEntry& entry) const {
+  return entry.limit.rate * kLocalFraction /
+         static_cast<double>(this->fleet_size);
+}
+
+void WorkspaceLimiter::ReserveForSilentRequesters(
+    WorkspaceEntry* entry, common::SteadyTime now) const {
+  for (auto& [host, requester] : entry->requesters) {
+    const double asked = requester.asked.rate;
+    if (asked <= 0) continue;
+    const common::Duration silence = now - requester.last_request;
     const bool overdue =
-        silence >
-        std::max(expected_interval * kOverdueIntervals, Seconds(kMinSilence));
-    if (overdue && silence < Seconds(kRateWindow)) reserved += rate;
+        Seconds(silence) >
+        std::max(kOverdueIntervals / asked, Seconds(kMinSilence));
+    if (!overdue || silence > kReservationLimit) continue;
+    // From its last request on, the daemon may have gone on at its former rate.
+    const common::SteadyTime from =
+        std::max(requester.reserved_until, requester.last_request);
+    const common::SteadyTime window_end =
+        requester.last_request + kRateWindow;
+    const double former =
+        Seconds(std::max(std::min(now, window_end) - from,
+                         common::Duration::zero()));
+    const double later = Seconds(
+        std::max(now - std::max(from, window_end), common::Duration::zero()));
+    const double tokens =
+        former * std::max(requester.granted.rate, this->LocalRate(*entry)) +
+        later * this->LocalRate(*entry);
+    requester.reserved += tokens;
+    requester.reserved_until = now;
+    entry->bucket.level -= tokens;
   }
-  return reserved;
 }
 
 std::optional<common::Duration> WorkspaceLimiter::Admit(
     const common::WorkspaceId& workspace, const common::HostId& requester,
-    common::SteadyTime now) {
+    common::SteadyTime now, std::uint32_t admitted_alone) {
   WorkspaceEntry* entry = this->FindLimited(workspace);
   if (entry == nullptr) return std::nullopt;
-  // For a moment, daemons may disagree about which of them owns a workspace's
-  // rate.
   if (!entry->owned) this->SetOwned(workspace, true, now);
-  double limit = entry->limit.rate *
-                 (1 + this->tolerance.share * kSteadyToleranceFraction);
-  if (now - entry->owned_since < kRateWindow) limit *= this->ResponsiveShare();
-  const double rate =
-      std::max(0.0, limit - ReservedForSilentRequesters(*entry, now));
+  double rate = entry->limit.rate;
+  if (now - entry->owned_since < kRateWindow) rate *= this->ResponsiveShare();
   const double capacity =
       std::max(this->InitialTokens(*entry), entry->limit.burst);
-  const auto wait = entry->bucket.TryTake(rate, capacity, now);
+  entry->bucket.Fill(rate, capacity, now);
   Requester& known = entry->requesters[requester];
+  // What was reserved for the daemon is replaced by what it has used.
+  entry->bucket.level += known.reserved - admitted_alone;
+  known.reserved = 0;
   known.last_request = now;
+  known.asked.Count(now);
+  this->ReserveForSilentRequesters(entry, now);
+  const auto wait = entry->bucket.TryTake(rate, capacity, now);
   if (!wait.has_value()) known.granted.Count(now);
   return wait;
 }
@@ -176,13 +204,20 @@
     const common::WorkspaceId& workspace, common::SteadyTime now) {
   WorkspaceEntry* entry = this->FindLimited(workspace);
   if (entry == nullptr) return std::nullopt;
-  const double share = entry->limit.rate * kLocalFraction /
-                       static_cast<double>(this->fleet_size);
+  const double share = this->LocalRate(*entry);
   const bool recent = entry->owner_replied_at.has_value() &&
                       now - *entry->owner_replied_at <= kRateWindow;
   const double rate = recent ? std::max(share, entry->usage.rate) : share;
-  return entry->local_bucket.TryTake(
+  const auto wait = entry->local_bucket.TryTake(
       rate, std::max(kMinLocalBurst, rate * kLocalBurstSeconds), now);
+  if (!wait.has_value()) ++entry->admitted_alone;
+  return wait;
+}
+
+std::uint32_t WorkspaceLimiter::AdmittedAlone(
+    const common::WorkspaceId& workspace) const {
+  const auto found = this->entries.find(workspace);
+  return found == this->entries.end() ? 0 : found->second.admitted_alone;
 }
 
 void WorkspaceLimiter::OnOwnerReplied(const common::WorkspaceId& workspace,
@@ -190,6 +225,7 @@
   WorkspaceEntry* entry = this->FindLimited(workspace);
   if (entry == nullptr) return;
   entry->owner_replied_at = now;
+  entry->admitted_alone = 0;
   if (admitted) entry->usage.Count(now);
 }
 
--- a/Source/Core/Session/workspace_limiter.h
+++ b/Source/Core/Session/workspace_limiter.h
@@ -1,6 +1,7 @@
 #ifndef CAMPHORFERRY_SESSION_WORKSPACE_LIMITER_H_
 #define CAMPHORFERRY_SESSION_WORKSPACE_LIMITER_H_
 
+#include <cstdint>
 #include <map>
 #include <optional>
 
@@ -53,20 +54,30 @@
   void SetOwned(const common::WorkspaceId& workspace, bool owned,
                 common::SteadyTime now);
 
+  /// Whether this daemon hears enough of the fleet to admit operations for it.
+  /// Two owners that don't hear each other can't both hear a majority.
+  bool HearsMajority() const;
+
   /// Whether a workspace has a rate limit.
   bool HasLimit(const common::WorkspaceId& workspace) const;
 
   /// As rate owner, admits one operation for a daemon, or returns the time
-  /// until the next one would be admitted.
+  /// until the next one would be admitted. The requester also tells how many
+  /// operations it has admitted alone since its last request.
   std::optional<common::Duration> Admit(const common::WorkspaceId& workspace,
                                         const common::HostId& requester,
-                                        common::SteadyTime now);
+                                        common::SteadyTime now,
+                                        std::uint32_t admitted_alone = 0);
 
   /// Without an answer of the rate owner, admits one operation of this daemon's
   /// own clients, or returns the time until the next one would be admitted.
   std::optional<common::Duration> AdmitLocally(
       const common::WorkspaceId& workspace, common::SteadyTime now);
 
+  /// Number of operations that this daemon has admitted alone and has not yet
+  /// reported to the rate owner.
+  std::uint32_t AdmittedAlone(const common::WorkspaceId& workspace) const;
+
   /// The rate owner has answered this daemon.
   void OnOwnerReplied(const common::WorkspaceId& workspace, bool admitted,
                       common::SteadyTime now);
@@ -84,14 +95,21 @@
 
   /// What the rate owner records about one requesting daemon.
   struct Requester {
+    RateMeter asked;
     RateMeter granted;
     common::SteadyTime last_request;
+    /// Tokens taken off for operations that the daemon may have admitted alone
+    /// since its last request, and until when.
+    double reserved = 0;
+    common::SteadyTime reserved_until;
   };
 
   struct TokenBucket {
     double level = 0;
     common::SteadyTime filled;
 
+    void Fill(double rate, double capacity, common::SteadyTime now);
+
     /// Takes a token if there is one; otherwise returns the time until there
     /// will be one.
     std::optional<common::Duration> TryTake(double rate, double capacity,
@@ -107,12 +125,17 @@
     TokenBucket local_bucket;
     /// Operations of this daemon's clients that the rate owner admitted.
     RateMeter usage;
+    std::uint32_t admitted_alone = 0;
     std::optional<common::SteadyTime> owner_replied_at;
   };
 
   WorkspaceEntry* FindLimited(const common::WorkspaceId& workspace);
-  static double ReservedForSilentRequesters(const WorkspaceEntry& entry,
-                                            common::SteadyTime now);
+  /// Takes tokens off for the requesters that may be cut off.
+  void ReserveForSilentRequesters(WorkspaceEntry* entry,
+                                  common::SteadyTime now) const;
+  /// Rate at which a daemon admits alone that has not reached the owner for
+  /// longer than a rate window.
+  double LocalRate(const WorkspaceEntry& entry) const;
   double ResponsiveShare() const;
   double InitialTokens(const WorkspaceEntry& entry) const;
 
--- a/Source/UnitTests/Core/Session/endpoint_pool_test.cc
+++ b/Source/UnitTests/Core/Session/endpoint_pool_test.cc
@@ -26,5 +26,29 @@
   EXPECT_EQ(DivideChannels(1, 59).max_channels, 1U);
 }
 
+class ConnectionPlanTest : public testing::Test {};
+
+// Guards against owners that together take all connections of an endpoint, so
+// that a promotion, or a daemon that is cut off, finds none.
+TEST_F(ConnectionPlanTest, Owners_PlanChannels_LeaveAQuarter) {
+  const ConnectionUsers users{70, 71};
+  constexpr std::size_t kOwners = 12;
+  const ChannelLimits limits = PlanChannels(users, kOwners);
+  EXPECT_EQ(limits.max_idle, limits.max_channels);
+  EXPECT_EQ(limits.max_channels, 4U);
+  EXPECT_LE(limits.max_channels * kOwners, 70U * 3 / 4);
+}
+
+TEST_F(ConnectionPlanTest, OtherFailureDomain_PlanChannels_KeepsNone) {
+  EXPECT_EQ(PlanChannels({70, 71}, 0).max_idle, 0U);
+}
+
+// Guards against a change for fleets in which each daemon has connections.
+TEST_F(ConnectionPlanTest, ConnectionsForAll_PlanChannels_HasNoOwners) {
+  EXPECT_FALSE(NeedsConnectionOwners({55, 8}));
+  EXPECT_EQ(PlanChannels({55, 8}, 3).max_channels,
+            DivideChannels(55, 8).max_channels);
+}
+
 }  // namespace
 }  // namespace camphorferry::session
--- a/Source/UnitTests/Core/Session/fleet_membership_test.cc
+++ b/Source/UnitTests/Core/Session/fleet_membership_test.cc
@@ -47,7 +47,7 @@
   }
   EXPECT_EQ(this->membership.PendingCount(), 3U);
   this->membership.OnReply(common::HostId("a"), kStart);
-  this->membership.OnNoReply(common::HostId("b"));
+  this->membership.OnNoReply(common::HostId("b"), kStart);
   EXPECT_EQ(this->membership.PendingCount(), 1U);
 }
 
@@ -61,8 +61,8 @@
   for (const char* id : {"a", "b", "c"}) {
     this->membership.OnReply(common::HostId(id), kStart);
   }
-  this->membership.OnNoReply(common::HostId("b"));
-  this->membership.OnNoReply(common::HostId("b"));
+  this->membership.OnNoReply(common::HostId("b"), kStart);
+  this->membership.OnNoReply(common::HostId("b"), kStart);
   for (const char* expected : {"a", "c", "a", "c"}) {
     EXPECT_EQ(this->membership.NextResponsive()->id.Value(), expected);
   }
@@ -124,8 +124,8 @@
     const FleetHost host = Host("h" + std::to_string(count), "east");
     this->membership.Add(host, kStart);
     if (count < 160) {
-      this->membership.OnNoReply(host.id);
-      this->membership.OnNoReply(host.id);
+      this->membership.OnNoReply(host.id, kStart);
+      this->membership.OnNoReply(host.id, kStart);
     } else {
       this->membership.OnReply(host.id, kStart);
     }
@@ -211,8 +211,8 @@
     workspace = common::WorkspaceId("w" + std::to_string(count));
   }
   const FleetHost rate_owner = *this->membership.RateOwnerOf(workspace);
-  EXPECT_FALSE(this->membership.OnNoReply(rate_owner.id));
-  EXPECT_TRUE(this->membership.OnNoReply(rate_owner.id));
+  EXPECT_FALSE(this->membership.OnNoReply(rate_owner.id, kStart));
+  EXPECT_TRUE(this->membership.OnNoReply(rate_owner.id, kStart));
   const auto next = this->membership.RateOwnerOf(workspace);
   EXPECT_TRUE(!next.has_value() || next->id != rate_owner.id);
   this->membership.OnReply(rate_owner.id, kStart);
@@ -220,6 +220,26 @@
   EXPECT_EQ(this->membership.RateOwnerOf(workspace)->id, rate_owner.id);
 }
 
+// Guards against statements that are forwarded to a daemon that is silent or
+// shuts down, and against owners outside the endpoint's failure domain.
+TEST_F(FleetMembershipTest, OwnersFail_ConnectionOwnerOf_IsAnotherNearby) {
+  this->membership.Add(Host("near-1", "west"), kStart);
+  this->membership.Add(Host("near-2", "west"), kStart);
+  this->membership.Add(Host("elsewhere", "far"), kStart);
+  const common::FailureDomainId west("west");
+  const auto first = this->membership.ConnectionOwnerOf("w/e", west);
+  ASSERT_TRUE(first.has_value());
+  this->membership.SetStopping(first->id, true);
+  const auto second = this->membership.ConnectionOwnerOf("w/e", west);
+  ASSERT_TRUE(second.has_value());
+  EXPECT_NE(second->id, first->id);
+  this->membership.OnNoReply(second->id, kStart);
+  this->membership.OnNoReply(second->id, kStart);
+  EXPECT_FALSE(this->membership.ConnectionOwnerOf("w/e", west).has_value());
+  this->membership.SetStopping(first->id, false);
+  EXPECT_EQ(this->membership.ConnectionOwnerOf("w/e", west)->id, first->id);
+}
+
 // Guards against a dead daemon that keeps its share of connections forever.
 TEST_F(FleetMembershipTest, SilentPeer_RemoveLost_RemovesIt) {
   this->membership.Add(Host("a", "east"), kStart);
--- a/Source/UnitTests/Platform/proxy_test.cc
+++ b/Source/UnitTests/Platform/proxy_test.cc
@@ -134,13 +134,26 @@
 }
 
 // Guards against daemons that keep idle connections to an endpoint that accepts
-// fewer connections than there are daemons.
+// fewer connections than there are daemons, and that are not their owners.
 TEST_F(ProxyTest, Connection_FewerThanDaemons_IsReleasedAfterStatement) {
   constexpr std::uint32_t kConnections = 4;
   this->PublishConfiguration(2, true, {100000, 100000}, kConnections);
+  std::vector<session::DirectoryChange> changes;
+  for (FakeDatabase* database :
+       {&this->primary_database, &this->replica_a, &this->replica_b}) {
+    session::GroupMember entry = database->Registration();
+    entry.domain = common::FailureDomainId("far");
+    changes.push_back({entry.id.Value(),
+                       {0, ++this->directory_revision},
+                       false,
+                       entry,
+                       ""});
+  }
+  this->AnswerDirectoryCall(session::DirectoryKind::kMembers,
+                            std::move(changes));
   const auto client = this->Connect("latest");
   EXPECT_TRUE(HasLine(client->Ask("QUERY 1 READ item"), "ROW data"));
-  this->RunFor(milliseconds(500));
+  this->RunFor(milliseconds(800));
   EXPECT_EQ(this->primary_database.Connections() +
                 this->replica_a.Connections() + this->replica_b.Connections(),
             0U);
