Session: Make further attempts without owners that were slow or silent

A read that had no answer for a third of its objective was sent to the same silent owner again, if it also owned the connection to the second member.

--- a/Source/Core/Session/statement_run.cc
+++ b/Source/Core/Session/statement_run.cc
@@ -233,14 +233,13 @@
 void StatementRun::StartAt(const common::EndpointId& id) {
   this->endpoint = id;
   const std::uint64_t number = ++this->attempt_number;
-  if (!this->direct) {
-    const std::optional<FleetHost> owner =
-        this->group->ConnectionOwner(id, this->request.caller);
-    if (owner.has_value()) {
-      this->Forward(*owner, 0);
-      return;
-    }
+  const std::optional<FleetHost> wanted =
+      this->group->ConnectionOwner(id, this->request.caller);
+  if (wanted.has_value() && !this->avoided_owners.contains(wanted->id)) {
+    this->Forward(*wanted, 0);
+    return;
   }
+  this->owner = common::HostId();
   const std::shared_ptr<EndpointPool> pool = this->group->SharedPoolOf(id);
   if (pool == nullptr) {
     this->Retry(kRetryPause, "member_gone");
@@ -252,7 +251,8 @@
   started->Start(pool);
 }
 
-void StatementRun::Forward(const FleetHost& owner, std::uint64_t transaction) {
+void StatementRun::Forward(const FleetHost& to, std::uint64_t transaction) {
+  this->owner = to.id;
   ForwardedStatement forwarded;
   forwarded.service = this->group->Service();
   forwarded.endpoint = this->endpoint;
@@ -263,17 +263,17 @@
   this->sent_once = true;
   this->StartHedgeTimer();
   this->group->ForwardStatement(
-      owner, std::move(forwarded), timeout,
-      [weak = this->weak_from_this(), group = this->group, owner,
+      to, std::move(forwarded), timeout,
+      [weak = this->weak_from_this(), group = this->group, to,
        endpoint = this->endpoint,
        number = this->attempt_number](const ForwardingResult& result) {
         TransactionChannel open;
         const auto* reply = std::get_if<ForwardedResult>(&result);
         if (reply != nullptr && reply->transaction != 0) {
           open = ForwardedTransaction{
-              owner, endpoint, reply->transaction,
-              [group, owner, ended = reply->transaction] {
-                group->EndForwardedTransaction(owner, ended);
+              to, endpoint, reply->transaction,
+              [group, to, ended = reply->transaction] {
+                group->EndForwardedTransaction(to, ended);
               }};
         }
         const auto run = weak.lock();
@@ -284,12 +284,12 @@
         if (reply != nullptr) {
           run->OnAttemptResult(number, reply->outcome, std::move(open));
         } else {
-          run->OnOwnerSilent(number, owner, std::get<OwnerSilent>(result));
+          run->OnOwnerSilent(number, std::get<OwnerSilent>(result));
         }
       });
 }
 
-void StatementRun::OnOwnerSilent(std::uint64_t number, const FleetHost& owner,
+void StatementRun::OnOwnerSilent(std::uint64_t number,
                                  const OwnerSilent& silence) {
   // The endpoint is not to blame for the silence of the connection owner.
   const auto keep = this->shared_from_this();
@@ -297,11 +297,11 @@
   RollBack(&this->channel);
   common::Log(Subsystem::kConnection, LogLevel::kWarning,
               "connection_owner_silent",
-              {{"owner", owner.id},
+              {{"owner", this->owner},
                {"endpoint", this->endpoint},
                {"request", this->request.statement.request_id},
                {"sent", silence.sent ? "yes" : "no"}});
-  this->direct = true;
+  this->avoided_owners.insert(this->owner);
   this->timer.reset();
   const bool continues = this->request.use == TransactionUse::kContinues;
   if (!silence.sent && !continues) {
@@ -337,6 +337,7 @@
     return;
   }
   this->tried.insert(this->endpoint);
+  if (!this->owner.Empty()) this->avoided_owners.insert(this->owner);
   this->may_have_run = true;
   this->last_reason = "slow_answer";
   if (this->attempt != nullptr) {
@@ -414,7 +415,7 @@
   if (may_have_run_now) this->may_have_run = true;
   switch (failure) {
     case AttemptFailure::kStopping:
-      this->direct = true;
+      this->avoided_owners.insert(this->owner);
       this->Retry(kNextMemberPause, ToString(failure));
       return;
     case AttemptFailure::kNoFreeChannel:
--- a/Source/Core/Session/statement_run.h
+++ b/Source/Core/Session/statement_run.h
@@ -103,15 +103,14 @@
   /// Starts an attempt at a member.
   void StartAt(const common::EndpointId& id);
   /// Has the connection owner make the attempt.
-  void Forward(const FleetHost& owner, std::uint64_t transaction);
+  void Forward(const FleetHost& to, std::uint64_t transaction);
   StatementAttempt::Observers NewObservers(std::uint64_t number);
   void StartHedgeTimer();
   /// Sends a read that has waited long for its answer to a second member as
   /// well, unless the group's hedge budget is used up.
   void SendHedge();
   /// The connection owner has not answered.
-  void OnOwnerSilent(std::uint64_t number, const FleetHost& owner,
-                     const OwnerSilent& silence);
+  void OnOwnerSilent(std::uint64_t number, const OwnerSilent& silence);
   void OnAttemptResult(std::uint64_t number,
                        std::variant<EndpointAnswer, AttemptFailure> outcome,
                        TransactionChannel with_channel);
@@ -146,9 +145,12 @@
   std::uint64_t attempt_number = 0;
   /// Channel of a transaction that the current attempt has left open.
   TransactionChannel channel;
-  /// A connection owner gave no answer: this daemon makes all further attempts
-  /// itself.
-  bool direct = false;
+  /// The connection owner that makes the current attempt; empty if this daemon
+  /// makes it itself.
+  common::HostId owner;
+  /// Connection owners that were slow, silent or stopping. This daemon makes
+  /// further attempts itself instead of them.
+  std::set<common::HostId> avoided_owners;
   /// Members that have failed this statement; cleared when no other member is
   /// left.
   std::set<common::EndpointId> tried;
--- a/Source/UnitTests/Platform/forwarding_test.cc
+++ b/Source/UnitTests/Platform/forwarding_test.cc
@@ -117,7 +117,8 @@
 
 // Guards against statements that are lost while a daemon shuts down.
 TEST_F(ForwardingTest, Write_OwnerStopping_RunsOnAnOwnConnection) {
-  this->owner_behavior = [](const auto&, const auto& done) {
+  this->owner_behavior = [this](const auto&, const auto& done) {
+    this->report.stopping = true;
     done({AttemptFailure::kStopping, 0, {}});
   };
   const auto client = this->Connect("latest");
