Session: Evacuate failure domains at the operator's request

Daemons follow it where the settings have a bound for it; those that watch the store with a lag take it over from the reports of others. Reads leave at once, primaries are replaced as those that leave, and 2 s after the request was learned nothing is sent to the domain's members any more: statements are refused as not run, transactions are aborted.

--- a/Source/Core/Session/directory.cc
+++ b/Source/Core/Session/directory.cc
@@ -10,6 +10,8 @@
       return "members";
     case DirectoryKind::kHosts:
       return "hosts";
+    case DirectoryKind::kEvacuations:
+      return "evacuations";
   }
   return "unknown";
 }
--- a/Source/Core/Session/directory.h
+++ b/Source/Core/Session/directory.h
@@ -93,6 +93,12 @@
   bool operator==(const FleetHost&) const = default;
 };
 
+/// The operator's request to send no statements to the members of a failure
+/// domain.
+struct EvacuationRequest {
+  common::FailureDomainId domain;
+};
+
 /// An object that cannot be decoded and is therefore ignored.
 struct UnreadableObject {
   std::string reason;
@@ -100,7 +106,7 @@
 
 using DirectoryValue =
     std::variant<std::shared_ptr<const DirectoryConfiguration>, GroupMember,
-                 FleetHost, UnreadableObject>;
+                 FleetHost, EvacuationRequest, UnreadableObject>;
 
 /// Position in the history of the platform's store. A store that was restored
 /// from a backup has lost its last changes and gives out their numbers again,
@@ -143,7 +149,7 @@
     std::variant<DirectoryChanges, HistoryGone, StoreUnavailable>;
 
 /// The parts of the directory.
-enum class DirectoryKind { kConfiguration, kMembers, kHosts };
+enum class DirectoryKind { kConfiguration, kMembers, kHosts, kEvacuations };
 
 /// One object of a directory that a daemon relays to another.
 struct SharedObject {
--- a/Source/Core/Session/fleet_transport.h
+++ b/Source/Core/Session/fleet_transport.h
@@ -12,6 +12,7 @@
 
 #include "Connection/connection.h"
 #include "Session/directory.h"
+#include "Session/evacuations.h"
 #include "Session/member_command.h"
 #include "Session/statement_attempt.h"
 
@@ -35,6 +36,7 @@
   std::uint64_t store_era = 0;
   /// The daemon shuts down and takes no statements of others any more.
   bool stopping = false;
+  Evacuations evacuations;
 };
 
 /// A statement that a daemon has the owner of the endpoint's connections run.
--- a/Source/Core/Session/grpc_fleet_transport.cc
+++ b/Source/Core/Session/grpc_fleet_transport.cc
@@ -38,6 +38,11 @@
   message.set_configuration_version(report.configuration_version);
   message.set_store_era(report.store_era);
   message.set_stopping(report.stopping);
+  for (const common::FailureDomainId& domain : report.evacuations.domains) {
+    message.add_evacuated_domains(domain.Value());
+  }
+  message.set_evacuations_era(report.evacuations.as_of.era);
+  message.set_evacuations_revision(report.evacuations.as_of.number);
   return message;
 }
 
@@ -54,6 +59,11 @@
   report.configuration_version = message.configuration_version();
   report.store_era = message.store_era();
   report.stopping = message.stopping();
+  for (const std::string& domain : message.evacuated_domains()) {
+    report.evacuations.domains.insert(common::FailureDomainId(domain));
+  }
+  report.evacuations.as_of = {message.evacuations_era(),
+                              message.evacuations_revision()};
   return report;
 }
 
--- a/Source/Core/Session/proxy.cc
+++ b/Source/Core/Session/proxy.cc
@@ -93,6 +93,16 @@
   this->member_watcher = std::make_unique<DirectoryWatcher>(
       loop, platform, &this->metrics, watcher,
       [this](const auto& objects) { this->OnMembers(objects); });
+  if (this->settings.follows_evacuations) {
+    watcher.kind = DirectoryKind::kEvacuations;
+    watcher.watch_lengths =
+        ChooseWatchLengths(this->settings.settling_time, WatchRole());
+    watcher.removal_grace = common::Duration::zero();
+    this->evacuation_watcher = std::make_unique<DirectoryWatcher>(
+        loop, platform, &this->metrics, watcher,
+        [this](const auto& objects) { this->OnEvacuations(objects); });
+    this->evacuation_watcher->Start();
+  }
   this->configuration_watcher->Start();
   this->member_watcher->Start();
   FleetCallbacks callbacks;
@@ -105,6 +115,7 @@
   };
   callbacks.on_peer_report = [this](const FleetReport& report) {
     if (report.store_era > 0) this->OnStoreEra(report.store_era);
+    this->UpdateEvacuations(report.evacuations);
     this->CompareVersions(report);
   };
   callbacks.read_directory = [this](const DirectoryQuery& query) {
@@ -265,8 +276,12 @@
   const WatchRole role = this->fleet->ConfigurationWatchRole();
   this->configuration_watcher->SetWatchLengths(
       ChooseWatchLengths(this->settings.settling_time, role));
-  this->configuration_watcher->SetWatchesMayLag(role.position >=
-                                                role.close_watchers);
+  const bool may_lag = role.position >= role.close_watchers;
+  this->configuration_watcher->SetWatchesMayLag(may_lag);
+  if (this->evacuation_watcher == nullptr) return;
+  this->evacuation_watcher->SetWatchLengths(
+      ChooseWatchLengths(this->settings.settling_time, role));
+  this->evacuation_watcher->SetWatchesMayLag(may_lag);
 }
 
 void Proxy::UpdateRateOwners() {
@@ -364,6 +379,33 @@
   this->UpdateGroups();
 }
 
+void Proxy::OnEvacuations(
+    const std::map<std::string, DirectoryValue>& objects) {
+  Evacuations latest;
+  latest.as_of = this->evacuation_watcher->Revision();
+  for (const auto& [name, value] : objects) {
+    if (const auto* request = std::get_if<EvacuationRequest>(&value)) {
+      latest.domains.insert(request->domain);
+    }
+  }
+  this->UpdateEvacuations(latest);
+}
+
+void Proxy::UpdateEvacuations(const Evacuations& latest) {
+  if (!this->settings.follows_evacuations) return;
+  if (!this->evacuations.Update(latest)) return;
+  std::string names;
+  for (const common::FailureDomainId& domain : latest.domains) {
+    if (!names.empty()) names += ",";
+    names += domain.Value();
+  }
+  common::Log(Subsystem::kVersion, LogLevel::kInfo, "evacuations_changed",
+              {{"domains", names}, {"revision", latest.as_of.number}});
+  for (const auto& [service, group] : this->groups) {
+    group->SetEvacuated(this->evacuations.domains);
+  }
+}
+
 void Proxy::UpdateGroups() {
   if (this->configuration == nullptr) return;
   for (const auto& [service, present] : this->members) {
@@ -390,6 +432,7 @@
       context.metrics = &this->metrics;
       context.location = this->settings.location;
       group = std::make_shared<ServiceGroup>(context, service);
+      group->SetEvacuated(this->evacuations.domains);
     }
     group->SetMembers(present);
   }
@@ -447,6 +490,7 @@
   report.host = this->fleet->Own();
   report.store_era = this->store_era.value_or(0);
   report.stopping = this->stopping_since.has_value();
+  report.evacuations = this->evacuations;
   if (const auto in_force = this->Configuration()) {
     report.configuration_version = in_force->version;
   }
@@ -469,6 +513,9 @@
   this->promotion_lease.OnEra(era, common::SteadyNow());
   this->configuration_watcher->OnEra(era);
   this->member_watcher->OnEra(era);
+  if (this->evacuation_watcher != nullptr) {
+    this->evacuation_watcher->OnEra(era);
+  }
   if (restored) this->fleet->OnStoreRestored();
 }
 
@@ -529,6 +576,7 @@
 void Proxy::OnReport(const FleetReport& report,
                      common::SteadyTime requested_at) {
   if (report.store_era > 0) this->OnStoreEra(report.store_era);
+  this->UpdateEvacuations(report.evacuations);
   this->CompareVersions(report);
   for (const SharedProof& proof : report.proofs) {
     const auto found = this->groups.find(proof.service);
--- a/Source/Core/Session/proxy.h
+++ b/Source/Core/Session/proxy.h
@@ -42,6 +42,8 @@
   /// after the end of a disturbance from which this applies.
   common::Duration change_bound = std::chrono::seconds(4);
   common::Duration settling_time = std::chrono::seconds(5);
+  /// Whether operators may ask for failure domains to be evacuated.
+  bool follows_evacuations = false;
   /// Time from the stop signal to the end of the process.
   common::Duration stop_grace = std::chrono::seconds(6);
 };
@@ -88,6 +90,9 @@
   void Listen();
   void OnConfigurations(const std::map<std::string, DirectoryValue>& objects);
   void OnMembers(const std::map<std::string, DirectoryValue>& objects);
+  void OnEvacuations(const std::map<std::string, DirectoryValue>& objects);
+  /// Takes over a later state of the evacuations.
+  void UpdateEvacuations(const Evacuations& latest);
   /// Asks peers for a newer configuration before the first one is used, and
   /// puts it in force once the check has passed.
   void CheckInitialConfiguration();
@@ -153,6 +158,9 @@
   std::optional<common::SteadyTime> stopping_since;
   std::unique_ptr<DirectoryWatcher> configuration_watcher;
   std::unique_ptr<DirectoryWatcher> member_watcher;
+  /// Null unless evacuations are followed.
+  std::unique_ptr<DirectoryWatcher> evacuation_watcher;
+  Evacuations evacuations;
   ForwardedStatements forwarded;
   std::unique_ptr<FleetTask> fleet;
   std::unique_ptr<connection::Timer> tick;
--- a/Source/Core/Session/service_group.cc
+++ b/Source/Core/Session/service_group.cc
@@ -44,6 +44,10 @@
 /// A primary that leaves gets no statements after this time. It may end 7,000
 /// ms after its announcement, which may have been learned late.
 constexpr std::chrono::milliseconds kMaxUseAfterNotice(6000);
+/// A primary whose failure domain is to be evacuated gets no statements after
+/// this time. The bound is 5,000 ms from the operator's request, which a daemon
+/// may learn 2,500 ms late.
+constexpr std::chrono::milliseconds kMaxUseAfterEvacuation(2000);
 /// Minimum interval between two probes.
 constexpr std::chrono::milliseconds kProbeInterval(150);
 /// Backoff after a proof round without a proof, doubled up to the maximum. Each
@@ -84,7 +88,7 @@
                                          CommandCallback done) {
     this->SendCommandByAny(id, command, std::move(done));
   };
-  callbacks.members = [this] { return this->Entries(); };
+  callbacks.members = [this] { return this->PromotionEntries(); };
   callbacks.former_members = [this] { return this->RecentFormerMembers(); };
   callbacks.ended_members = [this] {
     std::set<common::EndpointId> ended;
@@ -183,10 +187,39 @@
       member.leaving_since = updated_at;
     }
   }
+  this->UpdateEvacuated(updated_at);
   this->view.OnMembers(present);
   this->UpdatePrimary();
   this->UpdateLeaving();
-  this->promotion->OnMembers(this->Entries(), common::SteadyNow());
+  this->promotion->OnMembers(this->PromotionEntries(), common::SteadyNow());
+}
+
+void ServiceGroup::SetEvacuated(
+    const std::set<common::FailureDomainId>& domains) {
+  if (this->evacuated == domains) return;
+  this->evacuated = domains;
+  const common::SteadyTime now = common::SteadyNow();
+  this->UpdateEvacuated(now);
+  this->UpdateLeaving();
+  this->promotion->OnMembers(this->PromotionEntries(), now);
+}
+
+void ServiceGroup::UpdateEvacuated(common::SteadyTime now) {
+  for (auto& [id, member] : this->members) {
+    if (!this->evacuated.contains(member.entry.domain)) {
+      member.evacuated_since.reset();
+    } else if (!member.evacuated_since.has_value()) {
+      member.evacuated_since = now;
+    }
+  }
+}
+
+bool ServiceGroup::MayUse(const common::EndpointId& id) const {
+  const auto found = this->members.find(id);
+  if (found == this->members.end()) return true;
+  const auto& since = found->second.evacuated_since;
+  return !since.has_value() ||
+         common::SteadyNow() - *since < kMaxUseAfterEvacuation;
 }
 
 ChannelLimits ServiceGroup::LimitsFor(const GroupMember& member) const {
@@ -235,7 +268,8 @@
   const bool ends_soon =
       leaving_since.has_value() &&
       common::SteadyNow() - *leaving_since >= kMaxUseAfterNotice;
-  return ends_soon ? std::nullopt : this->primary;
+  if (ends_soon || !this->MayUse(*this->primary)) return std::nullopt;
+  return this->primary;
 }
 
 EndpointPool* ServiceGroup::PoolOf(const common::EndpointId& id) {
@@ -296,6 +330,7 @@
   for (const auto& [id, member] : this->members) {
     if (without.contains(id)) continue;
     if (member.entry.state == MemberState::kLeaving) continue;
+    if (member.evacuated_since.has_value()) continue;
     common::Duration delay = this->RoundTripTo(member.entry) +
                              kDelayPerQueuedRequest * member.pool->Waiting();
     const bool opens = !this->ConnectionOwner(id, caller).has_value() &&
@@ -440,6 +475,16 @@
   return entries;
 }
 
+std::vector<GroupMember> ServiceGroup::PromotionEntries() const {
+  std::vector<GroupMember> entries = this->Entries();
+  for (GroupMember& entry : entries) {
+    if (this->evacuated.contains(entry.domain)) {
+      entry.state = MemberState::kLeaving;
+    }
+  }
+  return entries;
+}
+
 void ServiceGroup::UpdatePrimary() {
   const std::optional<common::EndpointId> now_primary = this->view.Primary();
   if (now_primary == this->primary) return;
@@ -454,8 +499,9 @@
 
 void ServiceGroup::UpdateLeaving() {
   if (!this->primary.has_value()) return;
-  const GroupMember& entry = this->members.at(*this->primary).entry;
-  this->monitor.SetLeaving(entry.state == MemberState::kLeaving);
+  const Member& member = this->members.at(*this->primary);
+  this->monitor.SetLeaving(member.entry.state == MemberState::kLeaving ||
+                           member.evacuated_since.has_value());
 }
 
 void ServiceGroup::OnStatus(const common::EndpointId& id,
@@ -745,7 +791,8 @@
   const bool has_candidate = std::any_of(
       this->members.begin(), this->members.end(), [&](const auto& entry) {
         return this->primary != entry.first &&
-               (entry.second.entry.state == MemberState::kReady ||
+               ((entry.second.entry.state == MemberState::kReady &&
+                 !entry.second.evacuated_since.has_value()) ||
                 *decision.replace != FailoverReason::kLeaving);
       });
   if (has_candidate) this->promotion->Start(*decision.replace, now);
--- a/Source/Core/Session/service_group.h
+++ b/Source/Core/Session/service_group.h
@@ -36,6 +36,13 @@
   /// Sets the current members of the group.
   void SetMembers(const std::vector<GroupMember>& present);
 
+  /// Sets the failure domains to whose members no statements may be sent.
+  void SetEvacuated(const std::set<common::FailureDomainId>& domains);
+
+  /// Whether a statement may be sent to a member; not for long after its
+  /// failure domain is to be evacuated.
+  bool MayUse(const common::EndpointId& id) const;
+
   /// Sets who may open connections to the members, and the number of daemons in
   /// this daemon's failure domain.
   void SetConnectionUsers(const ConnectionUsers& users,
@@ -144,6 +151,8 @@
     FailureEstimate failures;
     /// Since when the member has been known to leave.
     std::optional<common::SteadyTime> leaving_since;
+    /// Since when the member's failure domain is to be evacuated.
+    std::optional<common::SteadyTime> evacuated_since;
     /// The member gave no answer when it was last contacted.
     bool unresponsive = false;
     /// Peers are not asked before to send a command of the kind to the member.
@@ -190,6 +199,11 @@
   void OnCommandResult(std::uint64_t number, const ChannelResult& result);
   void EndCommand(std::uint64_t number, const CommandResult& result);
   std::vector<GroupMember> Entries() const;
+  /// The members as a promotion sees them: those that are to be evacuated count
+  /// as leaving.
+  std::vector<GroupMember> PromotionEntries() const;
+  /// Records which members are to be evacuated.
+  void UpdateEvacuated(common::SteadyTime now);
   FormerMembers RecentFormerMembers() const;
   /// Updates the former members for a new set of members.
   void UpdateFormer(const std::vector<GroupMember>& present,
@@ -226,6 +240,7 @@
   /// Members that had announced their shutdown and are gone, and since when. A
   /// commit that was acknowledged later clears them.
   std::map<common::EndpointId, common::SteadyTime> ended_members;
+  std::set<common::FailureDomainId> evacuated;
   ConnectionUsers connection_users;
   std::size_t hosts_in_domain = 1;
   HedgeBudget hedge_budget;
--- a/Source/Core/Session/statement_run.cc
+++ b/Source/Core/Session/statement_run.cc
@@ -57,6 +57,10 @@
   }
   this->channel = std::exchange(this->request.channel, std::monostate());
   this->endpoint = EndpointOf(this->channel);
+  if (!this->group->MayUse(this->endpoint)) {
+    this->Fail(StatementError::kAborted, "endpoint_evacuated");
+    return;
+  }
   const std::uint64_t number = ++this->attempt_number;
   if (const auto* forwarded =
           std::get_if<ForwardedTransaction>(&this->channel)) {
--- a/Source/UnitTests/Platform/proxy_fixture.h
+++ b/Source/UnitTests/Platform/proxy_fixture.h
@@ -29,6 +29,18 @@
   ProxyTest() {
     this->primary_database.primary = true;
     this->primary_database.on_commit = [this] { this->Replicate(); };
+    this->StartProxy(Settings());
+    this->platform.list_answers[session::DirectoryKind::kMembers] = [this] {
+      session::DirectoryChanges listed;
+      for (const auto& [name, entry] : this->stored_members) {
+        listed.changes.push_back(entry);
+      }
+      listed.revision = {0, ++this->directory_revision};
+      return listed;
+    };
+  }
+
+  static session::ProxySettings Settings() {
     session::ProxySettings settings;
     settings.location.host = common::HostId("own");
     settings.location.domain = common::FailureDomainId("zone");
@@ -38,6 +50,13 @@
     settings.peers = {"127.0.0.1", 0};
     settings.rate_tolerance = {0.1, 20};
     settings.stop_grace = std::chrono::seconds(4);
+    return settings;
+  }
+
+  /// Starts the proxy, instead of one that runs, and answers its first calls of
+  /// the store.
+  void StartProxy(const session::ProxySettings& settings) {
+    this->proxy.reset();
     this->proxy = std::make_unique<session::Proxy>(&this->loop, &this->format,
                                                    &this->platform, settings);
     this->PublishConfiguration(1);
@@ -45,14 +64,6 @@
     // The hosts are read at the start and after the registration.
     this->AnswerDirectoryCall(session::DirectoryKind::kHosts, {});
     this->AnswerDirectoryCall(session::DirectoryKind::kHosts, {});
-    this->platform.list_answers[session::DirectoryKind::kMembers] = [this] {
-      session::DirectoryChanges listed;
-      for (const auto& [name, entry] : this->stored_members) {
-        listed.changes.push_back(entry);
-      }
-      listed.revision = {0, ++this->directory_revision};
-      return listed;
-    };
   }
 
   ~ProxyTest() override { this->RunFor(std::chrono::milliseconds(1)); }
