--- a/Source/Core/Session/fleet_membership.cc
+++ b/Source/Core/Session/fleet_membership.cc
@@ -85,16 +85,19 @@
 }
 
 std::size_t FleetMembership::HeardCount(common::SteadyTime now) const {
-  const common::SteadyTime since =
-      std::max(now - std::max<common::Duration>(
-                         kHeardFor, kFarInterval * this->ExchangeRounds()),
-               this->rate_owner_lost_at);
-  const auto count = std::count_if(
-      this->peers.begin(), this->peers.end(), [since](const auto& item) {
-        return item.second.has_replied && !IsSilent(item.second) &&
-               item.second.last_reply >= since;
-      });
-  return static_cast<std::size_t>(count) + 1;
+  const common::SteadyTime recent =
+      now - std::max<common::Duration>(kHeardFor,
+                                       kFarInterval * this->ExchangeRounds());
+  std::size_t heard = 1;
+  std::size_t heard_since_loss = 1;
+  for (const auto& [id, peer] : this->peers) {
+    if (!peer.has_replied || IsSilent(peer) || peer.last_reply < recent) {
+      continue;
+    }
+    ++heard;
+    if (peer.last_reply >= this->rate_owner_lost_at) ++heard_since_loss;
+  }
+  return std::min(heard, heard_since_loss * 3 / 2);
 }
 
 void FleetMembership::CheckRateOwner(const common::WorkspaceId& workspace,
--- a/Source/Core/Session/fleet_membership.h
+++ b/Source/Core/Session/fleet_membership.h
@@ -82,9 +82,9 @@
   /// must not take itself for the whole fleet.
   std::size_t RecentSize() const;
 
-  /// Number of daemons that have been heard lately, including this one. Those
-  /// that were heard only before a rate owner fell silent don't count: this
-  /// daemon may be the one that is cut off.
+  /// Number of daemons that have been heard lately, including this one. At most
+  /// half as many again as have been heard since a rate owner fell silent last:
+  /// this daemon may be the one that is cut off.
   std::size_t HeardCount(common::SteadyTime now) const;
 
   /// Makes the rate owner of a workspace due for an exchange, because another
--- a/Source/Core/Session/workspace_limiter.cc
+++ b/Source/Core/Session/workspace_limiter.cc
@@ -148,16 +148,20 @@
          static_cast<double>(this->fleet_size);
 }
 
+bool WorkspaceLimiter::IsOverdue(const common::HostId& host,
+                                 common::SteadyTime now) const {
+  const auto found = this->hosts.find(host);
+  if (found == this->hosts.end() || found->second.asked.rate <= 0) return false;
+  return Seconds(now - found->second.last_request) >
+         std::max(kOverdueIntervals / found->second.asked.rate,
+                  Seconds(kMinSilence));
+}
+
 void WorkspaceLimiter::ReserveForSilentRequesters(
     WorkspaceEntry* entry, common::SteadyTime now) const {
   for (auto& [host, requester] : entry->requesters) {
-    const double asked = requester.asked.rate;
-    if (asked <= 0) continue;
     const common::Duration silence = now - requester.last_request;
-    const bool overdue =
-        Seconds(silence) >
-        std::max(kOverdueIntervals / asked, Seconds(kMinSilence));
-    if (!overdue || silence > kReservationLimit) continue;
+    if (silence > kReservationLimit || !this->IsOverdue(host, now)) continue;
     // From its last request on, the daemon may have gone on at its former rate.
     const common::SteadyTime from =
         std::max(requester.reserved_until, requester.last_request);
@@ -193,7 +197,9 @@
   entry->bucket.level += known.reserved - admitted_alone;
   known.reserved = 0;
   known.last_request = now;
-  known.asked.Count(now);
+  HostActivity& activity = this->hosts[requester];
+  activity.asked.Count(now);
+  activity.last_request = now;
   this->ReserveForSilentRequesters(entry, now);
   const auto wait = entry->bucket.TryTake(rate, capacity, now);
   if (!wait.has_value()) known.granted.Count(now);
--- a/Source/Core/Session/workspace_limiter.h
+++ b/Source/Core/Session/workspace_limiter.h
@@ -95,7 +95,6 @@
 
   /// What the rate owner records about one requesting daemon.
   struct Requester {
-    RateMeter asked;
     RateMeter granted;
     common::SteadyTime last_request;
     /// Tokens taken off for operations that the daemon may have admitted alone
@@ -104,6 +103,12 @@
     common::SteadyTime reserved_until;
   };
 
+  /// Requests of one daemon for all workspaces that this daemon owns.
+  struct HostActivity {
+    RateMeter asked;
+    common::SteadyTime last_request;
+  };
+
   struct TokenBucket {
     double level = 0;
     common::SteadyTime filled;
@@ -130,6 +135,9 @@
   };
 
   WorkspaceEntry* FindLimited(const common::WorkspaceId& workspace);
+  /// Whether a daemon may be cut off, as it has sent no request for unusually
+  /// long.
+  bool IsOverdue(const common::HostId& host, common::SteadyTime now) const;
   /// Takes tokens off for the requesters that may be cut off.
   void ReserveForSilentRequesters(WorkspaceEntry* entry,
                                   common::SteadyTime now) const;
@@ -140,6 +148,7 @@
   double InitialTokens(const WorkspaceEntry& entry) const;
 
   std::map<common::WorkspaceId, WorkspaceEntry> entries;
+  std::map<common::HostId, HostActivity> hosts;
   RateTolerance tolerance;
   std::size_t fleet_size = 1;
   std::size_t responsive = 1;
