--- a/Source/Core/Session/fleet_membership.cc
+++ b/Source/Core/Session/fleet_membership.cc
@@ -100,12 +100,6 @@
   return std::min(heard, heard_since_loss * 3 / 2);
 }
 
-void FleetMembership::CheckRateOwner(const common::WorkspaceId& workspace,
-                                     common::SteadyTime now) {
-  const std::optional<FleetHost> rate_owner = this->RateOwnerOf(workspace);
-  if (rate_owner.has_value()) this->peers.at(rate_owner->id).due = now;
-}
-
 std::size_t FleetMembership::ExchangeRounds() const {
   return this->peers.size() <= kSmallFleet
              ? 1
--- a/Source/Core/Session/fleet_membership.h
+++ b/Source/Core/Session/fleet_membership.h
@@ -87,11 +87,6 @@
   /// this daemon may be the one that is cut off.
   std::size_t HeardCount(common::SteadyTime now) const;
 
-  /// Makes the rate owner of a workspace due for an exchange, because another
-  /// daemon does not reach it.
-  void CheckRateOwner(const common::WorkspaceId& workspace,
-                      common::SteadyTime now);
-
  private:
   struct Peer {
     FleetHost host;
--- a/Source/Core/Session/fleet_task.cc
+++ b/Source/Core/Session/fleet_task.cc
@@ -52,11 +52,7 @@
   };
   handlers.admit = [this](const AdmissionRequest& request) {
     this->OnReply(request.requester);
-    if (this->OwnsRate(request.workspace)) {
-      return this->callbacks.admit(request);
-    }
-    this->membership.CheckRateOwner(request.workspace, common::SteadyNow());
-    return AdmissionReply{std::nullopt, true};
+    return this->callbacks.admit(request);
   };
   handlers.read_directory = [this](const DirectoryQuery& query) {
     return this->callbacks.read_directory(query);
--- a/Source/Core/Session/fleet_transport.h
+++ b/Source/Core/Session/fleet_transport.h
@@ -100,8 +100,7 @@
   /// Time until the next operation would be admitted; none if this one is
   /// admitted.
   std::optional<common::Duration> retry_after;
-  /// The daemon does not decide: it takes another one for the owner, or hears
-  /// too few of the others.
+  /// The daemon does not decide, because it hears too few of the others.
   bool declined = false;
 };
 
