--- a/Source/Core/Session/client_session.cc
+++ b/Source/Core/Session/client_session.cc
@@ -432,9 +432,7 @@
   }
 }
 
-void ClientSession::RollBackTransaction() {
-  RollBack(&this->pinned_channel);
-}
+void ClientSession::RollBackTransaction() { RollBack(&this->pinned_channel); }
 
 bool ClientSession::CloseIfIdle() {
   const bool busy = this->run != nullptr || this->awaiting_admission;
--- a/Source/Core/Session/fleet_membership.cc
+++ b/Source/Core/Session/fleet_membership.cc
@@ -177,9 +177,8 @@
 std::size_t FleetMembership::SizeOf(
     const common::FailureDomainId& domain) const {
   const auto others = std::count_if(
-      this->peers.begin(), this->peers.end(), [&](const auto& item) {
-        return item.second.host.domain == domain;
-      });
+      this->peers.begin(), this->peers.end(),
+      [&](const auto& item) { return item.second.host.domain == domain; });
   return static_cast<std::size_t>(others) +
          (this->own.domain == domain ? 1 : 0);
 }
--- a/Source/Core/Session/fleet_membership.h
+++ b/Source/Core/Session/fleet_membership.h
@@ -45,8 +45,8 @@
   void SetStopping(const common::HostId& host, bool stopping);
 
   /// The daemon in the failure domain that owns the connections with this key;
-  /// none if it is this one, or if no daemon there takes statements. All daemons
-  /// that know the same fleet choose the same one.
+  /// none if it is this one, or if no daemon there takes statements. All
+  /// daemons that know the same fleet choose the same one.
   std::optional<FleetHost> ConnectionOwnerOf(
       const std::string& key, const common::FailureDomainId& domain);
 
--- a/Source/Core/Session/forwarded_statements.cc
+++ b/Source/Core/Session/forwarded_statements.cc
@@ -21,9 +21,9 @@
     : loop(loop),
       codec(codec),
       find_group(std::move(find_group)),
-      next_number(static_cast<std::uint64_t>(
-          common::WallNow().time_since_epoch() /
-          std::chrono::microseconds(1))) {}
+      next_number(
+          static_cast<std::uint64_t>(common::WallNow().time_since_epoch() /
+                                     std::chrono::microseconds(1))) {}
 
 ForwardedStatements::~ForwardedStatements() {
   *this->alive = false;
--- a/Source/Core/Session/grpc_fleet_transport.cc
+++ b/Source/Core/Session/grpc_fleet_transport.cc
@@ -319,8 +319,7 @@
     return this->Serve(context, [this, request, reply](const Finish& finish) {
       this->handlers.prove_leadership(
           common::ServiceId(request->service()),
-          [reply,
-           finish](const std::optional<common::LogPosition>& position) {
+          [reply, finish](const std::optional<common::LogPosition>& position) {
             finish([&] { *reply = ToMessage(position); });
           });
     });
@@ -498,8 +497,8 @@
         [](const grpc::Status& /*status*/,
            const fleet::v1::EndTransactionReply& /*reply*/) {},
         [](auto* calls, auto* state, auto ended) {
-          calls->EndTransaction(&state->context, &state->request,
-                                &state->reply, std::move(ended));
+          calls->EndTransaction(&state->context, &state->request, &state->reply,
+                                std::move(ended));
         });
   }
 
--- a/Source/Core/Session/proxy.cc
+++ b/Source/Core/Session/proxy.cc
@@ -154,7 +154,7 @@
   };
   callbacks.rate_owners_changed = [this] { this->UpdateRateOwners(); };
   callbacks.admit = [this](const AdmissionRequest& request) {
-    if (!this->limiter.HearsMajority()) {
+    if (!this->limiter.MayAdmit()) {
       return AdmissionReply{std::nullopt, true};
     }
     return AdmissionReply{
@@ -247,7 +247,7 @@
   this->fleet->RequestAdmission(
       workspace, this->limiter.AdmittedAlone(workspace),
       [this, workspace, done = std::move(done)](
-                     const std::optional<AdmissionDecision>& owner_decision) {
+          const std::optional<AdmissionDecision>& owner_decision) {
         const common::SteadyTime now = common::SteadyNow();
         if (!owner_decision.has_value()) {
           const auto wait = this->limiter.AdmitLocally(workspace, now);
@@ -588,8 +588,7 @@
 }
 
 void Proxy::OnFleetSize(const FleetSize& size) {
-  const bool resized =
-      std::exchange(this->fleet_size, size.live) != size.live;
+  const bool resized = std::exchange(this->fleet_size, size.live) != size.live;
   this->hosts_in_domain = this->fleet->SizeOf(this->settings.location.domain);
   // A daemon that knows few others yet must not take their shares.
   this->limiter.SetFleet(
--- a/Source/Core/Session/statement_attempt.cc
+++ b/Source/Core/Session/statement_attempt.cc
@@ -311,8 +311,8 @@
   const auto keep = this->shared_from_this();
   this->timer.reset();
   const auto done = std::exchange(this->observers.done, nullptr);
-  done(AttemptResult{std::move(outcome),
-                     std::exchange(this->channel, nullptr)});
+  done(
+      AttemptResult{std::move(outcome), std::exchange(this->channel, nullptr)});
 }
 
 }  // namespace camphorferry::session
--- a/Source/Core/Session/statement_messages.cc
+++ b/Source/Core/Session/statement_messages.cc
@@ -193,10 +193,9 @@
   attempt.statement.request_id = message.request_id();
   attempt.writes = message.writes();
   if (message.has_prepared()) {
-    attempt.shape = PreparedShape{message.prepared().writes()
-                                      ? AccessKind::kWrite
-                                      : AccessKind::kRead,
-                                  message.prepared().shape()};
+    attempt.shape = PreparedShape{
+        message.prepared().writes() ? AccessKind::kWrite : AccessKind::kRead,
+        message.prepared().shape()};
     attempt.statement.kind = StatementKind::kExecute;
     attempt.statement.argument = message.text();
   } else {
--- a/Source/Core/Session/statement_run.cc
+++ b/Source/Core/Session/statement_run.cc
@@ -24,9 +24,9 @@
 constexpr std::chrono::milliseconds kForwardingReserve(400);
 /// An operation that has waited for longer since its admission is admitted
 /// again. Otherwise all operations that waited for a new primary would reach it
-/// at once and exceed the rates of their workspaces. A twenty-fifth of the rate
-/// window (5 s).
-constexpr std::chrono::milliseconds kMaxAdmissionAge(200);
+/// at once and exceed the rates of their workspaces. A tenth of the rate window
+/// (5 s).
+constexpr std::chrono::milliseconds kMaxAdmissionAge(500);
 /// Longest pause before an operation above its rate is admitted again; other
 /// operations of the workspace may end sooner than the rate owner expects.
 constexpr std::chrono::milliseconds kMaxRatePause(300);
@@ -262,8 +262,8 @@
   forwarded.endpoint = this->endpoint;
   forwarded.attempt = this->NewAttempt();
   forwarded.transaction = transaction;
-  const common::Duration timeout = kForwardingReserve + kChannelWait +
-                                   this->request.statement_timeout;
+  const common::Duration timeout =
+      kForwardingReserve + kChannelWait + this->request.statement_timeout;
   this->sent_once = true;
   this->StartHedgeTimer();
   this->group->ForwardStatement(
@@ -274,11 +274,11 @@
         TransactionChannel open;
         const auto* reply = std::get_if<ForwardedResult>(&result);
         if (reply != nullptr && reply->transaction != 0) {
-          open = ForwardedTransaction{
-              to, endpoint, reply->transaction,
-              [group, to, ended = reply->transaction] {
-                group->EndForwardedTransaction(to, ended);
-              }};
+          open =
+              ForwardedTransaction{to, endpoint, reply->transaction,
+                                   [group, to, ended = reply->transaction] {
+                                     group->EndForwardedTransaction(to, ended);
+                                   }};
         }
         const auto run = weak.lock();
         if (run == nullptr || !run->done) {
--- a/Source/Core/Session/statement_run.h
+++ b/Source/Core/Session/statement_run.h
@@ -72,11 +72,11 @@
   TransactionChannel channel;
 };
 
-/// Runs one statement: waits until reads are known to be fresh enough, chooses a
-/// member and has an attempt made there, by this daemon or by the one that owns
-/// the connection. Attempts that have not run are retried, at another member if
-/// possible; a write that may have run is never retried. Must be owned by a
-/// shared pointer.
+/// Runs one statement: waits until reads are known to be fresh enough, chooses
+/// a member and has an attempt made there, by this daemon or by the one that
+/// owns the connection. Attempts that have not run are retried, at another
+/// member if possible; a write that may have run is never retried. Must be
+/// owned by a shared pointer.
 class StatementRun : public std::enable_shared_from_this<StatementRun> {
  public:
   StatementRun(connection::EventLoop* loop, const WireCodec* codec,
--- a/Source/Core/Session/workspace_limiter.cc
+++ b/Source/Core/Session/workspace_limiter.cc
@@ -27,6 +27,8 @@
 /// rate owner for long.
 constexpr double kLocalFraction = 0.25;
 
+/// Fraction of the fleet that a rate owner must hear.
+constexpr double kMinHeardFraction = 0.25;
 /// The owner goes on reserving for a silent daemon for this long, which is
 /// longer than a daemon usually stays cut off.
 constexpr std::chrono::seconds kReservationLimit(60);
@@ -139,8 +141,13 @@
   return this->HasLimit(workspace) ? &this->entries.at(workspace) : nullptr;
 }
 
+bool WorkspaceLimiter::MayAdmit() const {
+  return static_cast<double>(this->responsive) >=
+         static_cast<double>(this->fleet_size) * kMinHeardFraction;
+}
+
 bool WorkspaceLimiter::HearsMajority() const {
-  return this->responsive * 2 > this->fleet_size || this->fleet_size == 1;
+  return this->responsive * 2 > this->fleet_size;
 }
 
 double WorkspaceLimiter::LocalRate(const WorkspaceEntry& entry) const {
@@ -165,11 +172,9 @@
     // From its last request on, the daemon may have gone on at its former rate.
     const common::SteadyTime from =
         std::max(requester.reserved_until, requester.last_request);
-    const common::SteadyTime window_end =
-        requester.last_request + kRateWindow;
-    const double former =
-        Seconds(std::max(std::min(now, window_end) - from,
-                         common::Duration::zero()));
+    const common::SteadyTime window_end = requester.last_request + kRateWindow;
+    const double former = Seconds(
+        std::max(std::min(now, window_end) - from, common::Duration::zero()));
     const double later = Seconds(
         std::max(now - std::max(from, window_end), common::Duration::zero()));
     const double tokens =
@@ -188,7 +193,8 @@
   if (entry == nullptr) return std::nullopt;
   if (!entry->owned) this->SetOwned(workspace, true, now);
   double rate = entry->limit.rate;
-  if (now - entry->owned_since < kRateWindow) rate *= this->ResponsiveShare();
+  const bool is_new = now - entry->owned_since < kRateWindow;
+  if (is_new || !this->HearsMajority()) rate *= this->ResponsiveShare();
   const double capacity =
       std::max(this->InitialTokens(*entry), entry->limit.burst);
   entry->bucket.Fill(rate, capacity, now);
--- a/Source/Core/Session/workspace_limiter.h
+++ b/Source/Core/Session/workspace_limiter.h
@@ -55,8 +55,8 @@
                 common::SteadyTime now);
 
   /// Whether this daemon hears enough of the fleet to admit operations for it.
-  /// Two owners that don't hear each other can't both hear a majority.
-  bool HearsMajority() const;
+  /// A daemon that is cut off from all others does not.
+  bool MayAdmit() const;
 
   /// Whether a workspace has a rate limit.
   bool HasLimit(const common::WorkspaceId& workspace) const;
@@ -144,6 +144,7 @@
   /// Rate at which a daemon admits alone that has not reached the owner for
   /// longer than a rate window.
   double LocalRate(const WorkspaceEntry& entry) const;
+  bool HearsMajority() const;
   double ResponsiveShare() const;
   double InitialTokens(const WorkspaceEntry& entry) const;
 
