Session: Keep a part of the burst for operations that the owner can't see

What the tolerance does not cover of one second of the rate is now taken off the bucket's capacity, down to half of the burst.

--- a/Source/Core/Session/workspace_limiter.cc
+++ b/Source/Core/Session/workspace_limiter.cc
@@ -27,6 +27,13 @@
 /// rate owner for long.
 constexpr double kLocalFraction = 0.25;
 
+/// Operations of one window that the owner's bucket can't see, in seconds of
+/// the rate: those that arrive at an endpoint up to 750 ms after their
+/// admission, and those of daemons that are cut off, until the owner notices.
+/// What the tolerance does not cover is taken off the burst, of which this
+/// fraction is left at least.
+constexpr double kUnaccountedSeconds = 1.0;
+constexpr double kMinBurstFraction = 0.5;
 /// Fraction of the fleet that a rate owner must hear.
 constexpr double kMinHeardFraction = 0.25;
 /// The owner goes on reserving for a silent daemon for this long, which is
@@ -150,6 +157,18 @@
   return this->responsive * 2 > this->fleet_size;
 }
 
+double WorkspaceLimiter::Capacity(const WorkspaceEntry& entry) const {
+  const WorkspaceRate& limit = entry.limit;
+  const double window_total = limit.rate * Seconds(kRateWindow) + limit.burst;
+  const double tolerated =
+      window_total * this->tolerance.share + this->tolerance.operations;
+  const double capacity =
+      limit.burst + tolerated - limit.rate * kUnaccountedSeconds;
+  return std::max(
+      this->InitialTokens(entry),
+      std::clamp(capacity, limit.burst * kMinBurstFraction, limit.burst));
+}
+
 double WorkspaceLimiter::LocalRate(const WorkspaceEntry& entry) const {
   return entry.limit.rate * kLocalFraction /
          static_cast<double>(this->fleet_size);
@@ -195,8 +214,7 @@
   double rate = entry->limit.rate;
   const bool is_new = now - entry->owned_since < kRateWindow;
   if (is_new || !this->HearsMajority()) rate *= this->ResponsiveShare();
-  const double capacity =
-      std::max(this->InitialTokens(*entry), entry->limit.burst);
+  const double capacity = this->Capacity(*entry);
   entry->bucket.Fill(rate, capacity, now);
   Requester& known = entry->requesters[requester];
   // What was reserved for the daemon is replaced by what it has used.
--- a/Source/Core/Session/workspace_limiter.h
+++ b/Source/Core/Session/workspace_limiter.h
@@ -31,8 +31,10 @@
 /// owner ("keeper" in logs and metrics), has the workspace's token bucket and
 /// admits operations for all daemons. A daemon that cannot reach the rate owner
 /// admits operations by a local bucket: for one rate window at the rate that it
-/// used before, which the owner reserves for it meanwhile, and after that at a
-/// small fraction of the rate, which lies within the tolerance.
+/// used before, and after that at a small fraction of the rate. The owner takes
+/// both off what it admits itself, from the daemon's last request on. An owner
+/// that hears less than half of the fleet admits only the part of the rate that
+/// it hears, since the other part of the fleet may have another owner.
 class WorkspaceLimiter {
  public:
   /// Sets the declared rates.
@@ -147,6 +149,8 @@
   bool HearsMajority() const;
   double ResponsiveShare() const;
   double InitialTokens(const WorkspaceEntry& entry) const;
+  /// Largest number of tokens that the owner's bucket may hold.
+  double Capacity(const WorkspaceEntry& entry) const;
 
   std::map<common::WorkspaceId, WorkspaceEntry> entries;
   std::map<common::HostId, HostActivity> hosts;
