Session: Answer every forwarded call, and skip those that nobody waits for

Found by review. A call whose transaction was ended meanwhile was never answered, and its memory was kept; an owner that had been paused ran statements whose callers had given up, and kept their transactions for 3.5 s; a transaction whose connection had ended kept its channel as long. Silent preparation commands count against their endpoint again, a commit that was refused and not sent again is aborted instead of unknown, and an owner that does not reach an endpoint is avoided.

StatementInProgress_TransactionEnded_IsAnswered fails without the first change (no reply).

--- a/Source/Core/Session/forwarded_statements.cc
+++ b/Source/Core/Session/forwarded_statements.cc
@@ -29,7 +29,7 @@
   *this->alive = false;
   for (const auto& [number, attempt] : this->attempts) attempt->Cancel();
   for (auto& [number, transaction] : this->transactions) {
-    this->Close(&transaction);
+    Close(&transaction);
   }
 }
 
@@ -89,24 +89,30 @@
 void ForwardedStatements::Continue(const ForwardedStatement& request,
                                    ForwardedCallback done) {
   const auto found = this->transactions.find(request.transaction);
-  const bool usable = found != this->transactions.end() &&
-                      found->second.requester == request.requester &&
-                      found->second.channel != nullptr &&
-                      found->second.channel->Usable();
+  const bool known = found != this->transactions.end() &&
+                     found->second.requester == request.requester &&
+                     found->second.channel != nullptr;
+  const bool usable = known && found->second.channel->Usable();
+  if (known && !usable) {
+    Transaction ended = std::move(found->second);
+    this->transactions.erase(found);
+    Close(&ended);
+  }
   if (!usable) {
     done({AttemptFailure::kNoTransaction, 0, {}});
     return;
   }
   const std::uint64_t number = request.transaction;
   StatementAttempt::Observers observers;
-  observers.done = [this, still_alive = this->alive, number, request,
-                    done = std::move(done)](AttemptResult result) {
+  observers.done = [this, still_alive = this->alive, number,
+                    request](AttemptResult result) {
     if (!*still_alive) return;
     ForwardedResult reply{std::move(result.outcome), 0, this->LoadOf(request)};
+    Transaction& open = this->transactions.at(number);
+    const auto done = std::exchange(open.done, nullptr);
     if (result.channel == nullptr) {
       this->transactions.erase(number);
     } else {
-      Transaction& open = this->transactions.at(number);
       open.attempt.reset();
       open.channel = std::move(result.channel);
       open.idle_since = common::SteadyNow();
@@ -115,6 +121,7 @@
     done(std::move(reply));
   };
   Transaction& transaction = found->second;
+  transaction.done = std::move(done);
   transaction.attempt = std::make_shared<StatementAttempt>(
       this->loop, this->codec, request.attempt, std::move(observers));
   const auto started = transaction.attempt;
@@ -124,6 +131,7 @@
 void ForwardedStatements::Close(Transaction* ended) {
   if (ended->attempt != nullptr) ended->attempt->Cancel();
   if (ended->channel != nullptr) RollBackAndReturnToPool(ended->channel);
+  if (ended->done) ended->done({AttemptFailure::kConnectionLost, 0, {}});
 }
 
 void ForwardedStatements::EndTransaction(const TransactionEnd& request) {
@@ -134,7 +142,7 @@
   }
   Transaction ended = std::move(found->second);
   this->transactions.erase(found);
-  this->Close(&ended);
+  Close(&ended);
 }
 
 void ForwardedStatements::EndIdle(common::SteadyTime now,
@@ -153,7 +161,7 @@
                  {"reason", "idle"}});
     Transaction ended = std::move(it->second);
     it = this->transactions.erase(it);
-    this->Close(&ended);
+    Close(&ended);
   }
 }
 
@@ -165,7 +173,7 @@
     }
     Transaction ended = std::move(it->second);
     it = this->transactions.erase(it);
-    this->Close(&ended);
+    Close(&ended);
   }
 }
 
--- a/Source/Core/Session/forwarded_statements.h
+++ b/Source/Core/Session/forwarded_statements.h
@@ -25,7 +25,8 @@
   ForwardedStatements(const ForwardedStatements&) = delete;
   ForwardedStatements& operator=(const ForwardedStatements&) = delete;
 
-  /// Runs a statement. Calls back once, unless this object is destroyed before.
+  /// Runs a statement. Calls back once, unless this object is destroyed before
+  /// the statement of a new transaction, or one without, has ended.
   void Run(const ForwardedStatement& request, ForwardedCallback done);
 
   /// Rolls back a transaction, also one whose statement is in progress. Unknown
@@ -51,6 +52,8 @@
     /// Null while a statement is in progress.
     std::shared_ptr<EndpointChannel> channel;
     std::shared_ptr<StatementAttempt> attempt;
+    /// Receives the result of the statement in progress.
+    ForwardedCallback done;
     common::SteadyTime idle_since;
   };
 
@@ -58,7 +61,8 @@
   void Continue(const ForwardedStatement& request, ForwardedCallback done);
   /// The load of an endpoint as this daemon's pool sees it.
   OwnerLoad LoadOf(const ForwardedStatement& request) const;
-  void Close(Transaction* ended);
+  /// Rolls the transaction back and answers its statement in progress.
+  static void Close(Transaction* ended);
 
   connection::EventLoop* loop;
   const WireCodec* codec;
--- a/Source/Core/Session/grpc_fleet_transport.cc
+++ b/Source/Core/Session/grpc_fleet_transport.cc
@@ -217,6 +217,8 @@
 /// could not send, for want of a connection, with this message.
 bool MayHaveBeenSent(const grpc::Status& status) {
   constexpr std::string_view kNotConnected = "failed to connect to all";
+  // A peer of an earlier version does not know the call.
+  if (status.error_code() == grpc::StatusCode::UNIMPLEMENTED) return false;
   return status.error_code() != grpc::StatusCode::UNAVAILABLE ||
          status.error_message().find(kNotConnected) == std::string::npos;
 }
@@ -226,6 +228,9 @@
   constexpr int kReconnectMs = 500;
   grpc::ChannelArguments arguments;
   arguments.SetInt(GRPC_ARG_ENABLE_RETRIES, 0);
+  // An answer may have several rows of 1 MiB.
+  constexpr int kMaxReplyBytes = 16 * 1024 * 1024;
+  arguments.SetInt(GRPC_ARG_MAX_RECEIVE_MESSAGE_LENGTH, kMaxReplyBytes);
   // Messages are far smaller than the flow-control windows, and each bandwidth
   // probe costs two frames.
   arguments.SetInt(GRPC_ARG_HTTP2_BDP_PROBE, 0);
@@ -294,11 +299,25 @@
       grpc::CallbackServerContext* context,
       const fleet::v1::StatementRequest* request,
       fleet::v1::StatementReply* reply) override {
-    return this->Serve(context, [this, request, reply](const Finish& finish) {
+    return this->Serve(context, [this, context, request,
+                                 reply](const Finish& finish) {
+      // A paused daemon gets many calls at once that nobody waits for any more.
+      if (context->IsCancelled()) {
+        finish([] {});
+        return;
+      }
       this->handlers.run_statement(
           FromMessage(*request),
-          [reply, finish](const ForwardedResult& result) {
-            finish([&] { *reply = ToMessage(result); });
+          [this, context, reply, finish,
+           host = request->host()](const ForwardedResult& result) {
+            finish([&] {
+              *reply = ToMessage(result);
+              // The caller will never know the number of the transaction.
+              if (!context->IsCancelled() || result.transaction == 0) return;
+              this->loop->Post([this, host, number = result.transaction] {
+                this->handlers.end_transaction({common::HostId(host), number});
+              });
+            });
           });
     });
   }
--- a/Source/Core/Session/statement_attempt.cc
+++ b/Source/Core/Session/statement_attempt.cc
@@ -26,6 +26,8 @@
       return "wrong_endpoint";
     case AttemptFailure::kPreparationFailed:
       return "preparation_failed";
+    case AttemptFailure::kPreparationUnanswered:
+      return "preparation_unanswered";
     case AttemptFailure::kStopping:
       return "stopping";
     case AttemptFailure::kNoTransaction:
@@ -181,7 +183,8 @@
   }
   // The channel's state is unknown now, so the channel is not used any more.
   this->CloseChannel();
-  this->Finish(AttemptFailure::kPreparationFailed);
+  this->Finish(answer == nullptr ? AttemptFailure::kPreparationUnanswered
+                                 : AttemptFailure::kPreparationFailed);
 }
 
 void StatementAttempt::Begin() {
@@ -266,7 +269,7 @@
                           answer.phase == TransactionPhase::kOpen &&
                           (code == StatementError::kBusy ||
                            code == StatementError::kNoSuchStatement) &&
-                          ++this->repetitions < kMaxBusyRepetitions;
+                          ++this->repetitions <= kMaxBusyRepetitions;
   if (!may_repeat) return false;
   this->timer = this->loop->After(kBusyRetryPause, [this] {
     const auto keep = this->shared_from_this();
@@ -274,8 +277,9 @@
       this->Prepare();
       return;
     }
+    // The endpoint has refused the statement, and it was not sent again.
     this->CloseChannel();
-    this->Finish(AttemptFailure::kConnectionLost);
+    this->Finish(AttemptFailure::kPreparationFailed);
   });
   return true;
 }
--- a/Source/Core/Session/statement_attempt.h
+++ b/Source/Core/Session/statement_attempt.h
@@ -52,6 +52,8 @@
   kUnreachable,
   kWrongEndpoint,
   kPreparationFailed,
+  /// A command that prepares the channel had no answer.
+  kPreparationUnanswered,
   /// The daemon that owns the connection is shutting down.
   kStopping,
   /// The transaction has ended at the connection owner.
--- a/Source/Core/Session/statement_messages.cc
+++ b/Source/Core/Session/statement_messages.cc
@@ -73,6 +73,8 @@
       return fleet::v1::WRONG_ENDPOINT;
     case AttemptFailure::kPreparationFailed:
       return fleet::v1::PREPARATION_FAILED;
+    case AttemptFailure::kPreparationUnanswered:
+      return fleet::v1::PREPARATION_UNANSWERED;
     case AttemptFailure::kStopping:
       return fleet::v1::STOPPING;
     case AttemptFailure::kNoTransaction:
@@ -99,6 +101,8 @@
       return AttemptFailure::kWrongEndpoint;
     case fleet::v1::PREPARATION_FAILED:
       return AttemptFailure::kPreparationFailed;
+    case fleet::v1::PREPARATION_UNANSWERED:
+      return AttemptFailure::kPreparationUnanswered;
     case fleet::v1::STOPPING:
       return AttemptFailure::kStopping;
     case fleet::v1::NO_TRANSACTION:
@@ -235,7 +239,12 @@
 ForwardedResult FromMessage(const fleet::v1::StatementReply& message) {
   ForwardedResult result;
   if (message.failure() == fleet::v1::NO_FAILURE) {
-    result.outcome = AnswerOf(message);
+    EndpointAnswer answer = AnswerOf(message);
+    if (answer.error.has_value() || IsSigned(answer)) {
+      result.outcome = std::move(answer);
+    } else {
+      result.outcome = AttemptFailure::kNoSignature;
+    }
   } else {
     result.outcome = FromMessage(message.failure());
   }
--- a/Source/Core/Session/statement_run.cc
+++ b/Source/Core/Session/statement_run.cc
@@ -401,7 +401,7 @@
 
 void StatementRun::OnFailure(AttemptFailure failure) {
   const bool may_have_run_now = MayHaveRun(failure);
-  if (may_have_run_now && failure != AttemptFailure::kNoSignature) {
+  if (may_have_run_now || failure == AttemptFailure::kPreparationUnanswered) {
     this->group->OnUnresponsive(this->endpoint);
   }
   if (may_have_run_now && this->EndsWrite()) {
@@ -431,6 +431,8 @@
     case AttemptFailure::kUnreachable:
     case AttemptFailure::kWrongEndpoint:
       this->tried.insert(this->endpoint);
+      // The owner may be cut off from an endpoint that this daemon reaches.
+      if (!this->owner.Empty()) this->avoided_owners.insert(this->owner);
       this->Retry(this->request.needs_primary
                       ? common::Duration(kRetryPause)
                       : common::Duration(kNextMemberPause),
--- a/Source/UnitTests/Platform/forwarding_test.cc
+++ b/Source/UnitTests/Platform/forwarding_test.cc
@@ -278,6 +278,28 @@
   EXPECT_TRUE(this->primary_database.log.empty());
 }
 
+// Guards against calls that are never answered, and keep their memory, because
+// their transaction was ended meanwhile.
+TEST_F(ConnectionOwnerTest, StatementInProgress_TransactionEnded_IsAnswered) {
+  session::ForwardedStatement first = this->Request("1", "WRITE x y");
+  first.attempt.use = session::TransactionUse::kOpens;
+  const std::uint64_t transaction = this->Run(first).transaction;
+  this->primary_database.command_behavior = [](const std::string& text) {
+    return text == "READ x" ? CommandBehavior::kRunAndHang
+                            : CommandBehavior::kRun;
+  };
+  session::ForwardedStatement second = this->Request("2", "READ x");
+  second.attempt.use = session::TransactionUse::kContinues;
+  second.attempt.statement_timeout = seconds(20);
+  second.transaction = transaction;
+  const auto timer = this->loop.After(milliseconds(100), [&] {
+    this->peer->EndTransaction(
+        this->OwnAddress(), {common::HostId("peer"), transaction}, seconds(1));
+  });
+  EXPECT_EQ(std::get<AttemptFailure>(this->Run(second).outcome),
+            AttemptFailure::kConnectionLost);
+}
+
 // Guards against a daemon that takes statements of others while it shuts down.
 TEST_F(ConnectionOwnerTest, NewStatement_StopRequested_IsRefused) {
   this->proxy->BeginStop();
