Session: Count dead and lost daemons right, and keep evacuations apart from leaving

Found by review. Entries of dead daemons stay in the directory; each listing made them count as part of the fleet again, so that owners of a fleet that had shrunk would decline. A daemon that was listed again after a cut no longer counted as lost, so that one that was cut off could take itself for the whole fleet. A daemon that was asked once as a stand-in kept a full bucket. Operations admitted alone were reported with each request in flight.

An evacuated member that disappeared during a promotion counted as one that had announced its end; it is now marked apart. The grace of an evacuated primary starts when the daemon learns of the domain, not when it learns of the member.

--- a/Source/Core/Session/directory.h
+++ b/Source/Core/Session/directory.h
@@ -80,6 +80,9 @@
   /// Start of the database's process in Unix milliseconds. A database that was
   /// restarted under the same identifier has lost its log.
   std::uint64_t incarnation = 0;
+  /// Its failure domain is to be evacuated. Set for promotions only, which
+  /// prefer other members.
+  bool evacuated = false;
 
   bool operator==(const GroupMember&) const = default;
 };
--- a/Source/Core/Session/fleet_membership.cc
+++ b/Source/Core/Session/fleet_membership.cc
@@ -32,7 +32,9 @@
 /// is longer.
 constexpr std::chrono::seconds kHeardFor(4);
 /// Daemons that were removed count as part of the fleet for this long.
-constexpr std::chrono::seconds kRemovedRetention(60);
+constexpr std::chrono::seconds kRemovedCounts(60);
+/// Most daemons that were removed of which the identifiers are kept.
+constexpr std::size_t kMaxRemoved = 4096;
 /// Key of the rendezvous hash by which the rate owners are chosen.
 constexpr const char* kRateOwnersKey = "rate-keepers";
 /// A daemon that has not replied for this long is removed. The directory or its
@@ -49,7 +51,6 @@
 
 void FleetMembership::Add(const FleetHost& host, common::SteadyTime now) {
   if (host.id == this->own.host || host.id.Empty()) return;
-  this->removed.erase(host.id);
   const auto [place, is_new] = this->peers.try_emplace(host.id);
   Peer& peer = place->second;
   if (is_new || peer.host.peer_address != host.peer_address) {
@@ -59,6 +60,7 @@
     peer.misses = 0;
     peer.has_replied = false;
     peer.stopping = false;
+    if (this->removed.contains(host.id)) peer.misses = kMissesBeforeSilent;
     this->ForgetChoices();
   }
   peer.host = host;
@@ -69,19 +71,23 @@
   const auto found = this->peers.find(host);
   if (found == this->peers.end()) return;
   if (IsSilent(found->second)) this->ForgetChoices();
+  this->removed.erase(host);
   found->second.last_reply = now;
   found->second.misses = 0;
   found->second.has_replied = true;
 }
 
-std::size_t FleetMembership::RecentSize() const {
+std::size_t FleetMembership::RecentSize(common::SteadyTime now) const {
   // Entries of daemons that ended long ago stay in the directory, so those that
   // have never answered don't count.
   const auto known = std::count_if(
       this->peers.begin(), this->peers.end(), [](const auto& item) {
         return item.second.has_replied || !IsSilent(item.second);
       });
-  return static_cast<std::size_t>(known) + 1 + this->removed.size();
+  const auto lost = std::count_if(
+      this->removed.begin(), this->removed.end(),
+      [now](const auto& item) { return now - item.second < kRemovedCounts; });
+  return static_cast<std::size_t>(known + lost) + 1;
 }
 
 std::size_t FleetMembership::HeardCount(common::SteadyTime now) const {
@@ -257,9 +263,7 @@
 
 std::vector<FleetHost> FleetMembership::RemoveLost(common::SteadyTime now) {
   std::vector<FleetHost> lost;
-  std::erase_if(this->removed, [now](const auto& item) {
-    return now - item.second >= kRemovedRetention;
-  });
+  if (this->removed.size() > kMaxRemoved) this->removed.clear();
   for (auto it = this->peers.begin(); it != this->peers.end();) {
     const common::Duration limit = std::max<common::Duration>(
         kLostAfter, this->IntervalOf(it->second) * kTurnsUntilLost);
@@ -268,7 +272,12 @@
       continue;
     }
     lost.push_back(it->second.host);
-    if (it->second.has_replied) this->removed[it->first] = now;
+    if (it->second.has_replied) {
+      this->removed[it->first] =
+          it->second.stopping ? common::SteadyTime() : now;
+    } else {
+      this->removed.try_emplace(it->first);
+    }
     this->ForgetChoices();
     it = this->peers.erase(it);
   }
--- a/Source/Core/Session/fleet_membership.h
+++ b/Source/Core/Session/fleet_membership.h
@@ -77,10 +77,10 @@
   /// Number of daemons that may be alive, including this one.
   std::size_t Size() const { return this->peers.size() + 1; }
 
-  /// Number of daemons that may be alive or were a minute ago, including this
-  /// one. A daemon that is cut off from the others soon knows none of them, and
-  /// must not take itself for the whole fleet.
-  std::size_t RecentSize() const;
+  /// Number of daemons that may be alive or were lost within the last minute,
+  /// including this one. A daemon that is cut off from the others soon knows
+  /// none of them, and must not take itself for the whole fleet.
+  std::size_t RecentSize(common::SteadyTime now) const;
 
   /// Number of daemons that have been heard lately, including this one. At most
   /// half as many again as have been heard since a rate owner fell silent last:
@@ -113,7 +113,9 @@
 
   HostLocation own;
   std::map<common::HostId, Peer> peers;
-  /// Daemons that were removed, and when.
+  /// Daemons that were removed and have not replied since, and when; the
+  /// clock's start for those that had announced their end. Their entries stay
+  /// in the directory, which names them again and again.
   std::map<common::HostId, common::SteadyTime> removed;
   /// When a rate owner fell silent last.
   common::SteadyTime rate_owner_lost_at;
--- a/Source/Core/Session/fleet_task.cc
+++ b/Source/Core/Session/fleet_task.cc
@@ -350,9 +350,10 @@
     this->last_rate_owners = this->membership.RateOwners();
     this->callbacks.rate_owners_changed();
   }
-  const FleetSize size{this->membership.Size(), this->membership.RecentSize(),
-                       this->membership.HeardCount(common::SteadyNow()),
-                       this->hosts_listed};
+  const common::SteadyTime now = common::SteadyNow();
+  const FleetSize size{this->membership.Size(),
+                       this->membership.RecentSize(now),
+                       this->membership.HeardCount(now), this->hosts_listed};
   if (size == this->last_size) return;
   if (size.live != this->last_size.live) {
     common::Log(Subsystem::kProcess, LogLevel::kInfo, "fleet_size",
--- a/Source/Core/Session/promotion_plan.cc
+++ b/Source/Core/Session/promotion_plan.cc
@@ -247,7 +247,7 @@
 }
 
 bool PromotionPlan::IsLeaving(const Member& member) {
-  return member.entry.state == MemberState::kLeaving;
+  return member.entry.state == MemberState::kLeaving || member.entry.evacuated;
 }
 
 bool PromotionPlan::IsHeld(const Member& member, common::SteadyTime now) {
--- a/Source/Core/Session/proxy.cc
+++ b/Source/Core/Session/proxy.cc
@@ -244,12 +244,14 @@
     done(AdmissionDecision{});
     return;
   }
+  const std::uint32_t alone = this->limiter.TakeAdmittedAlone(workspace);
   this->fleet->RequestAdmission(
-      workspace, this->limiter.AdmittedAlone(workspace),
-      [this, workspace, done = std::move(done)](
+      workspace, alone,
+      [this, alone, workspace, done = std::move(done)](
           const std::optional<AdmissionDecision>& owner_decision) {
         const common::SteadyTime now = common::SteadyNow();
         if (!owner_decision.has_value()) {
+          this->limiter.ReturnAdmittedAlone(workspace, alone);
           const auto wait = this->limiter.AdmitLocally(workspace, now);
           this->CountAdmission(wait.has_value() ? "alone_refused"
                                                 : "alone_admitted");
@@ -393,7 +395,16 @@
 
 void Proxy::UpdateEvacuations(const Evacuations& latest) {
   if (!this->settings.follows_evacuations) return;
+  const bool is_first = this->evacuations.as_of == StoreRevision();
   if (!this->evacuations.Update(latest)) return;
+  std::erase_if(this->evacuated_since, [&](const auto& item) {
+    return !latest.domains.contains(item.first);
+  });
+  for (const common::FailureDomainId& domain : latest.domains) {
+    // The first state that a daemon learns may be old.
+    this->evacuated_since.try_emplace(
+        domain, is_first ? common::SteadyTime() : common::SteadyNow());
+  }
   std::string names;
   for (const common::FailureDomainId& domain : latest.domains) {
     if (!names.empty()) names += ",";
@@ -402,7 +413,7 @@
   common::Log(Subsystem::kVersion, LogLevel::kInfo, "evacuations_changed",
               {{"domains", names}, {"revision", latest.as_of.number}});
   for (const auto& [service, group] : this->groups) {
-    group->SetEvacuated(this->evacuations.domains);
+    group->SetEvacuated(this->evacuated_since);
   }
 }
 
@@ -432,7 +443,7 @@
       context.metrics = &this->metrics;
       context.location = this->settings.location;
       group = std::make_shared<ServiceGroup>(context, service);
-      group->SetEvacuated(this->evacuations.domains);
+      group->SetEvacuated(this->evacuated_since);
     }
     group->SetMembers(present);
   }
--- a/Source/Core/Session/proxy.h
+++ b/Source/Core/Session/proxy.h
@@ -161,6 +161,8 @@
   /// Null unless evacuations are followed.
   std::unique_ptr<DirectoryWatcher> evacuation_watcher;
   Evacuations evacuations;
+  /// When this daemon learned of each evacuation.
+  std::map<common::FailureDomainId, common::SteadyTime> evacuated_since;
   ForwardedStatements forwarded;
   std::unique_ptr<FleetTask> fleet;
   std::unique_ptr<connection::Timer> tick;
--- a/Source/Core/Session/service_group.cc
+++ b/Source/Core/Session/service_group.cc
@@ -187,7 +187,6 @@
       member.leaving_since = updated_at;
     }
   }
-  this->UpdateEvacuated(updated_at);
   this->view.OnMembers(present);
   this->UpdatePrimary();
   this->UpdateLeaving();
@@ -195,31 +194,23 @@
 }
 
 void ServiceGroup::SetEvacuated(
-    const std::set<common::FailureDomainId>& domains) {
-  if (this->evacuated == domains) return;
-  this->evacuated = domains;
-  const common::SteadyTime now = common::SteadyNow();
-  this->UpdateEvacuated(now);
+    const std::map<common::FailureDomainId, common::SteadyTime>& since) {
+  if (this->evacuated == since) return;
+  this->evacuated = since;
   this->UpdateLeaving();
-  this->promotion->OnMembers(this->PromotionEntries(), now);
+  this->promotion->OnMembers(this->PromotionEntries(), common::SteadyNow());
 }
 
-void ServiceGroup::UpdateEvacuated(common::SteadyTime now) {
-  for (auto& [id, member] : this->members) {
-    if (!this->evacuated.contains(member.entry.domain)) {
-      member.evacuated_since.reset();
-    } else if (!member.evacuated_since.has_value()) {
-      member.evacuated_since = now;
-    }
-  }
+bool ServiceGroup::IsEvacuated(const GroupMember& member) const {
+  return this->evacuated.contains(member.domain);
 }
 
 bool ServiceGroup::MayUse(const common::EndpointId& id) const {
   const auto found = this->members.find(id);
   if (found == this->members.end()) return true;
-  const auto& since = found->second.evacuated_since;
-  return !since.has_value() ||
-         common::SteadyNow() - *since < kMaxUseAfterEvacuation;
+  const auto since = this->evacuated.find(found->second.entry.domain);
+  return since == this->evacuated.end() ||
+         common::SteadyNow() - since->second < kMaxUseAfterEvacuation;
 }
 
 ChannelLimits ServiceGroup::LimitsFor(const GroupMember& member) const {
@@ -330,7 +321,7 @@
   for (const auto& [id, member] : this->members) {
     if (without.contains(id)) continue;
     if (member.entry.state == MemberState::kLeaving) continue;
-    if (member.evacuated_since.has_value()) continue;
+    if (this->IsEvacuated(member.entry)) continue;
     common::Duration delay = this->RoundTripTo(member.entry) +
                              kDelayPerQueuedRequest * member.pool->Waiting();
     const bool opens = !this->ConnectionOwner(id, caller).has_value() &&
@@ -478,9 +469,7 @@
 std::vector<GroupMember> ServiceGroup::PromotionEntries() const {
   std::vector<GroupMember> entries = this->Entries();
   for (GroupMember& entry : entries) {
-    if (this->evacuated.contains(entry.domain)) {
-      entry.state = MemberState::kLeaving;
-    }
+    entry.evacuated = this->evacuated.contains(entry.domain);
   }
   return entries;
 }
@@ -501,7 +490,7 @@
   if (!this->primary.has_value()) return;
   const Member& member = this->members.at(*this->primary);
   this->monitor.SetLeaving(member.entry.state == MemberState::kLeaving ||
-                           member.evacuated_since.has_value());
+                           this->IsEvacuated(member.entry));
 }
 
 void ServiceGroup::OnStatus(const common::EndpointId& id,
@@ -658,8 +647,10 @@
 }
 
 void ServiceGroup::ProveByItself(common::SteadyTime now) {
-  this->own_rounds_until =
-      std::max(this->own_rounds_until, now + kOwnRoundsForPeer);
+  this->own_rounds_until = std::max<common::SteadyTime>(
+      this->own_rounds_until, now + kOwnRoundsForPeer);
+  // The peer may be the one that this round waits for.
+  if (this->round.has_value() && this->round->by_peer) this->round.reset();
 }
 
 bool ServiceGroup::StartRoundAtPeer() {
@@ -684,7 +675,9 @@
           this->leadership_proofs.Add(this->round->started, *position);
         }
         if (!position.has_value()) {
-          this->own_rounds_until = common::SteadyNow() + kOwnRoundsAfterFailure;
+          this->own_rounds_until = std::max<common::SteadyTime>(
+              this->own_rounds_until,
+              common::SteadyNow() + kOwnRoundsAfterFailure);
         }
         this->EndRound(position.has_value());
       });
@@ -792,7 +785,7 @@
       this->members.begin(), this->members.end(), [&](const auto& entry) {
         return this->primary != entry.first &&
                ((entry.second.entry.state == MemberState::kReady &&
-                 !entry.second.evacuated_since.has_value()) ||
+                 !this->IsEvacuated(entry.second.entry)) ||
                 *decision.replace != FailoverReason::kLeaving);
       });
   if (has_candidate) this->promotion->Start(*decision.replace, now);
--- a/Source/Core/Session/service_group.h
+++ b/Source/Core/Session/service_group.h
@@ -36,8 +36,10 @@
   /// Sets the current members of the group.
   void SetMembers(const std::vector<GroupMember>& present);
 
-  /// Sets the failure domains to whose members no statements may be sent.
-  void SetEvacuated(const std::set<common::FailureDomainId>& domains);
+  /// Sets the failure domains to whose members no statements may be sent,
+  /// and since when each is known.
+  void SetEvacuated(
+      const std::map<common::FailureDomainId, common::SteadyTime>& since);
 
   /// Whether a statement may be sent to a member; not for long after its
   /// failure domain is to be evacuated.
@@ -151,8 +153,6 @@
     FailureEstimate failures;
     /// Since when the member has been known to leave.
     std::optional<common::SteadyTime> leaving_since;
-    /// Since when the member's failure domain is to be evacuated.
-    std::optional<common::SteadyTime> evacuated_since;
     /// The member gave no answer when it was last contacted.
     bool unresponsive = false;
     /// Peers are not asked before to send a command of the kind to the member.
@@ -199,11 +199,10 @@
   void OnCommandResult(std::uint64_t number, const ChannelResult& result);
   void EndCommand(std::uint64_t number, const CommandResult& result);
   std::vector<GroupMember> Entries() const;
-  /// The members as a promotion sees them: those that are to be evacuated count
-  /// as leaving.
+  /// The members as a promotion sees them, with those that are to be evacuated
+  /// marked.
   std::vector<GroupMember> PromotionEntries() const;
-  /// Records which members are to be evacuated.
-  void UpdateEvacuated(common::SteadyTime now);
+  bool IsEvacuated(const GroupMember& member) const;
   FormerMembers RecentFormerMembers() const;
   /// Updates the former members for a new set of members.
   void UpdateFormer(const std::vector<GroupMember>& present,
@@ -240,7 +239,7 @@
   /// Members that had announced their shutdown and are gone, and since when. A
   /// commit that was acknowledged later clears them.
   std::map<common::EndpointId, common::SteadyTime> ended_members;
-  std::set<common::FailureDomainId> evacuated;
+  std::map<common::FailureDomainId, common::SteadyTime> evacuated;
   ConnectionUsers connection_users;
   std::size_t hosts_in_domain = 1;
   HedgeBudget hedge_budget;
--- a/Source/Core/Session/workspace_limiter.cc
+++ b/Source/Core/Session/workspace_limiter.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <utility>
 
 namespace camphorferry::session {
 
@@ -127,8 +128,12 @@
 void WorkspaceLimiter::SetOwned(const common::WorkspaceId& workspace,
                                 bool owned, common::SteadyTime now) {
   const auto found = this->entries.find(workspace);
-  if (found == this->entries.end() || found->second.owned == owned) return;
+  if (found == this->entries.end()) return;
   WorkspaceEntry& entry = found->second;
+  if (owned && std::exchange(entry.owned_by_request, false)) {
+    this->StartAnew(&entry, now);
+  }
+  if (entry.owned == owned) return;
   entry.owned = owned;
   if (owned) {
     entry.owned_since = now;
@@ -157,6 +162,13 @@
   return this->responsive * 2 > this->fleet_size;
 }
 
+void WorkspaceLimiter::StartAnew(WorkspaceEntry* entry,
+                                 common::SteadyTime now) const {
+  entry->bucket = {std::min(entry->bucket.level, this->InitialTokens(*entry)),
+                   now};
+  entry->owned_since = now;
+}
+
 double WorkspaceLimiter::Capacity(const WorkspaceEntry& entry) const {
   const WorkspaceRate& limit = entry.limit;
   const double window_total = limit.rate * Seconds(kRateWindow) + limit.burst;
@@ -190,7 +202,8 @@
     if (silence > kReservationLimit || !this->IsOverdue(host, now)) continue;
     // From its last request on, the daemon may have gone on at its former rate.
     const common::SteadyTime from =
-        std::max(requester.reserved_until, requester.last_request);
+        std::max({requester.reserved_until, requester.last_request,
+                  this->hosts.at(host).last_request});
     const common::SteadyTime window_end = requester.last_request + kRateWindow;
     const double former = Seconds(
         std::max(std::min(now, window_end) - from, common::Duration::zero()));
@@ -210,7 +223,13 @@
     common::SteadyTime now, std::uint32_t admitted_alone) {
   WorkspaceEntry* entry = this->FindLimited(workspace);
   if (entry == nullptr) return std::nullopt;
-  if (!entry->owned) this->SetOwned(workspace, true, now);
+  if (!entry->owned) {
+    this->SetOwned(workspace, true, now);
+    entry->owned_by_request = true;
+  }
+  if (entry->owned_by_request && now - entry->bucket.filled > kRateWindow) {
+    this->StartAnew(entry, now);
+  }
   double rate = entry->limit.rate;
   const bool is_new = now - entry->owned_since < kRateWindow;
   if (is_new || !this->HearsMajority()) rate *= this->ResponsiveShare();
@@ -244,10 +263,17 @@
   return wait;
 }
 
-std::uint32_t WorkspaceLimiter::AdmittedAlone(
-    const common::WorkspaceId& workspace) const {
+std::uint32_t WorkspaceLimiter::TakeAdmittedAlone(
+    const common::WorkspaceId& workspace) {
+  const auto found = this->entries.find(workspace);
+  if (found == this->entries.end()) return 0;
+  return std::exchange(found->second.admitted_alone, 0);
+}
+
+void WorkspaceLimiter::ReturnAdmittedAlone(const common::WorkspaceId& workspace,
+                                           std::uint32_t count) {
   const auto found = this->entries.find(workspace);
-  return found == this->entries.end() ? 0 : found->second.admitted_alone;
+  if (found != this->entries.end()) found->second.admitted_alone += count;
 }
 
 void WorkspaceLimiter::OnOwnerReplied(const common::WorkspaceId& workspace,
@@ -255,7 +281,8 @@
   WorkspaceEntry* entry = this->FindLimited(workspace);
   if (entry == nullptr) return;
   entry->owner_replied_at = now;
-  entry->admitted_alone = 0;
+  // Tokens that are left would come on top of what the owner reserves.
+  entry->local_bucket = {0, now};
   if (admitted) entry->usage.Count(now);
 }
 
--- a/Source/Core/Session/workspace_limiter.h
+++ b/Source/Core/Session/workspace_limiter.h
@@ -76,9 +76,13 @@
   std::optional<common::Duration> AdmitLocally(
       const common::WorkspaceId& workspace, common::SteadyTime now);
 
-  /// Number of operations that this daemon has admitted alone and has not yet
-  /// reported to the rate owner.
-  std::uint32_t AdmittedAlone(const common::WorkspaceId& workspace) const;
+  /// Returns the number of operations that this daemon has admitted alone, to
+  /// be reported to the rate owner, and starts to count anew.
+  std::uint32_t TakeAdmittedAlone(const common::WorkspaceId& workspace);
+
+  /// The rate owner has not taken the reported number.
+  void ReturnAdmittedAlone(const common::WorkspaceId& workspace,
+                           std::uint32_t count);
 
   /// The rate owner has answered this daemon.
   void OnOwnerReplied(const common::WorkspaceId& workspace, bool admitted,
@@ -126,6 +130,9 @@
   struct WorkspaceEntry {
     WorkspaceRate limit;
     bool owned = false;
+    /// Another daemon takes this one for the owner, which it is not as it sees
+    /// the fleet.
+    bool owned_by_request = false;
     common::SteadyTime owned_since;
     TokenBucket bucket;
     std::map<common::HostId, Requester> requesters;
@@ -149,6 +156,8 @@
   bool HearsMajority() const;
   double ResponsiveShare() const;
   double InitialTokens(const WorkspaceEntry& entry) const;
+  /// Leaves the owner's bucket no more tokens than a new owner has.
+  void StartAnew(WorkspaceEntry* entry, common::SteadyTime now) const;
   /// Largest number of tokens that the owner's bucket may hold.
   double Capacity(const WorkspaceEntry& entry) const;
 
