Session: End transactions outside of a call's lock, and keep more of the burst back

Ending a transaction whose statement was in progress finished that statement's call while the lock of the open calls was held, and the daemon hung. StatementInProgress_TransactionEnded_IsAnswered hung on the code before and passes.

A daemon keeps one token for the time without its rate owner: with none, evenly spaced operations were refused (CutOff_SteadyLoad_IsAdmittedForOneWindow failed).

--- a/Source/Core/Session/grpc_fleet_transport.cc
+++ b/Source/Core/Session/grpc_fleet_transport.cc
@@ -326,8 +326,11 @@
       grpc::CallbackServerContext* context,
       const fleet::v1::EndTransactionRequest* request,
       fleet::v1::EndTransactionReply* /*reply*/) override {
-    return this->ServeAtOnce(context, [this, request] {
+    return this->Serve(context, [this, request](const Finish& finish) {
+      // May finish the call of the transaction's statement, so it must not run
+      // while this call is being finished.
       this->handlers.end_transaction(FromMessage(*request));
+      finish([] {});
     });
   }
 
--- a/Source/Core/Session/workspace_limiter.cc
+++ b/Source/Core/Session/workspace_limiter.cc
@@ -30,11 +30,11 @@
 
 /// Operations of one window that the owner's bucket can't see, in seconds of
 /// the rate: those that arrive at an endpoint up to 750 ms after their
-/// admission, and those of daemons that are cut off, until the owner notices.
-/// What the tolerance does not cover is taken off the burst, of which this
-/// fraction is left at least.
-constexpr double kUnaccountedSeconds = 1.0;
-constexpr double kMinBurstFraction = 0.5;
+/// admission, and those of daemons that are cut off, for the 500 ms until the
+/// owner notices. What the tolerance does not cover is taken off the burst, of
+/// which this fraction is left at least.
+constexpr double kUnaccountedSeconds = 1.25;
+constexpr double kMinBurstFraction = 0.25;
 /// Fraction of the fleet that a rate owner must hear.
 constexpr double kMinHeardFraction = 0.25;
 /// The owner goes on reserving for a silent daemon for this long, which is
@@ -281,8 +281,8 @@
   WorkspaceEntry* entry = this->FindLimited(workspace);
   if (entry == nullptr) return;
   entry->owner_replied_at = now;
-  // Tokens that are left would come on top of what the owner reserves.
-  entry->local_bucket = {0, now};
+  // More tokens would come on top of what the owner reserves.
+  entry->local_bucket = {1, now};
   if (admitted) entry->usage.Count(now);
 }
 
