--- a/Source/Core/Session/workspace_limiter.cc
+++ b/Source/Core/Session/workspace_limiter.cc
@@ -281,8 +281,9 @@
   WorkspaceEntry* entry = this->FindLimited(workspace);
   if (entry == nullptr) return;
   entry->owner_replied_at = now;
-  // More tokens would come on top of what the owner reserves.
-  entry->local_bucket = {1, now};
+  // Time in which the owner answers must not fill the local bucket: its tokens
+  // come on top of what the owner admits.
+  entry->local_bucket = {std::min(entry->local_bucket.level, 1.0), now};
   if (admitted) entry->usage.Count(now);
 }
 
