Session: Reserve the even share of a rate for a silent host

Daemons that are cut off together hear each other and have an owner that admits their part of the rate, while the owner of the other part took off only what single daemons may admit alone: with 35 % cut off, 1.26 times the rate in all, by arithmetic.

--- a/Source/Core/Session/workspace_limiter.cc
+++ b/Source/Core/Session/workspace_limiter.cc
@@ -209,9 +209,13 @@
         std::max(std::min(now, window_end) - from, common::Duration::zero()));
     const double later = Seconds(
         std::max(now - std::max(from, window_end), common::Duration::zero()));
+    // Daemons that are cut off together may have an owner of their own, which
+    // admits their part of the rate.
+    const double even_share =
+        entry->limit.rate / static_cast<double>(this->fleet_size);
     const double tokens =
-        former * std::max(requester.granted.rate, this->LocalRate(*entry)) +
-        later * this->LocalRate(*entry);
+        former * std::max(requester.granted.rate, even_share) +
+        later * even_share;
     requester.reserved += tokens;
     requester.reserved_until = now;
     entry->bucket.level -= tokens;
