Session: Say once what an attempt runs, and drop what nobody reads

No behaviour changes. RunRequest contains the AttemptRequest that each attempt copied from it field by field. Transactions of other daemons end in one function instead of four places. The load of an owner was looked up for each reply and read by nobody. Handlers and callbacks of the fleet are the same functions, a declined admission is decoded once, the evacuated domains are joined for the log as other lists are, and the test fixture publishes members in any failure domain instead of three loops.

--- a/Source/Core/Session/client_session.cc
+++ b/Source/Core/Session/client_session.cc
@@ -304,28 +304,29 @@
     return;
   }
   RunRequest request;
-  request.statement = statement;
-  if (shape != nullptr) request.shape = *shape;
-  request.writes = access == AccessKind::kWrite;
+  AttemptRequest& attempt = request.attempt;
+  attempt.statement = statement;
+  if (shape != nullptr) attempt.shape = *shape;
+  attempt.writes = access == AccessKind::kWrite;
   request.received = this->current_received;
   request.guarantee = route->guarantee;
   request.max_staleness = route->max_staleness;
   if (transaction.has_value()) {
-    request.use = transaction->started ? TransactionUse::kContinues
+    attempt.use = transaction->started ? TransactionUse::kContinues
                                        : TransactionUse::kOpens;
-    request.read_only = transaction->read_only;
+    attempt.read_only = transaction->read_only;
     request.needs_primary = !transaction->read_only;
     request.received = transaction->begun_at;
-    request.writes = commit ? transaction->wrote : request.writes;
+    attempt.writes = commit ? transaction->wrote : attempt.writes;
     request.channel = std::exchange(this->pinned_channel, std::monostate());
   } else {
-    request.needs_primary = request.writes;
+    request.needs_primary = attempt.writes;
   }
   request.own_position = this->state.Position();
-  request.values = this->state.Values();
-  request.caller = this->workspace.Empty() ? "-" : this->workspace.Value();
-  request.priority = route->priority;
-  request.statement_timeout = route->statement_timeout;
+  attempt.values = this->state.Values();
+  attempt.caller = this->workspace.Empty() ? "-" : this->workspace.Value();
+  attempt.priority = route->priority;
+  attempt.statement_timeout = route->statement_timeout;
   request.hedge_after = route->latency_objective / kHedgeDivisor;
   request.deadline =
       this->current_received + route->latency_objective * kMaxWaitObjectives;
@@ -340,7 +341,7 @@
         });
       };
   if (transaction.has_value()) transaction->started = true;
-  const bool wrote = request.writes;
+  const bool wrote = attempt.writes;
   this->stream->SetPaused(true);
   this->run = std::make_shared<StatementRun>(
       this->loop, this->codec, group, std::move(request),
--- a/Source/Core/Session/endpoint_pool.h
+++ b/Source/Core/Session/endpoint_pool.h
@@ -111,9 +111,6 @@
   /// Number of requests that wait for a channel.
   std::size_t Waiting() const { return this->waiting.size(); }
 
-  /// Number of channels that are in use.
-  std::size_t Leased() const { return this->leased; }
-
   /// Whether the pool has an idle channel of the caller.
   bool HasIdle(const std::string& caller) const;
 
--- a/Source/Core/Session/fleet_task.cc
+++ b/Source/Core/Session/fleet_task.cc
@@ -35,6 +35,14 @@
 /// this only finds those whose reports were all lost.
 constexpr std::chrono::seconds kListInterval(20);
 
+/// The decision that a rate owner has replied with; none if it has declined to
+/// decide.
+std::optional<AdmissionDecision> DecisionOf(const AdmissionReply& reply,
+                                            const common::HostId& rate_owner) {
+  if (reply.declined) return std::nullopt;
+  return AdmissionDecision{reply.retry_after, rate_owner};
+}
+
 }  // namespace
 
 FleetTask::FleetTask(connection::EventLoop* loop, Platform* platform,
@@ -61,17 +69,9 @@
                                   RelayCallback done) {
     this->callbacks.relay_command(request, std::move(done));
   };
-  handlers.run_statement = [this](const ForwardedStatement& request,
-                                  ForwardedCallback done) {
-    this->callbacks.run_statement(request, std::move(done));
-  };
-  handlers.end_transaction = [this](const TransactionEnd& request) {
-    this->callbacks.end_transaction(request);
-  };
-  handlers.prove_leadership = [this](const common::ServiceId& service,
-                                     ProofCallback done) {
-    this->callbacks.prove_leadership(service, std::move(done));
-  };
+  handlers.run_statement = this->callbacks.run_statement;
+  handlers.end_transaction = this->callbacks.end_transaction;
+  handlers.prove_leadership = this->callbacks.prove_leadership;
   this->transport = NewGrpcFleetTransport(loop, listen, std::move(handlers));
   this->own.peer_address =
       connection::ToString({listen.ip, this->transport->Port()});
@@ -220,12 +220,7 @@
   const std::optional<FleetHost> rate_owner =
       this->membership.RateOwnerOf(workspace);
   if (!rate_owner.has_value()) {
-    const AdmissionReply reply = this->callbacks.admit(request);
-    if (reply.declined) {
-      done(std::nullopt);
-    } else {
-      done(AdmissionDecision{reply.retry_after, this->own.id});
-    }
+    done(DecisionOf(this->callbacks.admit(request), this->own.id));
     return;
   }
   this->transport->Admit(
@@ -239,11 +234,7 @@
           return;
         }
         this->OnReply(id);
-        if (reply->declined) {
-          done(std::nullopt);
-        } else {
-          done(AdmissionDecision{reply->retry_after, id});
-        }
+        done(DecisionOf(*reply, id));
       });
 }
 
--- a/Source/Core/Session/fleet_transport.h
+++ b/Source/Core/Session/fleet_transport.h
@@ -49,21 +49,12 @@
   std::uint64_t transaction = 0;
 };
 
-/// Load of an endpoint as a connection owner sees it.
-struct OwnerLoad {
-  /// Requests that wait for a channel at the owner.
-  std::uint32_t waiting = 0;
-  /// Channels of the owner that are in use.
-  std::uint32_t in_use = 0;
-};
-
 /// A connection owner's reply.
 struct ForwardedResult {
   std::variant<EndpointAnswer, AttemptFailure> outcome;
   /// The transaction that is open, or has failed at the endpoint, and that the
   /// owner keeps; 0 for none.
   std::uint64_t transaction = 0;
-  OwnerLoad load;
 };
 
 using ForwardedCallback = std::function<void(ForwardedResult)>;
--- a/Source/Core/Session/forwarded_statements.cc
+++ b/Source/Core/Session/forwarded_statements.cc
@@ -1,5 +1,6 @@
 #include "Session/forwarded_statements.h"
 
+#include <iterator>
 #include <utility>
 
 namespace camphorferry::session {
@@ -42,38 +43,30 @@
   }
 }
 
-OwnerLoad ForwardedStatements::LoadOf(const ForwardedStatement& request) const {
-  const auto group = this->find_group(request.service);
-  const EndpointPool* pool =
-      group == nullptr ? nullptr : group->PoolOf(request.endpoint);
-  if (pool == nullptr) return {};
-  return {static_cast<std::uint32_t>(pool->Waiting()),
-          static_cast<std::uint32_t>(pool->Leased())};
-}
-
 void ForwardedStatements::StartNew(const ForwardedStatement& request,
                                    ForwardedCallback done) {
   if (this->refuses_new) {
-    done({AttemptFailure::kStopping, 0, {}});
+    done({AttemptFailure::kStopping, 0});
     return;
   }
   const auto group = this->find_group(request.service);
   const auto pool =
       group == nullptr ? nullptr : group->SharedPoolOf(request.endpoint);
   if (pool == nullptr) {
-    done({AttemptFailure::kUnreachable, 0, {}});
+    done({AttemptFailure::kUnreachable, 0});
     return;
   }
   const std::uint64_t number = this->next_number++;
   StatementAttempt::Observers observers;
-  observers.done = [this, still_alive = this->alive, number, request,
+  observers.done = [this, still_alive = this->alive, number,
+                    requester = request.requester,
                     done = std::move(done)](AttemptResult result) {
     if (!*still_alive) return;
     this->attempts.erase(number);
-    ForwardedResult reply{std::move(result.outcome), 0, this->LoadOf(request)};
+    ForwardedResult reply{std::move(result.outcome), 0};
     if (result.channel != nullptr) {
       Transaction& opened = this->transactions[number];
-      opened.requester = request.requester;
+      opened.requester = requester;
       opened.channel = std::move(result.channel);
       opened.idle_since = common::SteadyNow();
       reply.transaction = number;
@@ -93,21 +86,17 @@
                      found->second.requester == request.requester &&
                      found->second.channel != nullptr;
   const bool usable = known && found->second.channel->Usable();
-  if (known && !usable) {
-    Transaction ended = std::move(found->second);
-    this->transactions.erase(found);
-    Close(&ended);
-  }
+  if (known && !usable) this->End(found);
   if (!usable) {
-    done({AttemptFailure::kNoTransaction, 0, {}});
+    done({AttemptFailure::kNoTransaction, 0});
     return;
   }
   const std::uint64_t number = request.transaction;
   StatementAttempt::Observers observers;
-  observers.done = [this, still_alive = this->alive, number,
-                    request](AttemptResult result) {
+  observers.done = [this, still_alive = this->alive,
+                    number](AttemptResult result) {
     if (!*still_alive) return;
-    ForwardedResult reply{std::move(result.outcome), 0, this->LoadOf(request)};
+    ForwardedResult reply{std::move(result.outcome), 0};
     Transaction& open = this->transactions.at(number);
     const auto done = std::exchange(open.done, nullptr);
     if (result.channel == nullptr) {
@@ -131,7 +120,15 @@
 void ForwardedStatements::Close(Transaction* ended) {
   if (ended->attempt != nullptr) ended->attempt->Cancel();
   if (ended->channel != nullptr) RollBackAndReturnToPool(ended->channel);
-  if (ended->done) ended->done({AttemptFailure::kConnectionLost, 0, {}});
+  if (ended->done) ended->done({AttemptFailure::kConnectionLost, 0});
+}
+
+ForwardedStatements::Transactions::iterator ForwardedStatements::End(
+    Transactions::iterator transaction) {
+  Transaction ended = std::move(transaction->second);
+  const auto next = this->transactions.erase(transaction);
+  Close(&ended);
+  return next;
 }
 
 void ForwardedStatements::EndTransaction(const TransactionEnd& request) {
@@ -140,9 +137,7 @@
       found->second.requester != request.requester) {
     return;
   }
-  Transaction ended = std::move(found->second);
-  this->transactions.erase(found);
-  Close(&ended);
+  this->End(found);
 }
 
 void ForwardedStatements::EndIdle(common::SteadyTime now,
@@ -159,21 +154,13 @@
                 {{"requester", it->second.requester},
                  {"endpoint", it->second.channel->Endpoint()},
                  {"reason", "idle"}});
-    Transaction ended = std::move(it->second);
-    it = this->transactions.erase(it);
-    Close(&ended);
+    it = this->End(it);
   }
 }
 
 void ForwardedStatements::EndTransactions() {
   for (auto it = this->transactions.begin(); it != this->transactions.end();) {
-    if (it->second.channel == nullptr) {
-      ++it;
-      continue;
-    }
-    Transaction ended = std::move(it->second);
-    it = this->transactions.erase(it);
-    Close(&ended);
+    it = it->second.channel == nullptr ? std::next(it) : this->End(it);
   }
 }
 
--- a/Source/Core/Session/forwarded_statements.h
+++ b/Source/Core/Session/forwarded_statements.h
@@ -57,12 +57,14 @@
     common::SteadyTime idle_since;
   };
 
+  using Transactions = std::map<std::uint64_t, Transaction>;
+
   void StartNew(const ForwardedStatement& request, ForwardedCallback done);
   void Continue(const ForwardedStatement& request, ForwardedCallback done);
-  /// The load of an endpoint as this daemon's pool sees it.
-  OwnerLoad LoadOf(const ForwardedStatement& request) const;
   /// Rolls the transaction back and answers its statement in progress.
   static void Close(Transaction* ended);
+  /// Forgets a transaction and closes it. Returns the next one.
+  Transactions::iterator End(Transactions::iterator transaction);
 
   connection::EventLoop* loop;
   const WireCodec* codec;
@@ -70,7 +72,7 @@
   bool refuses_new = false;
   /// Attempts that are not part of a known transaction, by number.
   std::map<std::uint64_t, std::shared_ptr<StatementAttempt>> attempts;
-  std::map<std::uint64_t, Transaction> transactions;
+  Transactions transactions;
   /// Differs between processes of one host, so that a daemon can't continue a
   /// transaction of an earlier process.
   std::uint64_t next_number;
--- a/Source/Core/Session/proxy.cc
+++ b/Source/Core/Session/proxy.cc
@@ -6,6 +6,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "Session/promotion_evidence.h"
+
 namespace camphorferry::session {
 
 namespace {
@@ -405,13 +407,13 @@
     this->evacuated_since.try_emplace(
         domain, is_first ? common::SteadyTime() : common::SteadyNow());
   }
-  std::string names;
+  std::vector<std::string> names;
   for (const common::FailureDomainId& domain : latest.domains) {
-    if (!names.empty()) names += ",";
-    names += domain.Value();
+    names.push_back(domain.Value());
   }
-  common::Log(Subsystem::kVersion, LogLevel::kInfo, "evacuations_changed",
-              {{"domains", names}, {"revision", latest.as_of.number}});
+  common::Log(
+      Subsystem::kVersion, LogLevel::kInfo, "evacuations_changed",
+      {{"domains", JoinForLog(names)}, {"revision", latest.as_of.number}});
   for (const auto& [service, group] : this->groups) {
     group->SetEvacuated(this->evacuated_since);
   }
@@ -610,12 +612,12 @@
 
 void Proxy::UpdateChannelLimits() {
   if (this->configuration == nullptr) return;
-  const std::size_t fleet_now =
+  const std::size_t assumed_size =
       std::max(this->fleet_size, kMinAssumedFleetSize);
   for (const auto& [service, group] : this->groups) {
     const auto declared = this->configuration->services.find(service);
     if (declared == this->configuration->services.end()) continue;
-    group->SetConnectionUsers({declared->second.max_connections, fleet_now},
+    group->SetConnectionUsers({declared->second.max_connections, assumed_size},
                               this->hosts_in_domain);
   }
 }
--- a/Source/Core/Session/service_group.cc
+++ b/Source/Core/Session/service_group.cc
@@ -264,8 +264,7 @@
 }
 
 EndpointPool* ServiceGroup::PoolOf(const common::EndpointId& id) {
-  const auto found = this->members.find(id);
-  return found == this->members.end() ? nullptr : found->second.pool.get();
+  return this->SharedPoolOf(id).get();
 }
 
 std::shared_ptr<EndpointPool> ServiceGroup::SharedPoolOf(
@@ -324,8 +323,8 @@
     if (this->IsEvacuated(member.entry)) continue;
     common::Duration delay = this->RoundTripTo(member.entry) +
                              kDelayPerQueuedRequest * member.pool->Waiting();
-    const bool opens = !this->ConnectionOwner(id, caller).has_value() &&
-                       !member.pool->HasIdle(caller);
+    const bool opens = !member.pool->HasIdle(caller) &&
+                       !this->ConnectionOwner(id, caller).has_value();
     if (opens) delay += kOpenDelay;
     if (member.avoid_until > now) delay += kAvoidDuration;
     delay += std::chrono::duration_cast<common::Duration>(
@@ -469,7 +468,7 @@
 std::vector<GroupMember> ServiceGroup::PromotionEntries() const {
   std::vector<GroupMember> entries = this->Entries();
   for (GroupMember& entry : entries) {
-    entry.evacuated = this->evacuated.contains(entry.domain);
+    entry.evacuated = this->IsEvacuated(entry);
   }
   return entries;
 }
@@ -673,8 +672,7 @@
         // The peer's round began after this one.
         if (position.has_value()) {
           this->leadership_proofs.Add(this->round->started, *position);
-        }
-        if (!position.has_value()) {
+        } else {
           this->own_rounds_until = std::max<common::SteadyTime>(
               this->own_rounds_until,
               common::SteadyNow() + kOwnRoundsAfterFailure);
--- a/Source/Core/Session/statement_messages.cc
+++ b/Source/Core/Session/statement_messages.cc
@@ -231,8 +231,6 @@
     message.set_failure(ToMessage(std::get<AttemptFailure>(result.outcome)));
   }
   message.set_transaction(result.transaction);
-  message.set_waiting(result.load.waiting);
-  message.set_in_use(result.load.in_use);
   return message;
 }
 
@@ -249,7 +247,6 @@
     result.outcome = FromMessage(message.failure());
   }
   result.transaction = message.transaction();
-  result.load = {message.waiting(), message.in_use()};
   return result;
 }
 
--- a/Source/Core/Session/statement_run.cc
+++ b/Source/Core/Session/statement_run.cc
@@ -46,12 +46,14 @@
       group(std::move(group)),
       request(std::move(request)),
       done(std::move(done)),
-      admitted(this->request.received) {}
+      admitted(this->request.received) {
+  this->request.attempt.channel_wait = kChannelWait;
+}
 
 StatementRun::~StatementRun() = default;
 
 void StatementRun::Start() {
-  if (this->request.use != TransactionUse::kContinues) {
+  if (this->request.attempt.use != TransactionUse::kContinues) {
     this->Attempt();
     return;
   }
@@ -61,7 +63,7 @@
     this->Fail(StatementError::kAborted, "endpoint_evacuated");
     return;
   }
-  const std::uint64_t number = ++this->attempt_number;
+  ++this->attempt_number;
   if (const auto* forwarded =
           std::get_if<ForwardedTransaction>(&this->channel)) {
     this->Forward(forwarded->owner, forwarded->number);
@@ -69,10 +71,7 @@
   }
   auto own = std::get<std::shared_ptr<EndpointChannel>>(
       std::exchange(this->channel, std::monostate()));
-  this->attempt = std::make_shared<StatementAttempt>(
-      this->loop, this->codec, this->NewAttempt(), this->NewObservers(number));
-  const auto started = this->attempt;
-  started->Continue(std::move(own));
+  this->NewOwnAttempt()->Continue(std::move(own));
 }
 
 void StatementRun::Cancel() {
@@ -121,11 +120,11 @@
     return;
   }
   ++this->attempts;
-  const bool single_write =
-      this->request.writes && this->request.use == TransactionUse::kNone;
+  const bool single_write = this->request.attempt.writes &&
+                            this->request.attempt.use == TransactionUse::kNone;
   if (!single_write) {
-    this->min_position = this->MinReadPosition();
-    if (!this->min_position.has_value()) {
+    this->request.attempt.min_position = this->MinReadPosition();
+    if (!this->request.attempt.min_position.has_value()) {
       this->last_reason = "no_proof_of_freshness";
       this->group->AwaitProof(this->StalenessBound(),
                               this->request.deadline - now,
@@ -180,10 +179,11 @@
 std::optional<common::EndpointId> StatementRun::ChooseEndpoint() {
   if (this->request.needs_primary) return this->group->UsablePrimary();
   std::optional<common::EndpointId> reader =
-      this->group->ChooseReader(this->request.caller, this->tried);
+      this->group->ChooseReader(this->request.attempt.caller, this->tried);
   if (!reader.has_value()) {
     this->tried.clear();
-    reader = this->group->ChooseReader(this->request.caller, this->tried);
+    reader =
+        this->group->ChooseReader(this->request.attempt.caller, this->tried);
   }
   return reader;
 }
@@ -196,20 +196,12 @@
   });
 }
 
-AttemptRequest StatementRun::NewAttempt() const {
-  AttemptRequest wanted;
-  wanted.statement = this->request.statement;
-  wanted.shape = this->request.shape;
-  wanted.use = this->request.use;
-  wanted.read_only = this->request.read_only;
-  wanted.writes = this->request.writes;
-  wanted.min_position = this->min_position;
-  wanted.values = this->request.values;
-  wanted.caller = this->request.caller;
-  wanted.priority = this->request.priority;
-  wanted.channel_wait = kChannelWait;
-  wanted.statement_timeout = this->request.statement_timeout;
-  return wanted;
+std::shared_ptr<StatementAttempt> StatementRun::NewOwnAttempt() {
+  this->owner = common::HostId();
+  this->attempt = std::make_shared<StatementAttempt>(
+      this->loop, this->codec, this->request.attempt,
+      this->NewObservers(this->attempt_number));
+  return this->attempt;
 }
 
 StatementAttempt::Observers StatementRun::NewObservers(std::uint64_t number) {
@@ -236,23 +228,19 @@
 
 void StatementRun::StartAt(const common::EndpointId& id) {
   this->endpoint = id;
-  const std::uint64_t number = ++this->attempt_number;
+  ++this->attempt_number;
   const std::optional<FleetHost> wanted =
-      this->group->ConnectionOwner(id, this->request.caller);
+      this->group->ConnectionOwner(id, this->request.attempt.caller);
   if (wanted.has_value() && !this->avoided_owners.contains(wanted->id)) {
     this->Forward(*wanted, 0);
     return;
   }
-  this->owner = common::HostId();
   const std::shared_ptr<EndpointPool> pool = this->group->SharedPoolOf(id);
   if (pool == nullptr) {
     this->Retry(kRetryPause, "member_gone");
     return;
   }
-  this->attempt = std::make_shared<StatementAttempt>(
-      this->loop, this->codec, this->NewAttempt(), this->NewObservers(number));
-  const auto started = this->attempt;
-  started->Start(pool);
+  this->NewOwnAttempt()->Start(pool);
 }
 
 void StatementRun::Forward(const FleetHost& to, std::uint64_t transaction) {
@@ -260,10 +248,10 @@
   ForwardedStatement forwarded;
   forwarded.service = this->group->Service();
   forwarded.endpoint = this->endpoint;
-  forwarded.attempt = this->NewAttempt();
+  forwarded.attempt = this->request.attempt;
   forwarded.transaction = transaction;
-  const common::Duration timeout =
-      kForwardingReserve + kChannelWait + this->request.statement_timeout;
+  const common::Duration timeout = kForwardingReserve + kChannelWait +
+                                   this->request.attempt.statement_timeout;
   this->sent_once = true;
   this->StartHedgeTimer();
   this->group->ForwardStatement(
@@ -303,11 +291,12 @@
               "connection_owner_silent",
               {{"owner", this->owner},
                {"endpoint", this->endpoint},
-               {"request", this->request.statement.request_id},
+               {"request", this->request.attempt.statement.request_id},
                {"sent", silence.sent ? "yes" : "no"}});
   this->avoided_owners.insert(this->owner);
   this->timer.reset();
-  const bool continues = this->request.use == TransactionUse::kContinues;
+  const bool continues =
+      this->request.attempt.use == TransactionUse::kContinues;
   if (!silence.sent && !continues) {
     this->Retry(kNextMemberPause, "owner_unreachable");
     return;
@@ -325,7 +314,8 @@
 }
 
 void StatementRun::StartHedgeTimer() {
-  if (this->request.use != TransactionUse::kNone || this->request.writes) {
+  if (this->request.attempt.use != TransactionUse::kNone ||
+      this->request.attempt.writes) {
     return;
   }
   this->group->OnReadSent();
@@ -337,7 +327,7 @@
 
 void StatementRun::SendHedge() {
   this->group->OnStatementFailed(this->endpoint);
-  if (!this->group->TryHedge(this->request.caller, this->endpoint)) {
+  if (!this->group->TryHedge(this->request.attempt.caller, this->endpoint)) {
     return;
   }
   this->tried.insert(this->endpoint);
@@ -380,9 +370,9 @@
 }
 
 bool StatementRun::EndsWrite() const {
-  return this->request.writes &&
-         (this->request.use == TransactionUse::kNone ||
-          this->request.statement.kind == StatementKind::kCommit);
+  return this->request.attempt.writes &&
+         (this->request.attempt.use == TransactionUse::kNone ||
+          this->request.attempt.statement.kind == StatementKind::kCommit);
 }
 
 void StatementRun::OnAnswer(const EndpointAnswer& answer) {
@@ -412,7 +402,7 @@
     return;
   }
   if (may_have_run_now) this->group->OnStatementFailed(this->endpoint);
-  if (this->request.use == TransactionUse::kContinues) {
+  if (this->request.attempt.use == TransactionUse::kContinues) {
     this->Fail(StatementError::kAborted, ToString(failure));
     return;
   }
@@ -453,18 +443,18 @@
   if (code == StatementError::kFailed) {
     this->group->OnStatementFailed(this->endpoint);
   }
-  if (this->request.use == TransactionUse::kContinues) {
+  if (this->request.attempt.use == TransactionUse::kContinues) {
     this->Fail(code == StatementError::kNoSuchStatement
                    ? StatementError::kAborted
                    : code,
                answer.error->text);
     return;
   }
-  const bool retry_read = !this->request.writes &&
+  const bool retry_read = !this->request.attempt.writes &&
                           code == StatementError::kFailed &&
-                          this->request.use == TransactionUse::kNone;
+                          this->request.attempt.use == TransactionUse::kNone;
   const bool retry_begin =
-      this->request.use == TransactionUse::kOpens &&
+      this->request.attempt.use == TransactionUse::kOpens &&
       (code == StatementError::kFailed || code == StatementError::kTimeout);
   if (HasNotRun(code) || retry_read || retry_begin) {
     if (!HasNotRun(code)) this->may_have_run = true;
@@ -487,7 +477,7 @@
   this->AbandonAttempts();
   const common::Duration age = common::SteadyNow() - this->request.received;
   common::Log(Subsystem::kRequest, LogLevel::kInfo, "statement_refused",
-              {{"request", this->request.statement.request_id},
+              {{"request", this->request.attempt.statement.request_id},
                {"code", ToString(code)},
                {"reason", text},
                {"last", this->last_reason},
--- a/Source/Core/Session/statement_run.h
+++ b/Source/Core/Session/statement_run.h
@@ -19,26 +19,15 @@
 
 /// One statement with everything that determines where and how it runs.
 struct RunRequest {
-  Statement statement;
-  /// The prepared statement that kExecute names.
-  std::optional<PreparedShape> shape;
-  TransactionUse use = TransactionUse::kNone;
-  /// For kOpens: the transaction is read-only.
-  bool read_only = false;
-  /// The statement may change data, by itself or by committing a transaction
-  /// that wrote.
-  bool writes = false;
+  /// What each attempt runs. The run sets the lowest log position and the wait
+  /// for a channel. A commit of a transaction that wrote counts as a write.
+  AttemptRequest attempt;
   /// Only the primary may run the statement.
   bool needs_primary = false;
   ReadGuarantee guarantee = ReadGuarantee::kLatest;
   common::Duration max_staleness = common::Duration::zero();
   /// Log position of the session's own latest commit.
   std::optional<common::LogPosition> own_position;
-  SessionValues values;
-  /// Name of the caller that is sent to the endpoint.
-  std::string caller;
-  std::uint32_t priority = 0;
-  common::Duration statement_timeout = std::chrono::seconds(1);
   /// A read that has no answer after this time is also sent to a second member.
   common::Duration hedge_after = std::chrono::milliseconds(400);
   /// When the client's statement, or the begin of its transaction, was
@@ -98,8 +87,8 @@
   void Retry(common::Duration pause, const char* reason);
   void Readmit();
   void OnReadmitted(const std::optional<common::Duration>& retry_after);
-  /// The attempt request for the current state of the run.
-  AttemptRequest NewAttempt() const;
+  /// Replaces the current attempt by one that this daemon makes itself.
+  std::shared_ptr<StatementAttempt> NewOwnAttempt();
   /// Starts an attempt at a member.
   void StartAt(const common::EndpointId& id);
   /// Has the connection owner make the attempt.
@@ -154,7 +143,6 @@
   /// Members that have failed this statement; cleared when no other member is
   /// left.
   std::set<common::EndpointId> tried;
-  std::optional<common::LogPosition> min_position;
   /// When the operation was last admitted by the rate limiter.
   common::SteadyTime admitted;
 
--- a/Source/Core/Session/workspace_limiter.h
+++ b/Source/Core/Session/workspace_limiter.h
@@ -32,9 +32,10 @@
 /// admits operations for all daemons. A daemon that cannot reach the rate owner
 /// admits operations by a local bucket: for one rate window at the rate that it
 /// used before, and after that at a small fraction of the rate. The owner takes
-/// both off what it admits itself, from the daemon's last request on. An owner
-/// that hears less than half of the fleet admits only the part of the rate that
-/// it hears, since the other part of the fleet may have another owner.
+/// as much off what it admits itself, from the daemon's last request on, and
+/// after that window the daemon's even share. An owner that hears less than
+/// half of the fleet admits only the part of the rate that it hears, since the
+/// other part of the fleet may have another owner.
 class WorkspaceLimiter {
  public:
   /// Sets the declared rates.
--- a/Source/UnitTests/Platform/forwarding_test.cc
+++ b/Source/UnitTests/Platform/forwarding_test.cc
@@ -15,19 +15,7 @@
 
   ForwardingTest() {
     this->PublishConfiguration(2, true, {0, 0}, kConnections);
-    std::vector<session::DirectoryChange> changes;
-    for (FakeDatabase* database :
-         {&this->primary_database, &this->replica_a, &this->replica_b}) {
-      session::GroupMember entry = database->Registration();
-      entry.domain = common::FailureDomainId("far");
-      changes.push_back({entry.id.Value(),
-                         {0, ++this->directory_revision},
-                         false,
-                         entry,
-                         ""});
-    }
-    this->AnswerDirectoryCall(session::DirectoryKind::kMembers,
-                              std::move(changes));
+    this->PublishMembers("far");
     this->report.host.domain = common::FailureDomainId("far");
     session::FleetHandlers handlers;
     handlers.admit = [](const session::AdmissionRequest&) {
@@ -57,7 +45,7 @@
     answer.phase = transaction == 0 ? session::TransactionPhase::kIdle
                                     : session::TransactionPhase::kOpen;
     answer.position = common::LogPosition{1, 1};
-    return {answer, transaction, {}};
+    return {answer, transaction};
   }
 
   session::FleetReport report;
@@ -118,7 +106,7 @@
 TEST_F(ForwardingTest, Write_OwnerStopping_RunsOnAnOwnConnection) {
   this->owner_behavior = [this](const auto&, const auto& done) {
     this->report.stopping = true;
-    done({AttemptFailure::kStopping, 0, {}});
+    done({AttemptFailure::kStopping, 0});
   };
   const auto client = this->Connect("latest");
   EXPECT_TRUE(HasLine(client->Ask("QUERY 1 WRITE item x"), "COMPLETE sig.p"));
@@ -173,7 +161,7 @@
     if (request.transaction == 0) {
       done(Answer(77));
     } else {
-      done({AttemptFailure::kNoTransaction, 0, {}});
+      done({AttemptFailure::kNoTransaction, 0});
     }
   };
   const auto client = this->Connect("own");
--- a/Source/UnitTests/Platform/proxy_fixture.h
+++ b/Source/UnitTests/Platform/proxy_fixture.h
@@ -193,11 +193,13 @@
           ""}});
   }
 
-  void PublishMembers() {
+  /// Publishes the databases as members in a failure domain.
+  void PublishMembers(const std::string& domain = "zone") {
     std::vector<session::DirectoryChange> changes;
     for (FakeDatabase* database :
          {&this->primary_database, &this->replica_a, &this->replica_b}) {
-      const session::GroupMember entry = database->Registration();
+      session::GroupMember entry = database->Registration();
+      entry.domain = common::FailureDomainId(domain);
       changes.push_back({entry.id.Value(),
                          {0, ++this->directory_revision},
                          false,
--- a/Source/UnitTests/Platform/proxy_test.cc
+++ b/Source/UnitTests/Platform/proxy_test.cc
@@ -138,16 +138,7 @@
 TEST_F(ProxyTest, Connection_FewerThanDaemons_IsReleasedAfterStatement) {
   constexpr std::uint32_t kConnections = 4;
   this->PublishConfiguration(2, true, {100000, 100000}, kConnections);
-  std::vector<session::DirectoryChange> changes;
-  for (FakeDatabase* database :
-       {&this->primary_database, &this->replica_a, &this->replica_b}) {
-    session::GroupMember entry = database->Registration();
-    entry.domain = common::FailureDomainId("far");
-    changes.push_back(
-        {entry.id.Value(), {0, ++this->directory_revision}, false, entry, ""});
-  }
-  this->AnswerDirectoryCall(session::DirectoryKind::kMembers,
-                            std::move(changes));
+  this->PublishMembers("far");
   const auto client = this->Connect("latest");
   EXPECT_TRUE(HasLine(client->Ask("QUERY 1 READ item"), "ROW data"));
   this->RunFor(milliseconds(800));
