--- a/Source/Soak/proxy_process.cc
+++ b/Source/Soak/proxy_process.cc
@@ -2,11 +2,14 @@
 
 #include <fcntl.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
 #include <csignal>
+#include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <utility>
 
 #include "fake_documents.h"
@@ -40,11 +43,13 @@
 
 ProxyProcess::ProxyProcess(std::string program, const std::string& folder,
                            int index, const connection::SocketAddress& store,
-                           const connection::SocketAddress& promotion)
+                           const connection::SocketAddress& promotion,
+                           std::optional<MachineLimits> limits)
     : program(std::move(program)),
       settings_path(folder + "/proxy-" + std::to_string(index) + ".json"),
       log_path(folder + "/proxy-" + std::to_string(index) + ".log"),
-      ip(UniqueLoopbackAddress(index)) {
+      ip(UniqueLoopbackAddress(index)),
+      limits(limits) {
   session::ProxySettings settings;
   settings.location.host = common::HostId("proxy-" + std::to_string(index));
   settings.location.domain = common::FailureDomainId("zone");
@@ -54,8 +59,13 @@
   settings.readiness = {this->ip, kReadyPort};
   settings.peers = {this->ip, kFirstPeerPort};
   settings.rate_tolerance = kRateTolerance;
-  std::ofstream(this->settings_path)
-      << platform::EncodeSettings(settings, store, promotion).dump(2);
+  nlohmann::json document =
+      platform::EncodeSettings(settings, store, promotion);
+  if (limits.has_value()) {
+    document["limits"] = {{"memoryMb", limits->memory_mb},
+                          {"fdLimit", limits->descriptors}};
+  }
+  std::ofstream(this->settings_path) << document.dump(2);
 }
 
 ProxyProcess::~ProxyProcess() {
@@ -74,6 +84,11 @@
     // If the child inherited sockets of the soak, their peers would not notice
     // when the soak closes them.
     close_range(STDERR_FILENO + 1, ~0U, 0);
+    if (this->limits.has_value()) {
+      const rlimit descriptors{this->limits->descriptors,
+                               this->limits->descriptors};
+      setrlimit(RLIMIT_NOFILE, &descriptors);
+    }
     // Ends the proxy if the soak process is killed.
     prctl(PR_SET_PDEATHSIG, SIGKILL);
     execl(this->program.c_str(), this->program.c_str(), "--settings",
@@ -109,4 +124,26 @@
   return resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
 }
 
+std::optional<std::size_t> ProxyProcess::PeakResidentBytes() const {
+  if (this->pid == 0) return std::nullopt;
+  std::ifstream status("/proc/" + std::to_string(this->pid) + "/status");
+  std::string word;
+  std::size_t kilobytes = 0;
+  constexpr std::size_t kBytesPerKilobyte = 1024;
+  while (status >> word) {
+    if (word == "VmHWM:" && status >> kilobytes) {
+      return kilobytes * kBytesPerKilobyte;
+    }
+  }
+  return std::nullopt;
+}
+
+std::size_t ProxyProcess::OpenDescriptors() const {
+  if (this->pid == 0) return 0;
+  const std::filesystem::directory_iterator descriptors(
+      "/proc/" + std::to_string(this->pid) + "/fd");
+  return static_cast<std::size_t>(
+      std::distance(begin(descriptors), end(descriptors)));
+}
+
 }  // namespace camphorferry::soak
--- a/Source/Soak/proxy_process.h
+++ b/Source/Soak/proxy_process.h
@@ -3,6 +3,7 @@
 
 #include <sys/types.h>
 
+#include <cstddef>
 #include <optional>
 #include <string>
 
@@ -16,13 +17,20 @@
   explicit ProcessStartError(const std::string& program);
 };
 
+/// What the machine of a proxy process has.
+struct MachineLimits {
+  std::size_t memory_mb = 0;
+  std::size_t descriptors = 0;
+};
+
 /// A proxy process under test. The destructor kills the process.
 class ProxyProcess {
  public:
   /// Writes the settings of the proxy to the folder, which also gets its log.
   ProxyProcess(std::string program, const std::string& folder, int index,
                const connection::SocketAddress& store,
-               const connection::SocketAddress& promotion);
+               const connection::SocketAddress& promotion,
+               std::optional<MachineLimits> limits = std::nullopt);
   ~ProxyProcess();
   ProxyProcess(const ProxyProcess&) = delete;
   ProxyProcess& operator=(const ProxyProcess&) = delete;
@@ -39,6 +47,13 @@
   /// Resident memory in bytes; nullopt if the process is not running.
   std::optional<std::size_t> ResidentBytes() const;
 
+  /// Largest resident memory so far in bytes; nullopt if the process is not
+  /// running.
+  std::optional<std::size_t> PeakResidentBytes() const;
+
+  /// Number of open descriptors; 0 if the process is not running.
+  std::size_t OpenDescriptors() const;
+
   connection::SocketAddress ClientAddress() const;
 
  private:
@@ -47,6 +62,7 @@
   std::string log_path;
   /// Loopback address of this proxy only.
   std::string ip;
+  std::optional<MachineLimits> limits;
   /// Id of the running process; 0 if there is none. It must not become -1, with
   /// which kill() signals all processes of the user.
   pid_t pid = 0;
