Session: Ask rate owners for several operations, and remember their refusals

Cause: a rate owner is one host that was asked for each operation of a workspace. With three to seven times the rate it answered late; daemons then admitted alone, took it for silent and turned to a second owner, whose bucket was full as well.

After a refusal it refuses without asking until its turn (500 ms at most); the owner gives turns one after the other, and clients get spread retry times. A daemon that is asked although it is not the owner as it sees the fleet admits the even shares of those that ask it. Silent daemons that never asked are taken off as well.

--- a/Source/Core/Session/fleet_task.cc
+++ b/Source/Core/Session/fleet_task.cc
@@ -35,12 +35,11 @@
 /// this only finds those whose reports were all lost.
 constexpr std::chrono::seconds kListInterval(20);
 
-/// The decision that a rate owner has replied with; none if it has declined to
-/// decide.
-std::optional<AdmissionDecision> DecisionOf(const AdmissionReply& reply,
-                                            const common::HostId& rate_owner) {
+/// The reply of a rate owner; none if it has declined to decide.
+std::optional<OwnerReply> DecisionOf(const AdmissionReply& reply,
+                                     const common::HostId& rate_owner) {
   if (reply.declined) return std::nullopt;
-  return AdmissionDecision{reply.retry_after, rate_owner};
+  return OwnerReply{reply, rate_owner};
 }
 
 }  // namespace
@@ -210,32 +209,33 @@
 }
 
 void FleetTask::RequestAdmission(
-    const common::WorkspaceId& workspace, std::uint32_t admitted_alone,
-    std::function<void(std::optional<AdmissionDecision>)> done) {
+    const common::WorkspaceId& workspace, std::uint32_t operations,
+    std::uint32_t admitted_alone,
+    const std::function<void(std::optional<OwnerReply>)>& done) {
   if (!this->fleet_known) {
     done(std::nullopt);
     return;
   }
-  const AdmissionRequest request{this->own.id, workspace, admitted_alone};
+  const AdmissionRequest request{this->own.id, workspace, admitted_alone,
+                                 operations};
   const std::optional<FleetHost> rate_owner =
       this->membership.RateOwnerOf(workspace);
   if (!rate_owner.has_value()) {
     done(DecisionOf(this->callbacks.admit(request), this->own.id));
     return;
   }
-  this->transport->Admit(
-      rate_owner->peer_address, request, kAdmissionTimeout,
-      [this, still_alive = this->alive, id = rate_owner->id,
-       done = std::move(done)](const std::optional<AdmissionReply>& reply) {
-        if (!*still_alive) return;
-        if (!reply.has_value()) {
-          this->OnNoReply(id);
-          done(std::nullopt);
-          return;
-        }
-        this->OnReply(id);
-        done(DecisionOf(*reply, id));
-      });
+  this->transport->Admit(rate_owner->peer_address, request, kAdmissionTimeout,
+                         [this, still_alive = this->alive, id = rate_owner->id,
+                          done](const std::optional<AdmissionReply>& reply) {
+                           if (!*still_alive) return;
+                           if (!reply.has_value()) {
+                             this->OnNoReply(id);
+                             done(std::nullopt);
+                             return;
+                           }
+                           this->OnReply(id);
+                           done(DecisionOf(*reply, id));
+                         });
 }
 
 std::optional<FleetHost> FleetTask::ConnectionOwner(const std::string& caller,
--- a/Source/Core/Session/fleet_task.h
+++ b/Source/Core/Session/fleet_task.h
@@ -27,6 +27,12 @@
   bool operator==(const FleetSize&) const = default;
 };
 
+/// What a rate owner has replied.
+struct OwnerReply {
+  AdmissionReply decision;
+  common::HostId owner;
+};
+
 /// Functions of the process that a FleetTask calls.
 struct FleetCallbacks {
   /// Returns this daemon's report. Only replies contain proofs.
@@ -84,11 +90,12 @@
   /// Whether this daemon owns the rate of a workspace.
   bool OwnsRate(const common::WorkspaceId& workspace);
 
-  /// Asks the owner of a workspace's rate to admit an operation. Calls back,
-  /// possibly before this returns, with nothing if no owner has answered.
+  /// Asks the owner of a workspace's rate to admit operations. Calls back,
+  /// possibly before this returns, with nothing if no owner has decided.
   void RequestAdmission(
-      const common::WorkspaceId& workspace, std::uint32_t admitted_alone,
-      std::function<void(std::optional<AdmissionDecision>)> done);
+      const common::WorkspaceId& workspace, std::uint32_t operations,
+      std::uint32_t admitted_alone,
+      const std::function<void(std::optional<OwnerReply>)>& done);
 
   /// Asks several peers to send a command to a member. Calls back once, with
   /// the first answer of the member, or with nothing if there was none.
--- a/Source/Core/Session/fleet_transport.h
+++ b/Source/Core/Session/fleet_transport.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "Connection/connection.h"
+#include "Session/admission.h"
 #include "Session/directory.h"
 #include "Session/evacuations.h"
 #include "Session/member_command.h"
@@ -77,24 +78,6 @@
 using ProofCallback =
     std::function<void(const std::optional<common::LogPosition>&)>;
 
-/// Request of a daemon to the owner of a workspace's rate to admit one
-/// operation.
-struct AdmissionRequest {
-  common::HostId requester;
-  common::WorkspaceId workspace;
-  /// Operations that the daemon has admitted alone since its last request.
-  std::uint32_t admitted_alone = 0;
-};
-
-/// The rate owner's answer.
-struct AdmissionReply {
-  /// Time until the next operation would be admitted; none if this one is
-  /// admitted.
-  std::optional<common::Duration> retry_after;
-  /// The daemon does not decide, because it hears too few of the others.
-  bool declined = false;
-};
-
 /// Request for a part of the directory by a daemon that the store does not
 /// answer.
 struct DirectoryQuery {
@@ -118,7 +101,7 @@
       common::Duration timeout,
       std::function<void(std::optional<FleetReport>)> done) = 0;
 
-  /// Asks a rate owner to admit an operation. Calls back once, with nothing if
+  /// Asks a rate owner to admit operations. Calls back once, with nothing if
   /// it gave no answer in time.
   virtual void Admit(
       const std::string& address, const AdmissionRequest& request,
--- a/Source/Core/Session/grpc_fleet_transport.cc
+++ b/Source/Core/Session/grpc_fleet_transport.cc
@@ -115,17 +115,21 @@
   message.set_host(request.requester.Value());
   message.set_workspace(request.workspace.Value());
   message.set_admitted_alone(request.admitted_alone);
+  message.set_operations(request.operations);
   return message;
 }
 
 AdmissionRequest FromMessage(const fleet::v1::AdmissionRequest& message) {
+  // A peer of an earlier version asks for one operation at a time.
   return {common::HostId(message.host()),
-          common::WorkspaceId(message.workspace()), message.admitted_alone()};
+          common::WorkspaceId(message.workspace()), message.admitted_alone(),
+          std::max<std::uint32_t>(message.operations(), 1)};
 }
 
 fleet::v1::AdmissionReply ToMessage(const AdmissionReply& reply) {
   fleet::v1::AdmissionReply message;
   message.set_admitted(!reply.retry_after.has_value() && !reply.declined);
+  message.set_admitted_operations(reply.admitted);
   message.set_declined(reply.declined);
   if (reply.retry_after.has_value()) {
     message.set_retry_after_ms(static_cast<std::uint32_t>(
@@ -137,7 +141,11 @@
 AdmissionReply FromMessage(const fleet::v1::AdmissionReply& message) {
   AdmissionReply reply;
   reply.declined = message.declined();
-  if (!message.admitted()) {
+  reply.admitted = message.admitted_operations();
+  if (message.admitted()) {
+    // A peer of an earlier version states no number.
+    reply.admitted = std::max<std::uint32_t>(reply.admitted, 1);
+  } else {
     reply.retry_after = std::chrono::milliseconds(message.retry_after_ms());
   }
   return reply;
--- a/Source/Core/Session/proxy.cc
+++ b/Source/Core/Session/proxy.cc
@@ -52,6 +52,7 @@
       platform(platform),
       settings(std::move(settings)),
       promotion_lease(platform, this->settings.location.host),
+      admission(&this->limiter, &this->metrics),
       forwarded(loop, codec, [this](const common::ServiceId& service) {
         return this->GroupOf(service);
       }) {
@@ -157,16 +158,16 @@
   callbacks.rate_owners_changed = [this] { this->UpdateRateOwners(); };
   callbacks.admit = [this](const AdmissionRequest& request) {
     if (!this->limiter.MayAdmit()) {
-      return AdmissionReply{std::nullopt, true};
+      AdmissionReply reply;
+      reply.declined = true;
+      return reply;
     }
-    return AdmissionReply{
-        this->limiter.Admit(request.workspace, request.requester,
-                            common::SteadyNow(), request.admitted_alone),
-        false};
+    return this->limiter.Admit(request, common::SteadyNow());
   };
   this->fleet =
       std::make_unique<FleetTask>(loop, platform, this->settings.location,
                                   this->settings.peers, std::move(callbacks));
+  this->admission.SetFleet(this->fleet.get());
   platform->SetEraObserver([this](std::uint64_t era) {
     // The registration may have been acknowledged in this era too, before a
     // restore that a peer has already reported.
@@ -242,36 +243,7 @@
 
 void Proxy::Admit(const common::WorkspaceId& workspace,
                   std::function<void(AdmissionDecision)> done) {
-  if (!this->limiter.HasLimit(workspace)) {
-    done(AdmissionDecision{});
-    return;
-  }
-  const std::uint32_t alone = this->limiter.TakeAdmittedAlone(workspace);
-  this->fleet->RequestAdmission(
-      workspace, alone,
-      [this, alone, workspace, done = std::move(done)](
-          const std::optional<AdmissionDecision>& owner_decision) {
-        const common::SteadyTime now = common::SteadyNow();
-        if (!owner_decision.has_value()) {
-          this->limiter.ReturnAdmittedAlone(workspace, alone);
-          const auto wait = this->limiter.AdmitLocally(workspace, now);
-          this->CountAdmission(wait.has_value() ? "alone_refused"
-                                                : "alone_admitted");
-          done(AdmissionDecision{wait, {}});
-          return;
-        }
-        const bool admitted = !owner_decision->retry_after.has_value();
-        this->CountAdmission(admitted ? "admitted" : "refused");
-        this->limiter.OnOwnerReplied(workspace, admitted, now);
-        done(*owner_decision);
-      });
-}
-
-void Proxy::CountAdmission(const std::string& result) {
-  this->metrics.Count("admissions",
-                      "Operations asked for at the keeper of their rate; "
-                      "\"alone\" if it gave no answer.",
-                      "result", result);
+  this->admission.Admit(workspace, std::move(done));
 }
 
 void Proxy::UpdateConfigurationWatch() {
--- a/Source/Core/Session/proxy.h
+++ b/Source/Core/Session/proxy.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "Connection/connection.h"
+#include "Session/admission_task.h"
 #include "Session/client_session.h"
 #include "Session/directory.h"
 #include "Session/directory_watcher.h"
@@ -118,7 +119,6 @@
   void OnFleetSize(const FleetSize& size);
   void UpdateRateOwners();
   void UpdateConfigurationWatch();
-  void CountAdmission(const std::string& result);
   void UpdateChannelLimits();
   StatementForwarding NewForwarding();
   /// Proves for a peer who leads a service.
@@ -136,6 +136,7 @@
   ProxyMetrics metrics;
   PromotionLease promotion_lease;
   WorkspaceLimiter limiter;
+  AdmissionTask admission;
   evconnlistener* listener = nullptr;
   std::unique_ptr<connection::HttpServer> readiness;
   std::unique_ptr<connection::HttpServer> metrics_server;
--- a/Source/Core/Session/session.h
+++ b/Source/Core/Session/session.h
@@ -5,6 +5,9 @@
 /// statements and transactions, the database groups behind them, and the proxy
 /// process.
 
+#include "Session/admission.h"
+#include "Session/admission_queue.h"
+#include "Session/admission_task.h"
 #include "Session/channel_state.h"
 #include "Session/client_session.h"
 #include "Session/connection_plan.h"
--- a/Source/Core/Session/workspace_limiter.cc
+++ b/Source/Core/Session/workspace_limiter.cc
@@ -49,6 +49,11 @@
 /// Longest retry time that a client is given, in seconds; the limits may change
 /// meanwhile.
 constexpr double kMaxRetryAfterSeconds = 5.0;
+/// Longest time until the turn of a daemon that is refused.
+constexpr std::chrono::milliseconds kMaxTurn(500);
+/// A token is kept for a daemon for this long after its turn has come: a round
+/// trip between regions (40 ms) and the time until its next operation.
+constexpr std::chrono::milliseconds kTurnGrace(100);
 
 double Seconds(common::Duration duration) {
   return std::chrono::duration<double>(duration).count();
@@ -56,7 +61,7 @@
 
 }  // namespace
 
-void WorkspaceLimiter::RateMeter::Count(common::SteadyTime now) {
+void WorkspaceLimiter::RateMeter::Count(common::SteadyTime now, double added) {
   const common::Duration length = now - this->period_start;
   if (length >= kMeterPeriod) {
     const double newest = this->count / Seconds(length);
@@ -64,7 +69,7 @@
     this->count = 0;
     this->period_start = now;
   }
-  this->count += 1;
+  this->count += added;
 }
 
 void WorkspaceLimiter::TokenBucket::Fill(double rate, double capacity,
@@ -176,6 +181,8 @@
       window_total * this->tolerance.share + this->tolerance.operations;
   const double capacity =
       limit.burst + tolerated - limit.rate * kUnaccountedSeconds;
+  // The burst belongs to the owner that the rest of the fleet asks.
+  if (entry.owned_by_request) return this->InitialTokens(entry);
   return std::max(
       this->InitialTokens(entry),
       std::clamp(capacity, limit.burst * kMinBurstFraction, limit.burst));
@@ -222,11 +229,69 @@
   }
 }
 
-std::optional<common::Duration> WorkspaceLimiter::Admit(
-    const common::WorkspaceId& workspace, const common::HostId& requester,
-    common::SteadyTime now, std::uint32_t admitted_alone) {
+double WorkspaceLimiter::OwnedShare(const WorkspaceEntry& entry,
+                                    common::SteadyTime now) const {
+  const auto fleet = static_cast<double>(this->fleet_size);
+  if (entry.owned_by_request) {
+    const auto asking =
+        std::count_if(entry.requesters.begin(), entry.requesters.end(),
+                      [now](const auto& item) {
+                        return now - item.second.last_request < kRateWindow;
+                      });
+    return std::min(1.0, static_cast<double>(asking) / fleet);
+  }
+  const bool is_new = now - entry.owned_since < kRateWindow;
+  if (is_new || !this->HearsMajority()) return this->ResponsiveShare();
+  // Silent daemons for which nothing is reserved may admit their even shares.
+  const auto reserved = static_cast<double>(std::count_if(
+      entry.requesters.begin(), entry.requesters.end(), [&](const auto& item) {
+        return now - item.second.last_request <= kReservationLimit &&
+               this->IsOverdue(item.first, now);
+      }));
+  const auto silent = static_cast<double>(this->fleet_size - this->responsive);
+  return 1 - std::max(silent - reserved, 0.0) / fleet;
+}
+
+double WorkspaceLimiter::TokensFor(const common::HostId& host,
+                                   const WorkspaceEntry& entry,
+                                   common::SteadyTime now) {
+  const auto is_due = [now](const Requester& requester) {
+    return requester.turn.has_value() && *requester.turn <= now &&
+           now - *requester.turn < kTurnGrace;
+  };
+  if (is_due(entry.requesters.at(host))) return entry.bucket.level;
+  const auto due =
+      std::count_if(entry.requesters.begin(), entry.requesters.end(),
+                    [&](const auto& item) { return is_due(item.second); });
+  return entry.bucket.level - static_cast<double>(due);
+}
+
+common::SteadyTime WorkspaceLimiter::TakeTurn(WorkspaceEntry* entry,
+                                              double rate,
+                                              common::SteadyTime now) {
+  if (rate <= 0) return now + kMaxTurn;
+  const auto to_duration = [](double seconds) {
+    return std::chrono::duration_cast<common::Duration>(
+        std::chrono::duration<double>(
+            std::min(seconds, kMaxRetryAfterSeconds)));
+  };
+  const common::SteadyTime first =
+      now + to_duration((1 - entry->bucket.level) / rate);
+  const common::SteadyTime turn = std::min<common::SteadyTime>(
+      std::max(entry->next_turn, first), now + kMaxTurn);
+  entry->next_turn = turn + to_duration(1 / rate);
+  return turn;
+}
+
+AdmissionReply WorkspaceLimiter::Admit(const AdmissionRequest& request,
+                                       common::SteadyTime now) {
+  const common::WorkspaceId& workspace = request.workspace;
+  AdmissionReply reply;
   WorkspaceEntry* entry = this->FindLimited(workspace);
-  if (entry == nullptr) return std::nullopt;
+  if (entry == nullptr) {
+    reply.admitted = request.operations;
+    return reply;
+  }
   if (!entry->owned) {
     this->SetOwned(workspace, true, now);
     entry->owned_by_request = true;
@@ -234,23 +299,28 @@
   if (entry->owned_by_request && now - entry->bucket.filled > kRateWindow) {
     this->StartAnew(entry, now);
   }
-  double rate = entry->limit.rate;
-  const bool is_new = now - entry->owned_since < kRateWindow;
-  if (is_new || !this->HearsMajority()) rate *= this->ResponsiveShare();
-  const double capacity = this->Capacity(*entry);
-  entry->bucket.Fill(rate, capacity, now);
-  Requester& known = entry->requesters[requester];
+  const double rate = entry->limit.rate * this->OwnedShare(*entry, now);
+  entry->bucket.Fill(rate, this->Capacity(*entry), now);
+  Requester& known = entry->requesters[request.requester];
   // What was reserved for the daemon is replaced by what it has used.
-  entry->bucket.level += known.reserved - admitted_alone;
+  entry->bucket.level += known.reserved - request.admitted_alone;
   known.reserved = 0;
   known.last_request = now;
-  HostActivity& activity = this->hosts[requester];
+  HostActivity& activity = this->hosts[request.requester];
   activity.asked.Count(now);
   activity.last_request = now;
   this->ReserveForSilentRequesters(entry, now);
-  const auto wait = entry->bucket.TryTake(rate, capacity, now);
-  if (!wait.has_value()) known.granted.Count(now);
-  return wait;
+  const double tokens = TokensFor(request.requester, *entry, now);
+  known.turn.reset();
+  reply.admitted = std::min(request.operations,
+                            static_cast<std::uint32_t>(std::max(tokens, 0.0)));
+  entry->bucket.level -= reply.admitted;
+  if (reply.admitted > 0) known.granted.Count(now, reply.admitted);
+  if (reply.admitted < request.operations) {
+    known.turn = TakeTurn(entry, rate, now);
+    reply.retry_after = *known.turn - now;
+  }
+  return reply;
 }
 
 std::optional<common::Duration> WorkspaceLimiter::AdmitLocally(
@@ -281,14 +351,15 @@
 }
 
 void WorkspaceLimiter::OnOwnerReplied(const common::WorkspaceId& workspace,
-                                      bool admitted, common::SteadyTime now) {
+                                      std::uint32_t admitted,
+                                      common::SteadyTime now) {
   WorkspaceEntry* entry = this->FindLimited(workspace);
   if (entry == nullptr) return;
   entry->owner_replied_at = now;
   // Time in which the owner answers must not fill the local bucket: its tokens
   // come on top of what the owner admits.
   entry->local_bucket = {std::min(entry->local_bucket.level, 1.0), now};
-  if (admitted) entry->usage.Count(now);
+  if (admitted > 0) entry->usage.Count(now, admitted);
 }
 
 }  // namespace camphorferry::session
--- a/Source/Core/Session/workspace_limiter.h
+++ b/Source/Core/Session/workspace_limiter.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <optional>
 
+#include "Session/admission.h"
 #include "Session/directory.h"
 
 namespace camphorferry::session {
@@ -18,15 +19,6 @@
   double operations = 0;
 };
 
-/// Result of checking an operation against the rate of its workspace.
-struct AdmissionDecision {
-  /// Time after which the operation may be tried again; none if it is admitted.
-  std::optional<common::Duration> retry_after;
-  /// The daemon that has decided, named "keeper" in logs; empty if this daemon
-  /// decided without an answer of the rate owner.
-  common::HostId rate_owner;
-};
-
 /// Enforces each workspace's rate over the whole fleet. One daemon, the rate
 /// owner ("keeper" in logs and metrics), has the workspace's token bucket and
 /// admits operations for all daemons. A daemon that cannot reach the rate owner
@@ -35,7 +27,10 @@
 /// as much off what it admits itself, from the daemon's last request on, and
 /// after that window the daemon's even share. An owner that hears less than
 /// half of the fleet admits only the part of the rate that it hears, since the
-/// other part of the fleet may have another owner.
+/// other part of the fleet may have another owner. A daemon that others take
+/// for the owner, and which is not as it sees the fleet, admits the even shares
+/// of those only. Daemons that are refused are told to return one after the
+/// other, as tokens become available.
 class WorkspaceLimiter {
  public:
   /// Sets the declared rates.
@@ -64,13 +59,9 @@
   /// Whether a workspace has a rate limit.
   bool HasLimit(const common::WorkspaceId& workspace) const;
 
-  /// As rate owner, admits one operation for a daemon, or returns the time
-  /// until the next one would be admitted. The requester also tells how many
-  /// operations it has admitted alone since its last request.
-  std::optional<common::Duration> Admit(const common::WorkspaceId& workspace,
-                                        const common::HostId& requester,
-                                        common::SteadyTime now,
-                                        std::uint32_t admitted_alone = 0);
+  /// As rate owner, admits as many of a daemon's operations as there are
+  /// tokens.
+  AdmissionReply Admit(const AdmissionRequest& request, common::SteadyTime now);
 
   /// Without an answer of the rate owner, admits one operation of this daemon's
   /// own clients, or returns the time until the next one would be admitted.
@@ -85,9 +76,10 @@
   void ReturnAdmittedAlone(const common::WorkspaceId& workspace,
                            std::uint32_t count);
 
-  /// The rate owner has answered this daemon.
-  void OnOwnerReplied(const common::WorkspaceId& workspace, bool admitted,
-                      common::SteadyTime now);
+  /// The rate owner has answered this daemon and has admitted a number of its
+  /// operations.
+  void OnOwnerReplied(const common::WorkspaceId& workspace,
+                      std::uint32_t admitted, common::SteadyTime now);
 
  private:
   /// Operations per second, averaged over about two measuring periods.
@@ -97,7 +89,7 @@
     double rate = 0;
     common::SteadyTime period_start;
 
-    void Count(common::SteadyTime now);
+    void Count(common::SteadyTime now, double added = 1);
   };
 
   /// What the rate owner records about one requesting daemon.
@@ -108,6 +100,8 @@
     /// since its last request, and until when.
     double reserved = 0;
     common::SteadyTime reserved_until;
+    /// When the daemon should return after a refusal.
+    std::optional<common::SteadyTime> turn;
   };
 
   /// Requests of one daemon for all workspaces that this daemon owns.
@@ -136,6 +130,8 @@
     bool owned_by_request = false;
     common::SteadyTime owned_since;
     TokenBucket bucket;
+    /// When the next daemon that is refused should return.
+    common::SteadyTime next_turn;
     std::map<common::HostId, Requester> requesters;
     TokenBucket local_bucket;
     /// Operations of this daemon's clients that the rate owner admitted.
@@ -157,6 +153,15 @@
   bool HearsMajority() const;
   double ResponsiveShare() const;
   double InitialTokens(const WorkspaceEntry& entry) const;
+  /// Fraction of the rate that this daemon may admit as owner.
+  double OwnedShare(const WorkspaceEntry& entry, common::SteadyTime now) const;
+  /// Tokens that a daemon may take: those of others whose turn has come are
+  /// kept for them for a short time.
+  static double TokensFor(const common::HostId& host,
+                          const WorkspaceEntry& entry, common::SteadyTime now);
+  /// The next time at which a daemon that is refused should return.
+  static common::SteadyTime TakeTurn(WorkspaceEntry* entry, double rate,
+                                     common::SteadyTime now);
   /// Leaves the owner's bucket no more tokens than a new owner has.
   void StartAnew(WorkspaceEntry* entry, common::SteadyTime now) const;
   /// Largest number of tokens that the owner's bucket may hold.
--- a/Source/UnitTests/Core/Session/workspace_limiter_test.cc
+++ b/Source/UnitTests/Core/Session/workspace_limiter_test.cc
@@ -59,8 +59,9 @@
   bool Admit(std::size_t index, bool cut_off, common::SteadyTime now) {
     WorkspaceLimiter& own = this->limiters[index];
     if (cut_off) return !own.AdmitLocally(kWorkspace, now).has_value();
-    const bool admitted =
-        !this->limiters.front().Admit(kWorkspace, Host(index), now).has_value();
+    const bool admitted = !this->limiters.front()
+                               .Admit({Host(index), kWorkspace}, now)
+                               .retry_after.has_value();
     own.OnOwnerReplied(kWorkspace, admitted, now);
     return admitted;
   }
@@ -156,7 +157,8 @@
     const common::SteadyTime now = kStart + milliseconds(ms);
     if (ms == 8000) next.SetOwned(kWorkspace, true, now);
     WorkspaceLimiter& owner = ms < 8000 ? former : next;
-    if (!owner.Admit(kWorkspace, Host(1), now).has_value()) window.Add(now);
+    if (!owner.Admit({Host(1), kWorkspace}, now).retry_after.has_value())
+      window.Add(now);
     ASSERT_LE(window.Count(now), AllowedInWindow(rate));
   }
 }
@@ -186,13 +188,72 @@
     if (ms == 12500) fleet.front().SetFleet(kFleet, kFleet);
     const bool isolated = ms >= 11000 && ms < 12500;
     for (std::size_t index = 0; index < (isolated ? kFleet : 1); ++index) {
-      const auto wait = fleet[index].Admit(kWorkspace, Host(index), now);
+      const auto wait =
+          fleet[index].Admit({Host(index), kWorkspace}, now).retry_after;
       if (!wait.has_value()) window.Add(now);
     }
     ASSERT_LE(window.Count(now), AllowedInWindow(rate));
   }
 }
 
+// Guards against a second owner that admits the whole rate beside the first,
+// because some daemons take the first one for silent.
+TEST_F(WorkspaceLimiterTest, OwnerByRequest_Overload_AdmitsSharesOfRequesters) {
+  const WorkspaceRate rate{200, 200};
+  constexpr std::size_t kFleet = 20;
+  WorkspaceLimiter second;
+  second.SetTolerance(kTolerance);
+  second.SetFleet(kFleet, kFleet);
+  second.SetRates({{kWorkspace, rate}}, kStart);
+  int admitted = 0;
+  for (int ms = 0; ms < 20000; ms += 5) {
+    const common::SteadyTime now = kStart + milliseconds(ms);
+    // Four of the twenty daemons have turned to it.
+    const auto index = static_cast<std::size_t>(ms / 5 % 4);
+    const auto reply = second.Admit({Host(index), kWorkspace}, now);
+    if (ms >= 10000) admitted += static_cast<int>(reply.admitted);
+  }
+  EXPECT_LE(admitted, 200 * 10 * 4 / 20 + 10);
+  EXPECT_GE(admitted, 200 * 10 * 4 / 20 - 20);
+}
+
+// Guards against an owner that admits the even shares of daemons that it has
+// never heard, which may admit them themselves.
+TEST_F(WorkspaceLimiterTest, SilentDaemons_NeverHeard_TheirSharesAreLeft) {
+  const WorkspaceRate rate{200, 200};
+  WorkspaceLimiter owner;
+  owner.SetTolerance(kTolerance);
+  owner.SetFleet(20, 14);
+  owner.SetRates({{kWorkspace, rate}}, kStart);
+  owner.SetOwned(kWorkspace, true, kStart);
+  int admitted = 0;
+  for (int ms = 0; ms < 20000; ms += 2) {
+    const common::SteadyTime now = kStart + milliseconds(ms);
+    const auto reply = owner.Admit({Host(1), kWorkspace}, now);
+    if (ms >= 10000) admitted += static_cast<int>(reply.admitted);
+  }
+  EXPECT_LE(admitted, 200 * 10 * 14 / 20 + 10);
+}
+
+// Guards against refused daemons that all return at the same moment.
+TEST_F(WorkspaceLimiterTest, NoTokens_DaemonsRefused_GetTurnsOneAfterAnother) {
+  WorkspaceLimiter owner;
+  owner.SetTolerance(kTolerance);
+  owner.SetFleet(8, 8);
+  owner.SetRates({{kWorkspace, {100, 1}}}, kStart);
+  owner.SetOwned(kWorkspace, true, kStart);
+  const common::SteadyTime now = kStart + seconds(6);
+  while (!owner.Admit({Host(0), kWorkspace}, now).retry_after.has_value()) {
+  }
+  common::Duration former = common::Duration::zero();
+  for (std::size_t index = 1; index < 8; ++index) {
+    const auto turn = owner.Admit({Host(index), kWorkspace}, now).retry_after;
+    ASSERT_TRUE(turn.has_value());
+    EXPECT_GE(*turn - former, milliseconds(9));
+    former = *turn;
+  }
+}
+
 // Guards against daemons that are restarted together and admit operations
 // before they know of each other.
 TEST_F(WorkspaceLimiterTest, JustStarted_Overload_GetsASmallFraction) {
@@ -213,7 +274,8 @@
   WorkspaceLimiter limiter;
   EXPECT_FALSE(limiter.HasLimit(kWorkspace));
   for (int count = 0; count < 100; ++count) {
-    EXPECT_FALSE(limiter.Admit(kWorkspace, Host(1), kStart).has_value());
+    EXPECT_FALSE(
+        limiter.Admit({Host(1), kWorkspace}, kStart).retry_after.has_value());
     EXPECT_FALSE(limiter.AdmitLocally(kWorkspace, kStart).has_value());
   }
 }
