Session: Bound what clients keep in memory, and the number of sessions

Cause: each connection could hold 1 MiB of input and more of output, and nothing bounded the sum, the number of sessions, or the time of a message or of a response. A client's message above 8 KiB, and an endpoint's response, now waits unread until there is room for it; sessions that keep most are closed when all keep more than a part of the memory; connections without a first message, half messages and unread responses have time limits; a new connection replaces a silent one or an idle session. Output is queued in pieces of 16 KiB, since libevent kept 91 MB for 11 MB unsent in large ones. Large statements are not forwarded.

Ruled out: closing at a bound on the sum of input (everything arrives before anyone is closed), and malloc's thresholds (84 MB with mmap for large blocks).

--- a/Source/Core/Session/channel_state.cc
+++ b/Source/Core/Session/channel_state.cc
@@ -67,6 +67,17 @@
   return this->prepared.at(shape);
 }
 
+std::size_t ChannelState::Bytes() const {
+  std::size_t bytes = 0;
+  for (const auto& [name, value] : this->applied_values) {
+    bytes += name.size() + value.size();
+  }
+  for (const auto& [shape, name] : this->prepared) {
+    bytes += shape.shape.size() + name.size();
+  }
+  return bytes;
+}
+
 bool ChannelState::NeedsReset(const SessionValues& values) const {
   for (const auto& [name, value] : this->applied_values) {
     if (!values.contains(name)) return true;
--- a/Source/Core/Session/channel_state.h
+++ b/Source/Core/Session/channel_state.h
@@ -64,6 +64,9 @@
   /// been prepared.
   const std::string& PreparedName(const PreparedShape& shape) const;
 
+  /// Bytes of all values and prepared statements.
+  std::size_t Bytes() const;
+
  private:
   bool NeedsReset(const SessionValues& values) const;
 
--- a/Source/Core/Session/client_session.cc
+++ b/Source/Core/Session/client_session.cc
@@ -1,5 +1,6 @@
 #include "Session/client_session.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace camphorferry::session {
@@ -32,7 +33,8 @@
     : loop(loop),
       codec(codec),
       delegate(delegate),
-      stream(std::make_shared<MessageStream>(loop, socket)) {}
+      stream(std::make_shared<MessageStream>(loop, socket)),
+      accepted(common::SteadyNow()) {}
 
 ClientSession::~ClientSession() { this->stream->Close(); }
 
@@ -45,11 +47,75 @@
     this->ReplyError(StatementError::kTooLarge, "message above 1 MiB");
     this->End();
   };
+  events.needs_room = [this] { this->RequestRoom(); };
+  this->stream->SetMeter(this->delegate->Meter());
   this->stream->Start(std::move(events));
 }
 
+void ClientSession::RequestRoom() {
+  this->room_requested = true;
+  this->delegate->LargeMessages()->Request(
+      this, [this] { this->stream->SetLargeMessages(true); });
+}
+
+void ClientSession::ReleaseRoomIfDone() {
+  if (!this->room_requested) return;
+  const bool in_progress = !this->large_delivered || this->run != nullptr ||
+                           this->awaiting_admission;
+  if (in_progress && !this->ended) return;
+  this->room_requested = false;
+  this->large_delivered = false;
+  this->stream->SetLargeMessages(false);
+  this->delegate->LargeMessages()->Release(this);
+}
+
+SessionTimes ClientSession::Times() const {
+  SessionTimes times;
+  if (!this->opened && this->open_timer == nullptr) {
+    times.unopened_since = this->accepted;
+  }
+  times.incomplete_since = this->stream->IncompleteSince();
+  times.unread_since = this->stream->UnreadSince();
+  return times;
+}
+
+SessionUsage ClientSession::Usage() const {
+  SessionUsage usage;
+  usage.opened = this->opened;
+  usage.idle = this->run == nullptr && !this->awaiting_admission &&
+               this->state.Phase() == TransactionPhase::kIdle;
+  usage.workspace = this->workspace;
+  usage.last_message = std::max(this->accepted, this->current_received);
+  usage.buffered_bytes = this->stream->BufferedBytes() + this->state.Bytes();
+  return usage;
+}
+
+void ClientSession::Abort(LimitCause cause) {
+  common::Log(Subsystem::kRequest, LogLevel::kInfo, "session_closed",
+              {{"limit", ToString(cause)},
+               {"workspace", this->workspace},
+               {"request", this->current_request},
+               {"buffered_bytes",
+                this->stream->BufferedBytes() + this->state.Bytes()}});
+  // Nothing that is queued is sent any more.
+  this->stream->Close();
+  this->End();
+}
+
+void ClientSession::MeterState(std::size_t former_bytes) {
+  BufferMeter& meter = *this->delegate->Meter();
+  meter.bytes = meter.bytes - former_bytes + this->state.Bytes();
+  this->delegate->CheckMeter();
+}
+
+void ClientSession::Send(std::string_view bytes) {
+  this->stream->Send(bytes);
+  this->delegate->CheckMeter();
+}
+
 void ClientSession::OnMessage(std::string_view line) {
   const auto keep = this->shared_from_this();
+  this->large_delivered = true;
   const ClientMessage message = this->codec->DecodeClient(line);
   if (const auto* open = std::get_if<OpenSession>(&message)) {
     if (this->opened) {
@@ -67,8 +133,8 @@
   const auto* statement = std::get_if<Statement>(&message);
   if (statement == nullptr || !this->opened) {
     if (!this->opened) {
-      this->stream->Send(this->codec->EncodeError(StatementError::kMalformed,
-                                                  "expected a start"));
+      this->Send(this->codec->EncodeError(StatementError::kMalformed,
+                                          "expected a start"));
       this->End();
       return;
     }
@@ -78,6 +144,7 @@
   this->current_request = statement->request_id;
   this->current_received = common::SteadyNow();
   this->Handle(*statement);
+  this->ReleaseRoomIfDone();
 }
 
 void ClientSession::Open(const OpenSession& open) {
@@ -112,8 +179,7 @@
     return;
   }
   this->opened = true;
-  this->stream->Send(
-      this->codec->EncodeReady(TransactionPhase::kIdle, std::nullopt));
+  this->Send(this->codec->EncodeReady(TransactionPhase::kIdle, std::nullopt));
   this->stream->SetPaused(false);
 }
 
@@ -162,17 +228,19 @@
 }
 
 void ClientSession::HandleSetting(const Statement& statement) {
-  bool accepted = true;
+  bool stored = true;
+  const std::size_t former_bytes = this->state.Bytes();
   if (statement.kind == StatementKind::kSetValue) {
-    accepted = this->state.SetValue(statement.name, statement.argument);
+    stored = this->state.SetValue(statement.name, statement.argument);
   } else if (statement.kind == StatementKind::kPrepare) {
-    accepted = this->state.Prepare(statement.name, statement.prepared);
+    stored = this->state.Prepare(statement.name, statement.prepared);
   } else if (!this->state.Deallocate(statement.name)) {
     this->ReplyError(StatementError::kNoSuchStatement, statement.name);
     return;
   }
-  if (!accepted) {
-    this->ReplyError(StatementError::kTooLarge, "too many names");
+  this->MeterState(former_bytes);
+  if (!stored) {
+    this->ReplyError(StatementError::kTooLarge, "too many or too large names");
     return;
   }
   this->ReplyDone();
@@ -212,6 +280,7 @@
   this->stream->SetPaused(false);
   if (!decision.retry_after.has_value()) {
     proceed();
+    this->ReleaseRoomIfDone();
     return;
   }
   const auto wait_ms = common::ToMilliseconds(*decision.retry_after).count();
@@ -222,6 +291,7 @@
                {"retry_after_ms", wait_ms}});
   this->ReplyError(StatementError::kBusy, "rate exceeded; retry after " +
                                               std::to_string(wait_ms) + " ms");
+  this->ReleaseRoomIfDone();
 }
 
 void ClientSession::HandleBegin(const Statement& statement) {
@@ -387,7 +457,8 @@
   if (const DatabaseRoute* route = this->Route()) {
     this->delegate->CountAnswer(*route, code, age);
   }
-  this->stream->Send(reply);
+  this->Send(reply);
+  this->ReleaseRoomIfDone();
   this->stream->SetPaused(false);
   this->CloseIfStopping();
 }
@@ -399,9 +470,8 @@
 }
 
 void ClientSession::ReplyDone() {
-  this->stream->Send(
-      this->codec->EncodeComplete("") +
-      this->codec->EncodeReady(this->state.Phase(), std::nullopt));
+  this->Send(this->codec->EncodeComplete("") +
+             this->codec->EncodeReady(this->state.Phase(), std::nullopt));
   this->CloseIfStopping();
 }
 
@@ -409,9 +479,8 @@
   if (const DatabaseRoute* route = this->Route()) {
     this->delegate->CountAnswer(*route, code, common::Duration::zero());
   }
-  this->stream->Send(
-      this->codec->EncodeError(code, text) +
-      this->codec->EncodeReady(this->state.Phase(), std::nullopt));
+  this->Send(this->codec->EncodeError(code, text) +
+             this->codec->EncodeReady(this->state.Phase(), std::nullopt));
   this->CloseIfStopping();
 }
 
@@ -419,7 +488,7 @@
                                   const std::string& text) {
   common::Log(Subsystem::kRequest, LogLevel::kInfo, "session_refused",
               {{"code", ToString(code)}, {"reason", text}});
-  this->stream->Send(this->codec->EncodeError(code, text));
+  this->Send(this->codec->EncodeError(code, text));
   this->End();
 }
 
@@ -465,11 +534,13 @@
 void ClientSession::End() {
   if (this->ended) return;
   this->ended = true;
+  this->delegate->Meter()->bytes -= this->state.Bytes();
   if (this->run != nullptr) {
     this->run->Cancel();
     this->run.reset();
   }
   this->RollBackTransaction();
+  this->ReleaseRoomIfDone();
   // The process must not exit before the last answer is sent.
   this->stream->CloseWhenSent([weak = this->weak_from_this()] {
     const auto session = weak.lock();
--- a/Source/Core/Session/client_session.h
+++ b/Source/Core/Session/client_session.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 
+#include "Session/client_limits.h"
 #include "Session/directory.h"
 #include "Session/message_stream.h"
 #include "Session/service_group.h"
@@ -42,6 +43,15 @@
                            std::optional<StatementError> code,
                            common::Duration age) = 0;
 
+  /// The meter of what all sessions keep.
+  virtual std::shared_ptr<BufferMeter> Meter() = 0;
+
+  /// Room for large messages of clients.
+  virtual LargeMessageQueue* LargeMessages() = 0;
+
+  /// The meter may have risen above the limit.
+  virtual void CheckMeter() = 0;
+
   /// Whether sessions have to be closed as soon as they are idle.
   virtual bool ClosesSessions() const = 0;
 
@@ -77,6 +87,14 @@
   /// Rolls back an open transaction so that the session can be closed.
   void AbortTransaction(const char* reason);
 
+  /// What the limits of clients apply to.
+  SessionTimes Times() const;
+  SessionUsage Usage() const;
+
+  /// Closes the session at once, whatever is in progress, because it exceeds a
+  /// limit.
+  void Abort(LimitCause cause);
+
  private:
   void OnMessage(std::string_view line);
   void Open(const OpenSession& open);
@@ -100,6 +118,15 @@
   /// unknown and the route requires one.
   bool ResolveWorkspace(const DatabaseRoute& route);
 
+  /// Sends bytes to the client.
+  void Send(std::string_view bytes);
+  /// A message is larger than a small one.
+  void RequestRoom();
+  /// Ends the use of room for a large message once nothing of it is in
+  /// progress.
+  void ReleaseRoomIfDone();
+  /// The size of the session's state has changed.
+  void MeterState(std::size_t former_bytes);
   void ReplyDone();
   void ReplyError(StatementError code, const std::string& text);
   void RejectSession(StatementError code, const std::string& text);
@@ -126,6 +153,11 @@
   TransactionChannel pinned_channel;
   std::string current_request;
   common::SteadyTime current_received;
+  common::SteadyTime accepted;
+  /// A message that is larger than a small one has been received or waits for
+  /// room.
+  bool room_requested = false;
+  bool large_delivered = false;
 };
 
 }  // namespace camphorferry::session
--- a/Source/Core/Session/endpoint_channel.cc
+++ b/Source/Core/Session/endpoint_channel.cc
@@ -6,13 +6,30 @@
 
 EndpointChannel::EndpointChannel(connection::EventLoop* loop,
                                  const WireCodec* codec,
-                                 const GroupMember& member, std::string caller)
+                                 const GroupMember& member, std::string caller,
+                                 std::shared_ptr<LargeMessageQueue> queue)
     : loop(loop),
       codec(codec),
       address(member.address),
       service(member.service),
       endpoint(member.id),
-      caller(std::move(caller)) {}
+      caller(std::move(caller)),
+      large_responses(std::move(queue)) {}
+
+EndpointChannel::~EndpointChannel() { this->ReleaseRoom(); }
+
+void EndpointChannel::RequestRoom() {
+  this->room_requested = true;
+  this->large_responses->Request(this, [this] {
+    if (this->stream != nullptr) this->stream->SetLargeMessages(true);
+  });
+}
+
+void EndpointChannel::ReleaseRoom() {
+  if (!std::exchange(this->room_requested, false)) return;
+  if (this->stream != nullptr) this->stream->SetLargeMessages(false);
+  this->large_responses->Release(this);
+}
 
 void EndpointChannel::Open(common::Duration timeout,
                            std::function<void(OpenResult)> done) {
@@ -22,6 +39,9 @@
   events.message = [this](std::string_view line) { this->OnMessage(line); };
   events.closed = [this] { this->OnClosed(); };
   events.oversized = [this] { this->OnClosed(); };
+  if (this->large_responses != nullptr) {
+    events.needs_room = [this] { this->RequestRoom(); };
+  }
   this->stream->Start(std::move(events));
   this->Send(
       this->codec->EncodeOpen(this->service, this->caller, this->endpoint),
@@ -66,6 +86,7 @@
 
 void EndpointChannel::Close() {
   this->ready = false;
+  this->ReleaseRoom();
   if (this->stream == nullptr) return;
   this->stream->Close();
   // This may have been called from a callback of the stream, so the stream is
@@ -123,6 +144,7 @@
   this->timer.reset();
   const auto done = std::exchange(this->pending, nullptr);
   if (done) done(std::move(result));
+  this->ReleaseRoom();
 }
 
 }  // namespace camphorferry::session
--- a/Source/Core/Session/endpoint_channel.h
+++ b/Source/Core/Session/endpoint_channel.h
@@ -10,6 +10,7 @@
 #include "Connection/connection.h"
 #include "Session/channel_state.h"
 #include "Session/directory.h"
+#include "Session/large_message_queue.h"
 #include "Session/message_stream.h"
 #include "Session/wire_codec.h"
 
@@ -30,8 +31,11 @@
 /// by a shared pointer.
 class EndpointChannel : public std::enable_shared_from_this<EndpointChannel> {
  public:
+  /// Large responses wait for room in the queue, if one is given.
   EndpointChannel(connection::EventLoop* loop, const WireCodec* codec,
-                  const GroupMember& member, std::string caller);
+                  const GroupMember& member, std::string caller,
+                  std::shared_ptr<LargeMessageQueue> large_responses = nullptr);
+  ~EndpointChannel();
   EndpointChannel(const EndpointChannel&) = delete;
   EndpointChannel& operator=(const EndpointChannel&) = delete;
 
@@ -72,6 +76,9 @@
   void OnMessage(std::string_view line);
   void OnClosed();
   void Finish(ChannelResult result);
+  /// Reads the rest of a large response once there is room for it.
+  void RequestRoom();
+  void ReleaseRoom();
 
   connection::EventLoop* loop;
   const WireCodec* codec;
@@ -79,12 +86,14 @@
   common::ServiceId service;
   common::EndpointId endpoint;
   std::string caller;
+  std::shared_ptr<LargeMessageQueue> large_responses;
   std::shared_ptr<MessageStream> stream;
   std::unique_ptr<connection::Timer> timer;
   std::function<void(ChannelResult)> pending;
   std::function<void()> idle_close;
   EndpointAnswer answer;
   ChannelState state;
+  bool room_requested = false;
   bool connected = false;
   bool ready = false;
 };
--- a/Source/Core/Session/endpoint_pool.cc
+++ b/Source/Core/Session/endpoint_pool.cc
@@ -29,6 +29,10 @@
 /// them to others.
 constexpr std::size_t kBorrowedDivisor = 8;
 
+/// A channel on which a client has left more values and prepared statements, in
+/// bytes, is not kept open.
+constexpr std::size_t kMaxIdleStateBytes = 64 * 1024;
+
 /// Removes a channel from a list and returns it; null if it is not in the list.
 std::shared_ptr<EndpointChannel> RemoveFrom(
     std::vector<std::shared_ptr<EndpointChannel>>* list,
@@ -61,12 +65,14 @@
 
 EndpointPool::EndpointPool(connection::EventLoop* loop, const WireCodec* codec,
                            GroupMember member, std::string own_caller,
-                           PoolObservers observers)
+                           PoolObservers observers,
+                           std::shared_ptr<LargeMessageQueue> large_responses)
     : loop(loop),
       codec(codec),
       member(std::move(member)),
       own_caller(std::move(own_caller)),
-      observers(std::move(observers)) {}
+      observers(std::move(observers)),
+      large_responses(std::move(large_responses)) {}
 
 EndpointPool::~EndpointPool() {
   *this->alive = false;
@@ -103,7 +109,8 @@
     channel->Close();
     return;
   }
-  if (channel->Usable() && !channel->Busy()) {
+  const bool keeps_little = channel->State().Bytes() <= kMaxIdleStateBytes;
+  if (channel->Usable() && !channel->Busy() && keeps_little) {
     this->AddIdle(channel);
   } else {
     channel->Close();
@@ -260,7 +267,7 @@
   waiter->opening = true;
   auto channel = std::make_shared<EndpointChannel>(
       this->loop, this->codec, this->member,
-      waiter->request.caller.value_or(this->own_caller));
+      waiter->request.caller.value_or(this->own_caller), this->large_responses);
   channel->owner = this->weak_from_this();
   this->opening.push_back(channel);
   channel->Open(kOpenTimeout,
--- a/Source/Core/Session/endpoint_pool.h
+++ b/Source/Core/Session/endpoint_pool.h
@@ -73,7 +73,8 @@
  public:
   EndpointPool(connection::EventLoop* loop, const WireCodec* codec,
                GroupMember member, std::string own_caller,
-               PoolObservers observers);
+               PoolObservers observers,
+               std::shared_ptr<LargeMessageQueue> large_responses = nullptr);
   ~EndpointPool();
   EndpointPool(const EndpointPool&) = delete;
   EndpointPool& operator=(const EndpointPool&) = delete;
@@ -153,6 +154,7 @@
   GroupMember member;
   std::string own_caller;
   PoolObservers observers;
+  std::shared_ptr<LargeMessageQueue> large_responses;
   ChannelLimits limits;
   std::size_t leased = 0;
   /// Channels that are being opened, and channels whose last command is in
--- a/Source/Core/Session/group_context.h
+++ b/Source/Core/Session/group_context.h
@@ -3,9 +3,11 @@
 
 #include <functional>
 #include <map>
+#include <memory>
 
 #include "Connection/connection.h"
 #include "Session/directory.h"
+#include "Session/large_message_queue.h"
 #include "Session/member_command.h"
 #include "Session/promotion_lease.h"
 #include "Session/proxy_metrics.h"
@@ -43,6 +45,8 @@
   std::function<void(const CommandRelay&, RelayCallback)> relay_command;
   StatementForwarding forwarding;
   ProxyMetrics* metrics = nullptr;
+  /// Room for large responses of endpoints; unlimited if there is none.
+  std::shared_ptr<LargeMessageQueue> large_responses;
   HostLocation location;
 };
 
--- a/Source/Core/Session/message_stream.cc
+++ b/Source/Core/Session/message_stream.cc
@@ -18,6 +18,12 @@
 /// How long a closing stream waits for the peer to read its last bytes. A peer
 /// that does not read must not occupy memory for longer.
 constexpr std::chrono::milliseconds kCloseTimeout(1000);
+/// Output is queued in pieces of this size, in bytes. Libevent frees a piece
+/// only after all of it is sent.
+constexpr std::size_t kOutputPieceBytes = 16 * 1024;
+/// One byte above the limit lets an oversized message be detected.
+constexpr std::size_t kTerminatorBytes = 2;
+constexpr std::size_t kMaxInputBytes = kMaxMessageBytes + kTerminatorBytes + 1;
 
 }  // namespace
 
@@ -55,16 +61,63 @@
   if (this->handle == nullptr) return;
   this->events = std::make_shared<StreamEvents>(std::move(stream_events));
   bufferevent_setcb(this->handle, OnReadable, OnWritten, OnEvent, this);
-  // One byte above the limit lets Deliver detect an oversized message.
-  constexpr std::size_t kTerminatorBytes = 2;
-  bufferevent_setwatermark(this->handle, EV_READ, 0,
-                           kMaxMessageBytes + kTerminatorBytes + 1);
+  this->SetLargeMessages(!this->events->needs_room);
+  if (this->meter != nullptr) {
+    for (evbuffer* buffer : {bufferevent_get_input(this->handle),
+                             bufferevent_get_output(this->handle)}) {
+      this->meter->bytes += evbuffer_get_length(buffer);
+      evbuffer_add_cb(buffer, OnBufferChanged, this->meter.get());
+    }
+  }
   bufferevent_enable(this->handle, EV_READ | EV_WRITE);
 }
 
+void MessageStream::SetMeter(std::shared_ptr<BufferMeter> shared) {
+  this->meter = std::move(shared);
+}
+
+void MessageStream::OnBufferChanged(evbuffer* /*buffer*/,
+                                    const evbuffer_cb_info* info,
+                                    void* context) {
+  auto* shared = static_cast<BufferMeter*>(context);
+  shared->bytes += info->n_added;
+  shared->bytes -= info->n_deleted;
+}
+
+std::size_t MessageStream::ReceivedBytes() const {
+  return this->handle == nullptr
+             ? 0
+             : evbuffer_get_length(bufferevent_get_input(this->handle));
+}
+
+std::size_t MessageStream::BufferedBytes() const {
+  if (this->handle == nullptr) return 0;
+  return this->ReceivedBytes() +
+         evbuffer_get_length(bufferevent_get_output(this->handle));
+}
+
+void MessageStream::SetLargeMessages(bool allowed) {
+  if (this->handle == nullptr) return;
+  this->large_messages = allowed;
+  this->room_requested = false;
+  this->incomplete_since.reset();
+  if (allowed && this->ReceivedBytes() > 0) {
+    this->incomplete_since = common::SteadyNow();
+  }
+  bufferevent_setwatermark(this->handle, EV_READ, 0,
+                           allowed ? kMaxInputBytes : kSmallMessageBytes);
+}
+
 void MessageStream::Send(std::string_view bytes) {
   if (this->handle == nullptr || this->closing) return;
-  bufferevent_write(this->handle, bytes.data(), bytes.size());
+  if (!this->unread_since.has_value()) {
+    this->unread_since = common::SteadyNow();
+  }
+  while (!bytes.empty()) {
+    const std::string_view piece = bytes.substr(0, kOutputPieceBytes);
+    bufferevent_write(this->handle, piece.data(), piece.size());
+    bytes.remove_prefix(piece.size());
+  }
 }
 
 void MessageStream::SetPaused(bool now_paused) {
@@ -79,6 +132,13 @@
 
 void MessageStream::Close() {
   if (this->handle == nullptr) return;
+  if (this->meter != nullptr && this->events != nullptr) {
+    this->meter->bytes -= this->BufferedBytes();
+    for (evbuffer* buffer : {bufferevent_get_input(this->handle),
+                             bufferevent_get_output(this->handle)}) {
+      evbuffer_remove_cb(buffer, OnBufferChanged, this->meter.get());
+    }
+  }
   bufferevent_free(std::exchange(this->handle, nullptr));
   this->events.reset();
   this->close_timer.reset();
@@ -133,12 +193,13 @@
         evbuffer_readln(input, &length, EVBUFFER_EOL_CRLF_STRICT), &free);
     const auto current = this->events;
     if (line == nullptr) {
-      if (evbuffer_get_length(input) > kMaxMessageBytes) {
+      if (this->CheckIncomplete(evbuffer_get_length(input))) {
         this->paused = true;
         current->oversized();
       }
       break;
     }
+    this->incomplete_since.reset();
     current->message(std::string_view(line.get(), length));
   }
   this->delivering = false;
@@ -149,12 +210,30 @@
   }
 }
 
+bool MessageStream::CheckIncomplete(std::size_t received) {
+  if (received > kMaxMessageBytes) return true;
+  if (received == 0) return false;
+  if (!this->incomplete_since.has_value()) {
+    this->incomplete_since = common::SteadyNow();
+  }
+  if (received >= kSmallMessageBytes && !this->large_messages &&
+      !this->room_requested) {
+    this->room_requested = true;
+    const auto current = this->events;
+    current->needs_room();
+  }
+  // While it waits for room, the peer is not to blame for the rest.
+  if (this->room_requested) this->incomplete_since.reset();
+  return false;
+}
+
 void MessageStream::OnReadable(bufferevent* /*handle*/, void* context) {
   static_cast<MessageStream*>(context)->Deliver();
 }
 
 void MessageStream::OnWritten(bufferevent* /*handle*/, void* context) {
   auto* stream = static_cast<MessageStream*>(context);
+  stream->unread_since.reset();
   if (stream->closing) {
     stream->FinishClose();
   } else if (std::exchange(stream->waits_for_peer, false)) {
--- a/Source/Core/Session/message_stream.h
+++ b/Source/Core/Session/message_stream.h
@@ -4,11 +4,14 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string_view>
 
 #include "Connection/connection.h"
 
 struct bufferevent;
+struct evbuffer;
+struct evbuffer_cb_info;
 
 namespace camphorferry::session {
 
@@ -16,6 +19,15 @@
 /// terminator, as given by the protocol between clients, daemon and endpoints.
 inline constexpr std::size_t kMaxMessageBytes = 1024 * 1024;
 
+/// Messages up to this size, in bytes, are received without asking for room.
+/// Above the size of usual statements and rows.
+inline constexpr std::size_t kSmallMessageBytes = 8 * 1024;
+
+/// Bytes that several streams keep together.
+struct BufferMeter {
+  std::size_t bytes = 0;
+};
+
 /// Events that a stream reports to its owner.
 struct StreamEvents {
   /// An outgoing connection is established.
@@ -27,6 +39,9 @@
   std::function<void()> closed = [] {};
   /// A message exceeds the size limit. The stream delivers nothing more.
   std::function<void()> oversized = [] {};
+  /// A message is larger than a small one. The stream reads no more of it until
+  /// SetLargeMessages; if this is unset, it needs no permission.
+  std::function<void()> needs_room;
 };
 
 /// TCP connection that carries messages of one line each. Must be owned by a
@@ -51,6 +66,30 @@
   /// Stops or resumes the delivery of messages.
   void SetPaused(bool paused);
 
+  /// Whether messages that are larger than a small one are received.
+  void SetLargeMessages(bool allowed);
+
+  /// Adds what this stream keeps to a meter, from Start on.
+  void SetMeter(std::shared_ptr<BufferMeter> shared);
+
+  /// Bytes that are received and not delivered, or queued and not sent.
+  std::size_t BufferedBytes() const;
+
+  /// Bytes that are received and not delivered.
+  std::size_t ReceivedBytes() const;
+
+  /// When the message began of which a part is received; none if there is no
+  /// such message, or if its rest is not being read.
+  const std::optional<common::SteadyTime>& IncompleteSince() const {
+    return this->incomplete_since;
+  }
+
+  /// Since when bytes have been queued that the peer has not read; none if
+  /// there are none.
+  const std::optional<common::SteadyTime>& UnreadSince() const {
+    return this->unread_since;
+  }
+
   /// Closes the connection immediately. No event follows.
   void Close();
 
@@ -63,8 +102,13 @@
   static void OnReadable(bufferevent* handle, void* context);
   static void OnWritten(bufferevent* handle, void* context);
   static void OnEvent(bufferevent* handle, short what, void* context);
+  static void OnBufferChanged(evbuffer* buffer, const evbuffer_cb_info* info,
+                              void* context);
   void Configure();
   void Deliver();
+  /// Handles the part of a message that is received; returns whether the size
+  /// limit is exceeded.
+  bool CheckIncomplete(std::size_t received);
   /// Whether the peer has left so much unread that its next message has to
   /// wait.
   bool MustWaitForPeer();
@@ -78,6 +122,11 @@
   bool closing = false;
   bool peer_closed = false;
   bool waits_for_peer = false;
+  bool large_messages = true;
+  bool room_requested = false;
+  std::shared_ptr<BufferMeter> meter;
+  std::optional<common::SteadyTime> incomplete_since;
+  std::optional<common::SteadyTime> unread_since;
   /// Keeps the stream alive until its last bytes are sent.
   std::shared_ptr<MessageStream> self;
   std::function<void()> when_sent;
--- a/Source/Core/Session/proxy.cc
+++ b/Source/Core/Session/proxy.cc
@@ -1,7 +1,9 @@
 #include "Session/proxy.h"
 
 #include <event2/listener.h>
+#include <event2/util.h>
 #include <netinet/in.h>
+#include <sys/socket.h>
 
 #include <algorithm>
 #include <utility>
@@ -39,6 +41,17 @@
 /// The process ends this long before the platform would kill it.
 constexpr std::chrono::milliseconds kStopReserve(600);
 
+/// Interval at which sessions are checked for their time limits, which are 10 s
+/// and more.
+constexpr std::chrono::milliseconds kTimesCheckInterval(1000);
+/// Pause before connections are accepted again after a failure.
+constexpr std::chrono::milliseconds kAcceptPause(100);
+/// Buffers of the kernel for each client, in bytes. By default they grow to
+/// megabytes, which are memory of the host. A message of 1 MiB still passes in
+/// less than a second, as clients are a few milliseconds away.
+constexpr int kClientReceiveBuffer = 16 * 1024;
+constexpr int kClientSendBuffer = 32 * 1024;
+
 /// Length of the watches of members. A database serves for longer than this
 /// after it has announced that it leaves.
 constexpr std::chrono::milliseconds kMemberWatchLength(6000);
@@ -53,6 +66,10 @@
       settings(std::move(settings)),
       promotion_lease(platform, this->settings.location.host),
       admission(&this->limiter, &this->metrics),
+      limits(ChooseClientLimits(this->settings.resources)),
+      large_messages(this->limits.large_messages),
+      large_responses(
+          std::make_shared<LargeMessageQueue>(this->limits.large_responses)),
       forwarded(loop, codec, [this](const common::ServiceId& service) {
         return this->GroupOf(service);
       }) {
@@ -194,6 +211,79 @@
   if (this->listener == nullptr) {
     throw connection::ListenError(this->settings.clients);
   }
+  evconnlistener_set_error_cb(this->listener, OnAcceptError);
+  // Accepted connections have the buffer sizes of the listening socket.
+  const int socket = evconnlistener_get_fd(this->listener);
+  setsockopt(socket, SOL_SOCKET, SO_RCVBUF, &kClientReceiveBuffer,
+             sizeof(kClientReceiveBuffer));
+  setsockopt(socket, SOL_SOCKET, SO_SNDBUF, &kClientSendBuffer,
+             sizeof(kClientSendBuffer));
+}
+
+void Proxy::OnAcceptError(evconnlistener* listener, void* context) {
+  auto* proxy = static_cast<Proxy*>(context);
+  evconnlistener_disable(listener);
+  proxy->CountLimit(LimitCause::kSessions);
+  proxy->accept_timer = proxy->loop->After(kAcceptPause, [proxy] {
+    if (proxy->listener != nullptr) evconnlistener_enable(proxy->listener);
+  });
+}
+
+bool Proxy::MakeRoomForSession() {
+  if (this->sessions.size() < this->limits.max_sessions) return true;
+  std::vector<ClientSession*> open;
+  std::vector<SessionUsage> usages;
+  for (const auto& [raw, session] : this->sessions) {
+    open.push_back(raw);
+    usages.push_back(session->Usage());
+  }
+  const std::optional<std::size_t> replaced = ChooseSessionToReplace(usages);
+  if (!replaced.has_value()) return false;
+  this->CloseForLimit(open[*replaced], LimitCause::kSessions);
+  return true;
+}
+
+void Proxy::CloseForLimit(ClientSession* session, LimitCause cause) {
+  this->CountLimit(cause);
+  const auto keep = this->sessions.at(session);
+  keep->Abort(cause);
+}
+
+void Proxy::CountLimit(LimitCause cause) {
+  this->metrics.Count("client_limits",
+                      "Sessions that were closed or refused for a limit.",
+                      "limit", ToString(cause));
+}
+
+void Proxy::CheckMeter() {
+  if (this->meter->bytes <= this->limits.max_buffered_bytes) return;
+  if (std::exchange(this->closes_largest, true)) return;
+  // The caller may be a session that is to be closed.
+  this->loop->Post([this] { this->CloseLargestSessions(); });
+}
+
+void Proxy::CloseLargestSessions() {
+  this->closes_largest = false;
+  std::vector<ClientSession*> open;
+  std::vector<SessionUsage> usages;
+  for (const auto& [raw, session] : this->sessions) {
+    open.push_back(raw);
+    usages.push_back(session->Usage());
+  }
+  for (const std::size_t index :
+       ChooseSessionsToClose(usages, this->limits.max_buffered_bytes)) {
+    this->CloseForLimit(open[index], LimitCause::kMemory);
+  }
+}
+
+void Proxy::CheckSessionTimes(common::SteadyTime now) {
+  if (now < this->next_times_check) return;
+  this->next_times_check = now + kTimesCheckInterval;
+  const auto open = this->sessions;
+  for (const auto& [raw, session] : open) {
+    const auto cause = CheckTimes(this->limits, session->Times(), now);
+    if (cause.has_value()) this->CloseForLimit(raw, *cause);
+  }
 }
 
 std::uint16_t Proxy::ClientPort() const {
@@ -203,6 +293,14 @@
 void Proxy::OnAccept(evconnlistener* /*listener*/, int socket,
                      sockaddr* /*address*/, int /*length*/, void* context) {
   auto* proxy = static_cast<Proxy*>(context);
+  if (!proxy->MakeRoomForSession()) {
+    proxy->CountLimit(LimitCause::kSessions);
+    const std::string refusal = proxy->codec->EncodeError(
+        StatementError::kTooManyConnections, "too many sessions");
+    send(socket, refusal.data(), refusal.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+    evutil_closesocket(socket);
+    return;
+  }
   auto session =
       std::make_shared<ClientSession>(proxy->loop, proxy->codec, proxy, socket);
   proxy->sessions[session.get()] = session;
@@ -212,6 +310,12 @@
 void Proxy::UpdateGauges() {
   this->metrics.SetGauge("sessions", "Open client sessions.",
                          static_cast<std::int64_t>(this->sessions.size()));
+  this->metrics.SetGauge("client_buffered_bytes",
+                         "Bytes that all client sessions keep.",
+                         static_cast<std::int64_t>(this->meter->bytes));
+  this->metrics.SetGauge(
+      "large_messages_waiting", "Client messages that wait for memory.",
+      static_cast<std::int64_t>(this->large_messages.Waiting()));
   this->metrics.SetGauge("fleet_size", "Daemons that may be alive.",
                          static_cast<std::int64_t>(this->fleet_size));
   const auto in_force = this->Configuration();
@@ -415,6 +519,7 @@
       };
       context.forwarding = this->NewForwarding();
       context.metrics = &this->metrics;
+      context.large_responses = this->large_responses;
       context.location = this->settings.location;
       group = std::make_shared<ServiceGroup>(context, service);
       group->SetEvacuated(this->evacuated_since);
@@ -599,6 +704,7 @@
   for (const auto& [service, group] : this->groups) group->Tick(now);
   this->QueryPeers(now);
   this->CheckInitialConfiguration();
+  this->CheckSessionTimes(now);
   // Idle limits of transactions are seconds, so checking on every other tick is
   // enough.
   this->tick_odd = !this->tick_odd;
--- a/Source/Core/Session/proxy.h
+++ b/Source/Core/Session/proxy.h
@@ -45,6 +45,8 @@
   common::Duration settling_time = std::chrono::seconds(5);
   /// Whether operators may ask for failure domains to be evacuated.
   bool follows_evacuations = false;
+  /// What the host allows this process.
+  HostResources resources;
   /// Time from the stop signal to the end of the process.
   common::Duration stop_grace = std::chrono::seconds(6);
 };
@@ -82,6 +84,9 @@
   void CountAnswer(const DatabaseRoute& route,
                    std::optional<StatementError> code,
                    common::Duration age) override;
+  std::shared_ptr<BufferMeter> Meter() override { return this->meter; }
+  LargeMessageQueue* LargeMessages() override { return &this->large_messages; }
+  void CheckMeter() override;
   bool ClosesSessions() const override;
   void OnSessionEnded(ClientSession* session) override;
 
@@ -89,6 +94,16 @@
   static void OnAccept(evconnlistener* listener, int socket, sockaddr*,
                        int length, void* context);
   void Listen();
+  /// Pauses accepting while no descriptor is left.
+  static void OnAcceptError(evconnlistener* listener, void* context);
+  /// Makes room for a new session; returns false if there is none.
+  bool MakeRoomForSession();
+  /// Closes the sessions that keep most until all are below the limit.
+  void CloseLargestSessions();
+  void CheckSessionTimes(common::SteadyTime now);
+  /// Closes a session that exceeds a limit.
+  void CloseForLimit(ClientSession* session, LimitCause cause);
+  void CountLimit(LimitCause cause);
   void OnConfigurations(const std::map<std::string, DirectoryValue>& objects);
   void OnMembers(const std::map<std::string, DirectoryValue>& objects);
   void OnEvacuations(const std::map<std::string, DirectoryValue>& objects);
@@ -146,6 +161,13 @@
   std::optional<InitialConfigurationCheck> initial_check{std::in_place};
   std::map<common::ServiceId, std::vector<GroupMember>> members;
   std::map<common::ServiceId, std::shared_ptr<ServiceGroup>> groups;
+  ClientLimits limits;
+  std::shared_ptr<BufferMeter> meter = std::make_shared<BufferMeter>();
+  bool closes_largest = false;
+  LargeMessageQueue large_messages;
+  std::shared_ptr<LargeMessageQueue> large_responses;
+  common::SteadyTime next_times_check;
+  std::unique_ptr<connection::Timer> accept_timer;
   std::map<ClientSession*, std::shared_ptr<ClientSession>> sessions;
   std::size_t fleet_size = 1;
   std::size_t hosts_in_domain = 1;
--- a/Source/Core/Session/service_group.cc
+++ b/Source/Core/Session/service_group.cc
@@ -163,7 +163,8 @@
     };
     member.pool = std::make_shared<EndpointPool>(
         this->context.loop, this->context.codec, entry,
-        this->context.location.host.Value(), std::move(observers));
+        this->context.location.host.Value(), std::move(observers),
+        this->context.large_responses);
     member.pool->SetLimits(this->LimitsFor(entry));
     if (found != this->members.end()) {
       // Channels of the former database process may still call back.
--- a/Source/Core/Session/session_state.cc
+++ b/Source/Core/Session/session_state.cc
@@ -9,32 +9,47 @@
 /// Maximum number of values and of prepared statements of one session, which
 /// limits the memory that a client can use.
 constexpr std::size_t kMaxSessionNames = 256;
+/// Maximum size of all of them together, in bytes: one message of the largest
+/// size and as much again.
+constexpr std::size_t kMaxSessionBytes = 2 * 1024 * 1024;
 
 }  // namespace
 
+bool SessionState::Replace(std::size_t former, std::size_t changed) {
+  const std::size_t total = this->bytes - former + changed;
+  if (changed > former && total > kMaxSessionBytes) return false;
+  this->bytes = total;
+  return true;
+}
+
 bool SessionState::SetValue(const std::string& name, const std::string& value) {
   const auto found = this->values.find(name);
-  if (found != this->values.end()) {
-    found->second = value;
-    return true;
-  }
-  if (this->values.size() >= kMaxSessionNames) return false;
-  this->values.emplace(name, value);
+  const bool is_new = found == this->values.end();
+  if (is_new && this->values.size() >= kMaxSessionNames) return false;
+  const std::size_t former = is_new ? 0 : name.size() + found->second.size();
+  if (!this->Replace(former, name.size() + value.size())) return false;
+  this->values[name] = value;
   return true;
 }
 
 bool SessionState::Prepare(const std::string& name,
                            const PreparedShape& shape) {
-  if (!this->prepared.contains(name) &&
-      this->prepared.size() >= kMaxSessionNames) {
-    return false;
-  }
+  const auto found = this->prepared.find(name);
+  const bool is_new = found == this->prepared.end();
+  if (is_new && this->prepared.size() >= kMaxSessionNames) return false;
+  const std::size_t former =
+      is_new ? 0 : name.size() + found->second.shape.size();
+  if (!this->Replace(former, name.size() + shape.shape.size())) return false;
   this->prepared[name] = shape;
   return true;
 }
 
 bool SessionState::Deallocate(const std::string& name) {
-  return this->prepared.erase(name) > 0;
+  const auto found = this->prepared.find(name);
+  if (found == this->prepared.end()) return false;
+  this->Replace(name.size() + found->second.shape.size(), 0);
+  this->prepared.erase(found);
+  return true;
 }
 
 const PreparedShape* SessionState::Find(const std::string& name) const {
--- a/Source/Core/Session/session_state.h
+++ b/Source/Core/Session/session_state.h
@@ -28,11 +28,12 @@
 /// commit.
 class SessionState {
  public:
-  /// Sets a value. Returns false if the session has too many.
+  /// Sets a value. Returns false if the session has too many, or too large
+  /// ones.
   bool SetValue(const std::string& name, const std::string& value);
 
   /// Prepares a statement under a name. Returns false if the session has too
-  /// many.
+  /// many, or too large ones.
   bool Prepare(const std::string& name, const PreparedShape& shape);
 
   /// Removes a prepared statement. Returns false if the name is unknown.
@@ -41,6 +42,9 @@
   /// The prepared statement with this name; null if the name is unknown.
   const PreparedShape* Find(const std::string& name) const;
 
+  /// Bytes of all values and prepared statements.
+  std::size_t Bytes() const { return this->bytes; }
+
   void Begin(bool read_only, common::SteadyTime now);
   /// Marks the transaction as failed; it can only be ended from now on.
   void FailTransaction();
@@ -57,8 +61,13 @@
   }
 
  private:
+  /// Replaces bytes of the state; returns false, and replaces nothing, if there
+  /// would be too many.
+  bool Replace(std::size_t former, std::size_t changed);
+
   SessionValues values;
   std::map<std::string, PreparedShape> prepared;
+  std::size_t bytes = 0;
   std::optional<OpenTransaction> transaction;
   TransactionPhase phase = TransactionPhase::kIdle;
   std::optional<common::LogPosition> position;
--- a/Source/Core/Session/statement_run.cc
+++ b/Source/Core/Session/statement_run.cc
@@ -231,7 +231,12 @@
   ++this->attempt_number;
   const std::optional<FleetHost> wanted =
       this->group->ConnectionOwner(id, this->request.attempt.caller);
-  if (wanted.has_value() && !this->avoided_owners.contains(wanted->id)) {
+  // An owner gets statements of many daemons, each of which limits only its own
+  // large ones.
+  const bool large =
+      this->request.attempt.statement.text.size() > kSmallMessageBytes;
+  if (wanted.has_value() && !large &&
+      !this->avoided_owners.contains(wanted->id)) {
     this->Forward(*wanted, 0);
     return;
   }
--- a/Source/UnitTests/Core/Session/session_state_test.cc
+++ b/Source/UnitTests/Core/Session/session_state_test.cc
@@ -20,6 +20,18 @@
   EXPECT_TRUE(this->state.SetValue("v0", "y"));
 }
 
+// Guards against a client that keeps megabytes in few names.
+TEST_F(SessionStateTest, LargeShapes_Prepare_AreRefusedAboveTwoMegabytes) {
+  const PreparedShape large{AccessKind::kWrite, std::string(1'000'000, 'x')};
+  EXPECT_TRUE(this->state.Prepare("a", large));
+  EXPECT_TRUE(this->state.Prepare("b", large));
+  EXPECT_FALSE(this->state.Prepare("c", large));
+  EXPECT_FALSE(this->state.SetValue("c", large.shape));
+  EXPECT_TRUE(this->state.Prepare("b", large));
+  EXPECT_TRUE(this->state.Deallocate("a"));
+  EXPECT_TRUE(this->state.SetValue("c", large.shape));
+}
+
 // Guards against a session position that decreases.
 TEST_F(SessionStateTest, OlderCommit_Position_StaysTheNewer) {
   this->state.OnCommitted({2, 7});
--- a/Source/UnitTests/Platform/settings_file_test.cc
+++ b/Source/UnitTests/Platform/settings_file_test.cc
@@ -51,6 +51,16 @@
   EXPECT_EQ(settings.proxy.stop_grace, std::chrono::seconds(6));
 }
 
+// Guards against a proxy that does not know the limits of its machine.
+TEST_F(SettingsFileTest, ReadSettingsFile_MachineLimits_AreReturned) {
+  json document = Valid();
+  document["limits"] = {{"memoryMb", 160}, {"fdLimit", 4300}};
+  const session::HostResources resources =
+      this->Read(document.dump()).proxy.resources;
+  EXPECT_EQ(resources.memory_bytes, 160U * 1024 * 1024);
+  EXPECT_EQ(resources.descriptors, 4300U);
+}
+
 // Guards against a daemon that starts with incomplete or invalid settings.
 TEST_F(SettingsFileTest, ReadSettingsFile_MissingOrInvalidFields_Throws) {
   for (const char* field : {"node", "zone", "listen", "platform", "cloudApi"}) {
