Session: Use connection owners where a daemon has less than two connections

Cause: with 75 connections for 62 daemons each daemon kept one connection to an endpoint and closed it for the next workspace. Owners are now used below two connections for each daemon.

--- a/Source/Core/Session/connection_plan.h
+++ b/Source/Core/Session/connection_plan.h
@@ -15,8 +15,9 @@
   std::size_t fleet = 1;
 };
 
-/// Whether the endpoints accept fewer connections than there are daemons.
-/// Statements are then forwarded to the daemons that own the connections.
+/// Whether the endpoints accept too few connections for each daemon to keep
+/// some open. Statements are then forwarded to the daemons that own the
+/// connections.
 bool NeedsConnectionOwners(const ConnectionUsers& users);
 
 /// Limits of this daemon's channels to an endpoint. Where connections have
--- a/Source/Core/Session/endpoint_pool.cc
+++ b/Source/Core/Session/endpoint_pool.cc
@@ -56,6 +56,11 @@
     limits.max_channels = share;
     return limits;
   }
+  return BorrowChannels(connections);
+}
+
+ChannelLimits BorrowChannels(std::size_t connections) {
+  ChannelLimits limits;
   limits.max_idle = 0;
   limits.max_channels =
       std::max<std::size_t>(connections / kBorrowedDivisor, 1);
--- a/Source/Core/Session/endpoint_pool.h
+++ b/Source/Core/Session/endpoint_pool.h
@@ -52,6 +52,10 @@
 /// channel only when they need it and close it soon after.
 ChannelLimits DivideChannels(std::size_t connections, std::size_t fleet);
 
+/// Limits of a daemon that opens a channel only when it needs it, to an
+/// endpoint that accepts this number of connections.
+ChannelLimits BorrowChannels(std::size_t connections);
+
 /// Callbacks for events of a pool.
 struct PoolObservers {
   /// Called after each attempt to open a connection: with true if the endpoint
--- a/Source/UnitTests/Core/Session/endpoint_pool_test.cc
+++ b/Source/UnitTests/Core/Session/endpoint_pool_test.cc
@@ -43,8 +43,17 @@
   EXPECT_EQ(PlanChannels({70, 71}, 0).max_idle, 0U);
 }
 
+// Guards against daemons with one connection to an endpoint, which they open
+// anew for each workspace.
+TEST_F(ConnectionPlanTest, OneConnectionForEach_PlanChannels_HasOwners) {
+  EXPECT_TRUE(NeedsConnectionOwners({75, 62}));
+  EXPECT_EQ(PlanChannels({75, 62}, 0).max_idle, 0U);
+  EXPECT_EQ(PlanChannels({75, 62}, 10).max_idle, 5U);
+}
+
 // Guards against a change for fleets in which each daemon has connections.
 TEST_F(ConnectionPlanTest, ConnectionsForAll_PlanChannels_HasNoOwners) {
+  EXPECT_FALSE(NeedsConnectionOwners({16, 8}));
   EXPECT_FALSE(NeedsConnectionOwners({55, 8}));
   EXPECT_EQ(PlanChannels({55, 8}, 3).max_channels,
             DivideChannels(55, 8).max_channels);
