Session: Leave silent single hosts a local share of a rate only

Cause: an owner took the even share of each silent host off, since hosts that are cut off together might have an owner of their own. With 35 % of single hosts cut off, a third of the rate was left unused. A part of the fleet may now have an owner only with a majority, or with a quarter and most of some failure domain, so an owner that hears more than a quarter of each failure domain leaves silent hosts a quarter of their even shares.

--- a/Source/Core/Session/fleet_membership.cc
+++ b/Source/Core/Session/fleet_membership.cc
@@ -33,6 +33,9 @@
 constexpr std::chrono::seconds kHeardFor(4);
 /// Daemons that were removed count as part of the fleet for this long.
 constexpr std::chrono::seconds kRemovedCounts(60);
+/// Most of the daemons of a failure domain are at least three quarters.
+constexpr std::size_t kMostNumerator = 3;
+constexpr std::size_t kMostDenominator = 4;
 /// Most daemons that were removed of which the identifiers are kept.
 constexpr std::size_t kMaxRemoved = 4096;
 /// Key of the rendezvous hash by which the rate owners are chosen.
@@ -85,21 +88,55 @@
         return item.second.has_replied || !IsSilent(item.second);
       });
   const auto lost = std::count_if(
-      this->removed.begin(), this->removed.end(),
-      [now](const auto& item) { return now - item.second < kRemovedCounts; });
+      this->removed.begin(), this->removed.end(), [now](const auto& item) {
+        return now - item.second.at < kRemovedCounts;
+      });
   return static_cast<std::size_t>(known + lost) + 1;
 }
 
+bool FleetMembership::IsHeard(const Peer& peer, common::SteadyTime now) const {
+  const common::Duration recent = std::max<common::Duration>(
+      kHeardFor, kFarInterval * this->ExchangeRounds());
+  return peer.has_replied && !IsSilent(peer) && now - peer.last_reply <= recent;
+}
+
+std::map<common::FailureDomainId, FleetMembership::DomainCount>
+FleetMembership::CountByDomain(common::SteadyTime now) const {
+  std::map<common::FailureDomainId, DomainCount> counts;
+  counts[this->own.domain] = {1, 1};
+  for (const auto& [id, peer] : this->peers) {
+    if (!peer.has_replied && IsSilent(peer)) continue;
+    DomainCount& count = counts[peer.host.domain];
+    ++count.recent;
+    if (this->IsHeard(peer, now)) ++count.heard;
+  }
+  for (const auto& [id, lost] : this->removed) {
+    if (now - lost.at < kRemovedCounts) ++counts[lost.domain].recent;
+  }
+  return counts;
+}
+
+bool FleetMembership::HearsFailureDomain(common::SteadyTime now) const {
+  const auto counts = this->CountByDomain(now);
+  return std::any_of(counts.begin(), counts.end(), [](const auto& item) {
+    return item.second.heard * kMostDenominator >=
+           item.second.recent * kMostNumerator;
+  });
+}
+
+bool FleetMembership::MissesFailureDomain(common::SteadyTime now) const {
+  const auto counts = this->CountByDomain(now);
+  return std::any_of(counts.begin(), counts.end(), [](const auto& item) {
+    const std::size_t missed = item.second.recent - item.second.heard;
+    return missed * kMostDenominator >= item.second.recent * kMostNumerator;
+  });
+}
+
 std::size_t FleetMembership::HeardCount(common::SteadyTime now) const {
-  const common::SteadyTime recent =
-      now - std::max<common::Duration>(kHeardFor,
-                                       kFarInterval * this->ExchangeRounds());
   std::size_t heard = 1;
   std::size_t heard_since_loss = 1;
   for (const auto& [id, peer] : this->peers) {
-    if (!peer.has_replied || IsSilent(peer) || peer.last_reply < recent) {
-      continue;
-    }
+    if (!this->IsHeard(peer, now)) continue;
     ++heard;
     if (peer.last_reply >= this->rate_owner_lost_at) ++heard_since_loss;
   }
@@ -273,8 +310,9 @@
     }
     lost.push_back(it->second.host);
     if (it->second.has_replied) {
-      this->removed[it->first] =
-          it->second.stopping ? common::SteadyTime() : now;
+      this->removed[it->first] = {
+          it->second.stopping ? common::SteadyTime() : now,
+          it->second.host.domain};
     } else {
       this->removed.try_emplace(it->first);
     }
--- a/Source/Core/Session/fleet_membership.h
+++ b/Source/Core/Session/fleet_membership.h
@@ -87,6 +87,15 @@
   /// this daemon may be the one that is cut off.
   std::size_t HeardCount(common::SteadyTime now) const;
 
+  /// Whether the daemons that have been heard lately are most of those of some
+  /// failure domain, as in a part of the fleet that a partition between failure
+  /// domains has cut off. Single hosts that are cut off together are not.
+  bool HearsFailureDomain(common::SteadyTime now) const;
+
+  /// Whether the daemons that have not been heard lately may be most of those
+  /// of some failure domain.
+  bool MissesFailureDomain(common::SteadyTime now) const;
+
  private:
   struct Peer {
     FleetHost host;
@@ -108,15 +117,27 @@
   /// Number of exchanges that may be started now.
   std::size_t TakeAllowance(common::SteadyTime now, std::size_t wanted);
   static bool IsSilent(const Peer& peer);
+  bool IsHeard(const Peer& peer, common::SteadyTime now) const;
+  /// Daemons of one failure domain.
+  struct DomainCount {
+    std::size_t recent = 0;
+    std::size_t heard = 0;
+  };
+  std::map<common::FailureDomainId, DomainCount> CountByDomain(
+      common::SteadyTime now) const;
   /// Makes the choices that depend on who is silent or stopping be made again.
   void ForgetChoices();
 
   HostLocation own;
   std::map<common::HostId, Peer> peers;
-  /// Daemons that were removed and have not replied since, and when; the
-  /// clock's start for those that had announced their end. Their entries stay
+  struct RemovedPeer {
+    /// When it was removed; the clock's start if it had announced its end.
+    common::SteadyTime at;
+    common::FailureDomainId domain;
+  };
+  /// Daemons that were removed and have not replied since. Their entries stay
   /// in the directory, which names them again and again.
-  std::map<common::HostId, common::SteadyTime> removed;
+  std::map<common::HostId, RemovedPeer> removed;
   /// When a rate owner fell silent last.
   common::SteadyTime rate_owner_lost_at;
   /// Empty when the owners have to be chosen again.
--- a/Source/Core/Session/fleet_task.cc
+++ b/Source/Core/Session/fleet_task.cc
@@ -68,7 +68,11 @@
                                   RelayCallback done) {
     this->callbacks.relay_command(request, std::move(done));
   };
-  handlers.run_statement = this->callbacks.run_statement;
+  handlers.run_statement = [this](const ForwardedStatement& request,
+                                  ForwardedCallback done) {
+    this->OnReply(request.requester);
+    this->callbacks.run_statement(request, std::move(done));
+  };
   handlers.end_transaction = this->callbacks.end_transaction;
   handlers.prove_leadership = this->callbacks.prove_leadership;
   this->transport = NewGrpcFleetTransport(loop, listen, std::move(handlers));
@@ -344,7 +348,10 @@
   const common::SteadyTime now = common::SteadyNow();
   const FleetSize size{this->membership.Size(),
                        this->membership.RecentSize(now),
-                       this->membership.HeardCount(now), this->hosts_listed};
+                       this->membership.HeardCount(now),
+                       this->membership.HearsFailureDomain(now),
+                       this->membership.MissesFailureDomain(now),
+                       this->hosts_listed};
   if (size == this->last_size) return;
   if (size.live != this->last_size.live) {
     common::Log(Subsystem::kProcess, LogLevel::kInfo, "fleet_size",
--- a/Source/Core/Session/fleet_task.h
+++ b/Source/Core/Session/fleet_task.h
@@ -21,6 +21,10 @@
   std::size_t recent = 1;
   /// Those that have been heard lately.
   std::size_t heard = 1;
+  /// Those that have been heard are most of a failure domain.
+  bool hears_domain = false;
+  /// Those that have not been heard may be most of a failure domain.
+  bool misses_domain = true;
   /// The hosts have been listed after this daemon's registration.
   bool listed = false;
 
@@ -163,7 +167,7 @@
   FleetHost own;
   FleetMembership membership;
   FleetCallbacks callbacks;
-  FleetSize last_size{0, 0, 0, false};
+  FleetSize last_size{0, 0, 0, false, true, false};
   std::vector<common::HostId> last_rate_owners;
   /// Another daemon or the whole directory is known. Before that, this daemon
   /// would take itself as the owner of every rate.
--- a/Source/Core/Session/proxy.cc
+++ b/Source/Core/Session/proxy.cc
@@ -74,7 +74,7 @@
         return this->GroupOf(service);
       }) {
   this->limiter.SetTolerance(this->settings.rate_tolerance);
-  this->limiter.SetFleet(kMinAssumedFleetSize, 1);
+  this->limiter.SetFleet({kMinAssumedFleetSize, 1});
   this->Listen();
   this->readiness = std::make_unique<connection::HttpServer>(
       loop, this->settings.readiness, connection::HttpServerLimits{},
@@ -681,9 +681,13 @@
   const bool resized = std::exchange(this->fleet_size, size.live) != size.live;
   this->hosts_in_domain = this->fleet->SizeOf(this->settings.location.domain);
   // A daemon that knows few others yet must not take their shares.
-  this->limiter.SetFleet(
-      size.listed ? size.recent : std::max(size.recent, kMinAssumedFleetSize),
-      size.heard);
+  FleetView view;
+  view.size =
+      size.listed ? size.recent : std::max(size.recent, kMinAssumedFleetSize);
+  view.responsive = size.heard;
+  view.hears_domain = size.hears_domain;
+  view.misses_domain = size.misses_domain;
+  this->limiter.SetFleet(view);
   if (resized) this->UpdateChannelLimits();
 }
 
--- a/Source/Core/Session/workspace_limiter.cc
+++ b/Source/Core/Session/workspace_limiter.cc
@@ -112,15 +112,16 @@
   this->tolerance = allowed;
 }
 
-void WorkspaceLimiter::SetFleet(std::size_t size, std::size_t responsive_now) {
-  this->fleet_size = std::max<std::size_t>(size, 1);
-  this->responsive =
-      std::clamp<std::size_t>(responsive_now, 1, this->fleet_size);
+void WorkspaceLimiter::SetFleet(const FleetView& view) {
+  this->fleet = view;
+  this->fleet.size = std::max<std::size_t>(view.size, 1);
+  this->fleet.responsive =
+      std::clamp<std::size_t>(view.responsive, 1, this->fleet.size);
 }
 
 double WorkspaceLimiter::ResponsiveShare() const {
-  return static_cast<double>(this->responsive) /
-         static_cast<double>(this->fleet_size);
+  return static_cast<double>(this->fleet.responsive) /
+         static_cast<double>(this->fleet.size);
 }
 
 double WorkspaceLimiter::InitialTokens(const WorkspaceEntry& entry) const {
@@ -159,12 +160,14 @@
 }
 
 bool WorkspaceLimiter::MayAdmit() const {
-  return static_cast<double>(this->responsive) >=
-         static_cast<double>(this->fleet_size) * kMinHeardFraction;
+  if (this->HearsMajority()) return true;
+  return this->fleet.hears_domain &&
+         static_cast<double>(this->fleet.responsive) >=
+             static_cast<double>(this->fleet.size) * kMinHeardFraction;
 }
 
 bool WorkspaceLimiter::HearsMajority() const {
-  return this->responsive * 2 > this->fleet_size;
+  return this->fleet.responsive * 2 > this->fleet.size;
 }
 
 void WorkspaceLimiter::StartAnew(WorkspaceEntry* entry,
@@ -190,7 +193,15 @@
 
 double WorkspaceLimiter::LocalRate(const WorkspaceEntry& entry) const {
   return entry.limit.rate * kLocalFraction /
-         static_cast<double>(this->fleet_size);
+         static_cast<double>(this->fleet.size);
+}
+
+double WorkspaceLimiter::SilentRate(const WorkspaceEntry& entry) const {
+  // Daemons that are cut off together may have an owner of their own, which
+  // admits their part of the rate, if they are most of a failure domain.
+  return this->fleet.misses_domain
+             ? entry.limit.rate / static_cast<double>(this->fleet.size)
+             : this->LocalRate(entry);
 }
 
 bool WorkspaceLimiter::IsOverdue(const common::HostId& host,
@@ -216,13 +227,10 @@
         std::max(std::min(now, window_end) - from, common::Duration::zero()));
     const double later = Seconds(
         std::max(now - std::max(from, window_end), common::Duration::zero()));
-    // Daemons that are cut off together may have an owner of their own, which
-    // admits their part of the rate.
-    const double even_share =
-        entry->limit.rate / static_cast<double>(this->fleet_size);
+    const double silent_rate = this->SilentRate(*entry);
     const double tokens =
-        former * std::max(requester.granted.rate, even_share) +
-        later * even_share;
+        former * std::max(requester.granted.rate, silent_rate) +
+        later * silent_rate;
     requester.reserved += tokens;
     requester.reserved_until = now;
     entry->bucket.level -= tokens;
@@ -231,25 +239,27 @@
 
 double WorkspaceLimiter::OwnedShare(const WorkspaceEntry& entry,
                                     common::SteadyTime now) const {
-  const auto fleet = static_cast<double>(this->fleet_size);
+  const auto size = static_cast<double>(this->fleet.size);
   if (entry.owned_by_request) {
     const auto asking =
         std::count_if(entry.requesters.begin(), entry.requesters.end(),
                       [now](const auto& item) {
                         return now - item.second.last_request < kRateWindow;
                       });
-    return std::min(1.0, static_cast<double>(asking) / fleet);
+    return std::min(1.0, static_cast<double>(asking) / size);
   }
   const bool is_new = now - entry.owned_since < kRateWindow;
   if (is_new || !this->HearsMajority()) return this->ResponsiveShare();
-  // Silent daemons for which nothing is reserved may admit their even shares.
+  // Silent daemons for which nothing is reserved may admit as well.
   const auto reserved = static_cast<double>(std::count_if(
       entry.requesters.begin(), entry.requesters.end(), [&](const auto& item) {
         return now - item.second.last_request <= kReservationLimit &&
                this->IsOverdue(item.first, now);
       }));
-  const auto silent = static_cast<double>(this->fleet_size - this->responsive);
-  return 1 - std::max(silent - reserved, 0.0) / fleet;
+  const auto silent =
+      static_cast<double>(this->fleet.size - this->fleet.responsive);
+  const double unreserved = std::max(silent - reserved, 0.0);
+  return 1 - unreserved * this->SilentRate(entry) / entry.limit.rate;
 }
 
 double WorkspaceLimiter::TokensFor(const common::HostId& host,
--- a/Source/Core/Session/workspace_limiter.h
+++ b/Source/Core/Session/workspace_limiter.h
@@ -19,6 +19,18 @@
   double operations = 0;
 };
 
+/// The fleet as a daemon sees it. Numbers include the daemon itself.
+struct FleetView {
+  /// Daemons that there may be.
+  std::size_t size = 1;
+  /// Those that respond.
+  std::size_t responsive = 1;
+  /// Those that respond are most of a failure domain.
+  bool hears_domain = true;
+  /// Those that don't respond may be most of a failure domain.
+  bool misses_domain = true;
+};
+
 /// Enforces each workspace's rate over the whole fleet. One daemon, the rate
 /// owner ("keeper" in logs and metrics), has the workspace's token bucket and
 /// admits operations for all daemons. A daemon that cannot reach the rate owner
@@ -40,11 +52,10 @@
   /// Sets by how much the rates may be exceeded.
   void SetTolerance(const RateTolerance& allowed);
 
-  /// Sets how many daemons there may be and how many of them respond, both
-  /// including this one. Daemons that were started together may each become the
-  /// owner of one workspace before they know of each other, so a new owner
-  /// starts with a fraction of the rate.
-  void SetFleet(std::size_t size, std::size_t responsive);
+  /// Sets how this daemon sees the fleet. Daemons that were started together
+  /// may each become the owner of one workspace before they know of each other,
+  /// so a new owner starts with a fraction of the rate.
+  void SetFleet(const FleetView& view);
 
   /// Sets whether this daemon owns a workspace's bucket. A new owner does not
   /// know how many operations the former one has admitted, so it starts with
@@ -52,8 +63,9 @@
   void SetOwned(const common::WorkspaceId& workspace, bool owned,
                 common::SteadyTime now);
 
-  /// Whether this daemon hears enough of the fleet to admit operations for it.
-  /// A daemon that is cut off from all others does not.
+  /// Whether this daemon hears enough of the fleet to admit operations for it:
+  /// more than half, or a quarter with most of a failure domain. Single daemons
+  /// that are cut off do not, even if they hear each other.
   bool MayAdmit() const;
 
   /// Whether a workspace has a rate limit.
@@ -150,6 +162,9 @@
   /// Rate at which a daemon admits alone that has not reached the owner for
   /// longer than a rate window.
   double LocalRate(const WorkspaceEntry& entry) const;
+  /// Rate at which a silent daemon may admit, alone or with an owner that
+  /// others hear.
+  double SilentRate(const WorkspaceEntry& entry) const;
   bool HearsMajority() const;
   double ResponsiveShare() const;
   double InitialTokens(const WorkspaceEntry& entry) const;
@@ -170,8 +185,7 @@
   std::map<common::WorkspaceId, WorkspaceEntry> entries;
   std::map<common::HostId, HostActivity> hosts;
   RateTolerance tolerance;
-  std::size_t fleet_size = 1;
-  std::size_t responsive = 1;
+  FleetView fleet;
 };
 
 }  // namespace camphorferry::session
--- a/Source/UnitTests/Core/Session/fleet_membership_test.cc
+++ b/Source/UnitTests/Core/Session/fleet_membership_test.cc
@@ -51,6 +51,42 @@
   EXPECT_EQ(this->membership.PendingCount(), 1U);
 }
 
+// Guards against taking single hosts that are cut off for a part of the fleet
+// with an owner of its own.
+TEST_F(FleetMembershipTest, SingleHostsSilent_FailureDomains_AreStillHeard) {
+  for (const char* id : {"a", "b", "c"}) {
+    this->membership.Add(Host(id, "east"), kStart);
+    this->membership.OnReply(common::HostId(id), kStart);
+  }
+  for (const char* id : {"k", "l", "m", "n"}) {
+    this->membership.Add(Host(id, "far"), kStart);
+    this->membership.OnReply(common::HostId(id), kStart);
+  }
+  EXPECT_TRUE(this->membership.HearsFailureDomain(kStart));
+  EXPECT_FALSE(this->membership.MissesFailureDomain(kStart));
+  for (const char* id : {"c", "k", "l"}) {
+    this->membership.OnNoReply(common::HostId(id), kStart);
+    this->membership.OnNoReply(common::HostId(id), kStart);
+  }
+  EXPECT_FALSE(this->membership.MissesFailureDomain(kStart));
+  this->membership.OnNoReply(common::HostId("m"), kStart);
+  this->membership.OnNoReply(common::HostId("m"), kStart);
+  EXPECT_TRUE(this->membership.MissesFailureDomain(kStart));
+  EXPECT_TRUE(this->membership.HearsFailureDomain(kStart));
+}
+
+// Guards against a daemon that forgets the failure domain of hosts that it has
+// removed after their silence.
+TEST_F(FleetMembershipTest, FailureDomainRemoved_MissesFailureDomain_IsTrue) {
+  for (const char* id : {"k", "l"}) {
+    this->membership.Add(Host(id, "far"), kStart);
+    this->membership.OnReply(common::HostId(id), kStart);
+  }
+  const common::SteadyTime later = kStart + std::chrono::seconds(13);
+  EXPECT_EQ(this->membership.RemoveLost(later).size(), 2U);
+  EXPECT_TRUE(this->membership.MissesFailureDomain(later));
+}
+
 // Guards against queries that all go to one daemon, or to one that does not
 // respond.
 TEST_F(FleetMembershipTest, OneSilent_NextResponsive_RotatesOverTheOthers) {
