Session: Place reads by response times that are known late

Cause: in fleets with connection owners a daemon sees no queue, so all took the nearest endpoint. An endpoint is now chosen at random with a share that falls with the fourth power of the expected time (round trip, response time, penalties); old response times give way to the average of the others. No message is added.

Ruled out: the shortest expected time (daemons follow each other in the replay).

--- a/Source/Core/Session/service_group.cc
+++ b/Source/Core/Session/service_group.cc
@@ -74,6 +74,8 @@
 ServiceGroup::ServiceGroup(GroupContext context, common::ServiceId service)
     : context(std::move(context)),
       service(std::move(service)),
+      random(std::hash<std::string>()(this->context.location.host.Value() +
+                                      "/" + this->service.Value())),
       round_backoff(kMinRoundBackoff) {
   this->monitor.OnPrimaryChanged(common::SteadyNow() + kMaxFirstListingAge,
                                  false);
@@ -312,24 +314,34 @@
              : common::Duration(kCrossRegionRoundTrip);
 }
 
+bool ServiceGroup::MayRead(const common::EndpointId& id, const Member& member,
+                           const std::set<common::EndpointId>& without) const {
+  return !without.contains(id) && member.entry.state != MemberState::kLeaving &&
+         !this->IsEvacuated(member.entry);
+}
+
+common::Duration ServiceGroup::FailurePenalty(const Member& member,
+                                              common::SteadyTime now) const {
+  common::Duration penalty = std::chrono::duration_cast<common::Duration>(
+      kFailureDelay * member.failures.Probability(now));
+  if (member.avoid_until > now) penalty += kAvoidDuration;
+  return penalty;
+}
+
 std::optional<common::EndpointId> ServiceGroup::ChooseReader(
-    const std::string& caller,
-    const std::set<common::EndpointId>& without) const {
+    const std::string& caller, const std::set<common::EndpointId>& without) {
   const common::SteadyTime now = common::SteadyNow();
+  if (NeedsConnectionOwners(this->connection_users)) {
+    return this->ChooseReaderByLoad(now, without);
+  }
   std::optional<common::EndpointId> best;
   common::Duration best_delay = common::Duration::max();
   for (const auto& [id, member] : this->members) {
-    if (without.contains(id)) continue;
-    if (member.entry.state == MemberState::kLeaving) continue;
-    if (this->IsEvacuated(member.entry)) continue;
+    if (!this->MayRead(id, member, without)) continue;
     common::Duration delay = this->RoundTripTo(member.entry) +
-                             kDelayPerQueuedRequest * member.pool->Waiting();
-    const bool opens = !member.pool->HasIdle(caller) &&
-                       !this->ConnectionOwner(id, caller).has_value();
-    if (opens) delay += kOpenDelay;
-    if (member.avoid_until > now) delay += kAvoidDuration;
-    delay += std::chrono::duration_cast<common::Duration>(
-        kFailureDelay * member.failures.Probability(now));
+                             kDelayPerQueuedRequest * member.pool->Waiting() +
+                             this->FailurePenalty(member, now);
+    if (!member.pool->HasIdle(caller)) delay += kOpenDelay;
     if (delay < best_delay) {
       best_delay = delay;
       best = id;
@@ -338,6 +350,38 @@
   return best;
 }
 
+std::optional<common::EndpointId> ServiceGroup::ChooseReaderByLoad(
+    common::SteadyTime now, const std::set<common::EndpointId>& without) {
+  std::vector<common::EndpointId> ids;
+  std::vector<ReaderCandidate> candidates;
+  for (const auto& [id, member] : this->members) {
+    if (!this->MayRead(id, member, without)) continue;
+    ReaderCandidate candidate;
+    candidate.distance = this->RoundTripTo(member.entry);
+    candidate.response_time = member.response_times.Average();
+    candidate.weight = member.response_times.Weight(now);
+    candidate.penalty = this->FailurePenalty(member, now);
+    // Only the primary can run writes.
+    if (this->primary == id) candidate.penalty += kDelayPerQueuedRequest;
+    ids.push_back(id);
+    candidates.push_back(candidate);
+  }
+  if (ids.empty()) return std::nullopt;
+  const double random =
+      std::uniform_real_distribution<double>(0, 1)(this->random);
+  return ids[session::ChooseReaderByLoad(candidates, random)];
+}
+
+void ServiceGroup::OnReadTime(const common::EndpointId& id,
+                              common::Duration time) {
+  const auto found = this->members.find(id);
+  if (found == this->members.end()) return;
+  Member& member = found->second;
+  member.response_times.Record(std::max(time - this->RoundTripTo(member.entry),
+                                        common::Duration::zero()),
+                               common::SteadyNow());
+}
+
 void ServiceGroup::SendCommand(const common::EndpointId& id,
                                const MemberCommand& command,
                                CommandCallback done) {
--- a/Source/Core/Session/service_group.h
+++ b/Source/Core/Session/service_group.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -20,6 +21,7 @@
 #include "Session/primary_monitor.h"
 #include "Session/primary_view.h"
 #include "Session/promotion_task.h"
+#include "Session/reader_choice.h"
 
 namespace camphorferry::session {
 
@@ -60,11 +62,15 @@
   /// announced its shutdown is used for a limited time only.
   std::optional<common::EndpointId> UsablePrimary() const;
 
-  /// The member that is expected to answer a read soonest, apart from those
-  /// named; none if no other member takes work.
+  /// The member for a read, apart from those named: the one that is expected to
+  /// answer soonest or, where daemons that own the connections run the reads,
+  /// one chosen at random by the load. None if no other member takes work.
   std::optional<common::EndpointId> ChooseReader(
-      const std::string& caller,
-      const std::set<common::EndpointId>& without) const;
+      const std::string& caller, const std::set<common::EndpointId>& without);
+
+  /// A read has taken this long at a member, with the round trip and the wait
+  /// for a channel, or goes on taking longer.
+  void OnReadTime(const common::EndpointId& id, common::Duration time);
 
   /// Connection pool of a member; null if the member is gone.
   EndpointPool* PoolOf(const common::EndpointId& id);
@@ -151,6 +157,7 @@
     /// Until then, reads prefer other members.
     common::SteadyTime avoid_until;
     FailureEstimate failures;
+    ResponseTimes response_times;
     /// Since when the member has been known to leave.
     std::optional<common::SteadyTime> leaving_since;
     /// The member gave no answer when it was last contacted.
@@ -223,6 +230,14 @@
   std::optional<common::EndpointId> ChooseProofReplica() const;
   common::Duration RoundTripTo(const GroupMember& member) const;
 
+  /// Whether a member takes reads.
+  bool MayRead(const common::EndpointId& id, const Member& member,
+               const std::set<common::EndpointId>& without) const;
+  /// Expected delay for recent failures of a member.
+  common::Duration FailurePenalty(const Member& member,
+                                  common::SteadyTime now) const;
+  std::optional<common::EndpointId> ChooseReaderByLoad(
+      common::SteadyTime now, const std::set<common::EndpointId>& without);
   /// Asks a member for its status. The answer is only used by OnStatus.
   void Probe(const common::EndpointId& id);
   /// Asks the primary and one replica for their status.
@@ -243,6 +258,7 @@
   ConnectionUsers connection_users;
   std::size_t hosts_in_domain = 1;
   HedgeBudget hedge_budget;
+  std::mt19937 random;
 
   PrimaryView view;
   std::optional<common::EndpointId> primary;
--- a/Source/Core/Session/session.h
+++ b/Source/Core/Session/session.h
@@ -36,6 +36,7 @@
 #include "Session/promotion_task.h"
 #include "Session/proxy.h"
 #include "Session/proxy_metrics.h"
+#include "Session/reader_choice.h"
 #include "Session/service_group.h"
 #include "Session/session_state.h"
 #include "Session/statement.h"
--- a/Source/Core/Session/statement_run.cc
+++ b/Source/Core/Session/statement_run.cc
@@ -228,6 +228,7 @@
 
 void StatementRun::StartAt(const common::EndpointId& id) {
   this->endpoint = id;
+  this->attempt_started = common::SteadyNow();
   ++this->attempt_number;
   const std::optional<FleetHost> wanted =
       this->group->ConnectionOwner(id, this->request.attempt.caller);
@@ -330,7 +331,18 @@
   });
 }
 
+void StatementRun::RecordReadTime() {
+  // A transaction's later statements stay at the member of the first.
+  if (this->request.needs_primary ||
+      this->request.attempt.use == TransactionUse::kContinues) {
+    return;
+  }
+  this->group->OnReadTime(this->endpoint,
+                          common::SteadyNow() - this->attempt_started);
+}
+
 void StatementRun::SendHedge() {
+  this->RecordReadTime();
   this->group->OnStatementFailed(this->endpoint);
   if (!this->group->TryHedge(this->request.attempt.caller, this->endpoint)) {
     return;
@@ -355,6 +367,7 @@
     if (this->done) this->OnEarlierResult(outcome);
     return;
   }
+  this->RecordReadTime();
   this->attempt.reset();
   this->timer.reset();
   this->channel = std::move(with_channel);
--- a/Source/Core/Session/statement_run.h
+++ b/Source/Core/Session/statement_run.h
@@ -95,6 +95,8 @@
   void Forward(const FleetHost& to, std::uint64_t transaction);
   StatementAttempt::Observers NewObservers(std::uint64_t number);
   void StartHedgeTimer();
+  /// Records how long the current attempt has taken.
+  void RecordReadTime();
   /// Sends a read that has waited long for its answer to a second member as
   /// well, unless the group's hedge budget is used up.
   void SendHedge();
@@ -143,6 +145,7 @@
   /// Members that have failed this statement; cleared when no other member is
   /// left.
   std::set<common::EndpointId> tried;
+  common::SteadyTime attempt_started;
   /// When the operation was last admitted by the rate limiter.
   common::SteadyTime admitted;
 
