Session: Choose the largest hosts as rate owners

Hosts state their processor time in registration and reports, and the twelve owners are those with most.

Sessions keep short copies of long keys and identifiers, which their limits did not count.

--- a/Source/Core/Session/client_session.cc
+++ b/Source/Core/Session/client_session.cc
@@ -25,6 +25,12 @@
 /// objective.
 constexpr int kHedgeDivisor = 3;
 
+/// Most bytes of a statement's identifier that a session keeps for its log
+/// lines.
+constexpr std::size_t kMaxLoggedIdBytes = 64;
+/// Most bytes of a client's key that a session keeps.
+constexpr std::size_t kMaxKeptKeyBytes = 4096;
+
 }  // namespace
 
 ClientSession::ClientSession(connection::EventLoop* loop,
@@ -116,6 +122,11 @@
 void ClientSession::OnMessage(std::string_view line) {
   const auto keep = this->shared_from_this();
   this->large_delivered = true;
+  this->HandleMessage(line);
+  this->ReleaseRoomIfDone();
+}
+
+void ClientSession::HandleMessage(std::string_view line) {
   const ClientMessage message = this->codec->DecodeClient(line);
   if (const auto* open = std::get_if<OpenSession>(&message)) {
     if (this->opened) {
@@ -141,14 +152,15 @@
     this->ReplyError(StatementError::kMalformed, "unknown statement");
     return;
   }
-  this->current_request = statement->request_id;
+  this->current_request = statement->request_id.substr(0, kMaxLoggedIdBytes);
   this->current_received = common::SteadyNow();
   this->Handle(*statement);
-  this->ReleaseRoomIfDone();
 }
 
 void ClientSession::Open(const OpenSession& open) {
-  this->opening = open;
+  // No declared key is longer, so the start of a longer one is as unknown as
+  // all of it.
+  this->opening = {open.database, open.key.substr(0, kMaxKeptKeyBytes)};
   if (this->delegate->Configuration() != nullptr) {
     this->FinishOpen();
     return;
--- a/Source/Core/Session/client_session.h
+++ b/Source/Core/Session/client_session.h
@@ -97,6 +97,7 @@
 
  private:
   void OnMessage(std::string_view line);
+  void HandleMessage(std::string_view line);
   void Open(const OpenSession& open);
   void FinishOpen();
   void Handle(const Statement& statement);
--- a/Source/Core/Session/directory.h
+++ b/Source/Core/Session/directory.h
@@ -92,6 +92,8 @@
   common::HostId id;
   std::string peer_address;
   common::FailureDomainId domain;
+  /// Processor time of its host in thousandths of a core; 0 if unknown.
+  std::uint32_t millicores = 0;
 
   bool operator==(const FleetHost&) const = default;
 };
--- a/Source/Core/Session/fleet_membership.cc
+++ b/Source/Core/Session/fleet_membership.cc
@@ -66,6 +66,7 @@
     if (this->removed.contains(host.id)) peer.misses = kMissesBeforeSilent;
     this->ForgetChoices();
   }
+  if (peer.host.millicores != host.millicores) this->ForgetChoices();
   peer.host = host;
 }
 
@@ -183,6 +184,17 @@
     if (!IsSilent(peer)) hosts.push_back(id);
   }
   this->owners = common::RendezvousOrder(kRateOwnersKey, std::move(hosts));
+  const auto millicores = [this](const common::HostId& id) {
+    const auto found = this->peers.find(id);
+    return found == this->peers.end() ? this->own.millicores
+                                      : found->second.host.millicores;
+  };
+  // An owner is asked for every operation of a workspace, so a small host that
+  // owns a busy one seems silent to the others.
+  std::stable_sort(this->owners.begin(), this->owners.end(),
+                   [&](const common::HostId& one, const common::HostId& other) {
+                     return millicores(one) > millicores(other);
+                   });
   if (this->owners.size() > kMaxRateOwners) this->owners.resize(kMaxRateOwners);
   return this->owners;
 }
--- a/Source/Core/Session/fleet_membership.h
+++ b/Source/Core/Session/fleet_membership.h
@@ -34,8 +34,8 @@
   bool OnNoReply(const common::HostId& host, common::SteadyTime now);
 
   /// The daemons that own the rates of workspaces ("keepers"): a limited number
-  /// of those that are not silent. All daemons that know the same fleet choose
-  /// the same ones.
+  /// of those that are not silent, on the hosts with most processor time. All
+  /// daemons that know the same fleet choose the same ones.
   const std::vector<common::HostId>& RateOwners();
 
   /// The daemon that owns a workspace's rate; none if it is this one.
--- a/Source/Core/Session/fleet_task.cc
+++ b/Source/Core/Session/fleet_task.cc
@@ -50,7 +50,7 @@
                      FleetCallbacks callbacks)
     : loop(loop),
       platform(platform),
-      own{location.host, "", location.domain},
+      own{location.host, "", location.domain, location.millicores},
       membership(std::move(location)),
       callbacks(std::move(callbacks)) {
   FleetHandlers handlers;
--- a/Source/Core/Session/group_context.h
+++ b/Source/Core/Session/group_context.h
@@ -1,6 +1,7 @@
 #ifndef CAMPHORFERRY_SESSION_GROUP_CONTEXT_H_
 #define CAMPHORFERRY_SESSION_GROUP_CONTEXT_H_
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -21,6 +22,8 @@
   common::HostId host;
   common::FailureDomainId domain;
   std::map<common::FailureDomainId, common::RegionId> region_of;
+  /// Processor time of the host in thousandths of a core; 0 if unknown.
+  std::uint32_t millicores = 0;
 
   /// Whether another failure domain is in this daemon's region; false if the
   /// region of either is unknown.
--- a/Source/Core/Session/grpc_fleet_transport.cc
+++ b/Source/Core/Session/grpc_fleet_transport.cc
@@ -25,6 +25,7 @@
   message.set_host(report.host.id.Value());
   message.set_peer_address(report.host.peer_address);
   message.set_failure_domain(report.host.domain.Value());
+  message.set_millicores(report.host.millicores);
   for (const SharedProof& proof : report.proofs) {
     fleet::v1::LeadershipProof* entry = message.add_proofs();
     entry->set_service(proof.service.Value());
@@ -51,6 +52,7 @@
   report.host.id = common::HostId(message.host());
   report.host.peer_address = message.peer_address();
   report.host.domain = common::FailureDomainId(message.failure_domain());
+  report.host.millicores = message.millicores();
   for (const auto& proof : message.proofs()) {
     report.proofs.push_back({common::ServiceId(proof.service()),
                              {proof.term(), proof.index()},
--- a/Source/UnitTests/Core/Session/fleet_membership_test.cc
+++ b/Source/UnitTests/Core/Session/fleet_membership_test.cc
@@ -51,6 +51,21 @@
   EXPECT_EQ(this->membership.PendingCount(), 1U);
 }
 
+// Guards against rate owners on hosts that can't answer the whole fleet.
+TEST_F(FleetMembershipTest, LargerHosts_RateOwners_AreChosenFirst) {
+  for (int count = 0; count < 40; ++count) {
+    FleetHost host = Host("h" + std::to_string(count), "east");
+    host.millicores = count % 4 == 0 ? 500 : 120;
+    this->membership.Add(host, kStart);
+  }
+  const std::vector<common::HostId> owners = this->membership.RateOwners();
+  ASSERT_EQ(owners.size(), kMaxRateOwners);
+  for (int count = 0; count < 40; count += 4) {
+    const common::HostId large("h" + std::to_string(count));
+    EXPECT_NE(std::find(owners.begin(), owners.end(), large), owners.end());
+  }
+}
+
 // Guards against taking single hosts that are cut off for a part of the fleet
 // with an owner of its own.
 TEST_F(FleetMembershipTest, SingleHostsSilent_FailureDomains_AreStillHeard) {
