Session: Serve waiting statements by workspace and waiting time

Cause: the wait list of a pool knew the priority only; a statement started again at the end after 250 ms, and one that could not be served in time waited until its time was over. In fleets with connection owners the order is now by priority, rounds of workspaces and waiting time over all attempts; a request that would be served after its deadline is refused on arrival, and expired ones before any channel is granted (docs/design/waiting.md).

--- a/Source/Core/Session/endpoint_pool.cc
+++ b/Source/Core/Session/endpoint_pool.cc
@@ -85,26 +85,26 @@
 }
 
 ChannelRequestId EndpointPool::Acquire(ChannelRequest request) {
-  Waiter waiter;
-  waiter.id = this->next_id++;
-  waiter.request = std::move(request);
-  waiter.since = common::SteadyNow();
-  const ChannelRequestId id = waiter.id;
-  const auto place = std::find_if(
-      this->waiting.begin(), this->waiting.end(), [&](const Waiter& other) {
-        return other.request.priority > waiter.request.priority;
-      });
-  this->waiting.insert(place, std::move(waiter));
+  const ChannelRequestId id = this->next_id++;
+  const common::SteadyTime now = common::SteadyNow();
+  const WaitingRequest waiting_request{id, request.caller.value_or(""),
+                                       request.priority, request.waiting_since,
+                                       request.deadline};
+  if (this->queue.WouldBeLate(waiting_request, now)) {
+    request.done(PoolFailure::kOverloaded);
+    return id;
+  }
+  this->queue.Add(waiting_request, now);
+  this->waiting[id] = {std::move(request), now};
   this->Dispatch();
   return id;
 }
 
 void EndpointPool::Cancel(ChannelRequestId id) {
-  const auto found =
-      std::find_if(this->waiting.begin(), this->waiting.end(),
-                   [id](const Waiter& waiter) { return waiter.id == id; });
+  const auto found = this->waiting.find(id);
   if (found == this->waiting.end()) return;
-  this->observers.waited(common::SteadyNow() - found->since);
+  this->observers.waited(common::SteadyNow() - found->second.since);
+  this->queue.Remove(id);
   this->waiting.erase(found);
 }
 
@@ -212,25 +212,44 @@
   return channel;
 }
 
+bool EndpointPool::FailExpired() {
+  const auto still_alive = this->alive;
+  const common::SteadyTime now = common::SteadyNow();
+  for (const ChannelRequestId id : this->queue.TakeExpired(now)) {
+    const auto expired = this->waiting.extract(id);
+    // A callback for another request may have cancelled this one.
+    if (expired.empty()) continue;
+    this->observers.waited(now - expired.mapped().since);
+    expired.mapped().request.done(PoolFailure::kOverloaded);
+    if (!*still_alive) return false;
+  }
+  return true;
+}
+
 void EndpointPool::Dispatch() {
+  if (!this->FailExpired()) return;
   const auto still_alive = this->alive;
   // A callback may change the queue, so the loop starts over after each.
-  bool changed = true;
-  while (changed && *still_alive) {
-    changed = false;
-    for (auto it = this->waiting.begin(); it != this->waiting.end(); ++it) {
-      std::shared_ptr<EndpointChannel> channel = this->TakeIdle(it->request);
-      if (channel != nullptr) {
-        const auto done = std::move(it->request.done);
-        this->observers.waited(common::SteadyNow() - it->since);
-        this->waiting.erase(it);
-        ++this->leased;
-        done(channel);
-        changed = true;
-        break;
-      }
-      if (!it->opening && this->MakeRoom(*it)) this->OpenFor(&*it);
+  auto next = this->queue.Next(std::nullopt);
+  while (next.has_value()) {
+    Waiter& waiter = this->waiting.at(*next);
+    std::shared_ptr<EndpointChannel> channel = this->TakeIdle(waiter.request);
+    if (channel != nullptr) {
+      const auto done = std::move(waiter.request.done);
+      const common::SteadyTime now = common::SteadyNow();
+      this->observers.waited(now - waiter.since);
+      this->queue.OnServed(*next, now);
+      this->waiting.erase(*next);
+      ++this->leased;
+      done(channel);
+      if (!*still_alive) return;
+      next = this->queue.Next(std::nullopt);
+      continue;
+    }
+    if (!waiter.opening && this->MakeRoom(waiter)) {
+      this->OpenFor(*next, &waiter);
     }
+    next = this->queue.Next(next);
   }
 }
 
@@ -268,7 +287,7 @@
   this->idle.erase(channel);
 }
 
-void EndpointPool::OpenFor(Waiter* waiter) {
+void EndpointPool::OpenFor(ChannelRequestId id, Waiter* waiter) {
   waiter->opening = true;
   auto channel = std::make_shared<EndpointChannel>(
       this->loop, this->codec, this->member,
@@ -277,7 +296,7 @@
   this->opening.push_back(channel);
   channel->Open(kOpenTimeout,
                 [this, still_alive = this->alive, opened = channel.get(),
-                 id = waiter->id](const OpenResult& result) {
+                 id](const OpenResult& result) {
                   if (*still_alive) this->OnOpened(opened, id, result);
                 });
 }
@@ -295,10 +314,8 @@
     this->Dispatch();
     return;
   }
-  const auto waiter =
-      std::find_if(this->waiting.begin(), this->waiting.end(),
-                   [id](const Waiter& other) { return other.id == id; });
-  if (waiter != this->waiting.end()) waiter->opening = false;
+  const auto waiter = this->waiting.find(id);
+  if (waiter != this->waiting.end()) waiter->second.opening = false;
   const auto* error = std::get_if<EndpointError>(&result);
   const auto* lost = std::get_if<ChannelLost>(&result);
   // An endpoint that has no free connection may also close one that it has
@@ -319,10 +336,13 @@
 }
 
 void EndpointPool::FailAll(PoolFailure failure) {
-  const std::list<Waiter> failed = std::exchange(this->waiting, {});
+  const auto failed = std::exchange(this->waiting, {});
+  const auto order = this->queue.Order();
+  this->queue = WaitQueue();
   const auto still_alive = this->alive;
   const common::SteadyTime now = common::SteadyNow();
-  for (const Waiter& waiter : failed) {
+  for (const ChannelRequestId id : order) {
+    const Waiter& waiter = failed.at(id);
     this->observers.waited(now - waiter.since);
     waiter.request.done(failure);
     if (!*still_alive) return;
--- a/Source/Core/Session/endpoint_pool.h
+++ b/Source/Core/Session/endpoint_pool.h
@@ -4,7 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
-#include <list>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "Session/endpoint_channel.h"
+#include "Session/wait_queue.h"
 
 namespace camphorferry::session {
 
@@ -20,7 +21,9 @@
   /// The connection to the endpoint could not be opened.
   kUnreachable,
   /// A different endpoint answers at the address.
-  kWrongEndpoint
+  kWrongEndpoint,
+  /// The request would get a channel, or has got one, after its deadline.
+  kOverloaded
 };
 
 using ChannelGrant =
@@ -35,6 +38,11 @@
   SessionValues values;
   /// Requests with a lower value are served first.
   std::uint32_t priority = 0;
+  /// Since when the caller's operation has been waiting, over all attempts;
+  /// none if requests are served in order of arrival.
+  std::optional<common::SteadyTime> waiting_since;
+  /// The request is of no use after this time.
+  std::optional<common::SteadyTime> deadline;
   std::function<void(ChannelGrant)> done;
 };
 
@@ -130,7 +138,6 @@
   using IdleChannels = std::vector<std::shared_ptr<EndpointChannel>>;
 
   struct Waiter {
-    ChannelRequestId id = 0;
     ChannelRequest request;
     common::SteadyTime since;
     bool opening = false;
@@ -139,12 +146,15 @@
   void Dispatch();
   std::shared_ptr<EndpointChannel> TakeIdle(const ChannelRequest& request);
   bool MakeRoom(const Waiter& waiter);
+  /// Fails the requests whose deadlines have passed; returns whether the pool
+  /// still exists.
+  bool FailExpired();
   /// Serves the waiting requests again after a pause.
   void RetryAfter(common::Duration pause);
   /// The channel that has been idle longest. There must be at least one.
   IdleChannels::iterator OldestIdle();
   void CloseIdle(IdleChannels::iterator channel);
-  void OpenFor(Waiter* waiter);
+  void OpenFor(ChannelRequestId id, Waiter* waiter);
   void OnOpened(const EndpointChannel* opened, ChannelRequestId id,
                 const OpenResult& result);
   /// Takes back a channel whose last command has ended. Closes it if the
@@ -167,7 +177,9 @@
   std::vector<std::shared_ptr<EndpointChannel>> opening;
   std::vector<std::shared_ptr<EndpointChannel>> ending;
   IdleChannels idle;
-  std::list<Waiter> waiting;
+  std::map<ChannelRequestId, Waiter> waiting;
+  /// Order of the waiting requests.
+  WaitQueue queue;
   ChannelRequestId next_id = 1;
   bool closed = false;
   common::SteadyTime open_not_before;
--- a/Source/Core/Session/service_group.cc
+++ b/Source/Core/Session/service_group.cc
@@ -320,6 +320,14 @@
          !this->IsEvacuated(member.entry);
 }
 
+bool ServiceGroup::HasReader(
+    const std::set<common::EndpointId>& without) const {
+  return std::any_of(this->members.begin(), this->members.end(),
+                     [&](const auto& item) {
+                       return this->MayRead(item.first, item.second, without);
+                     });
+}
+
 common::Duration ServiceGroup::FailurePenalty(const Member& member,
                                               common::SteadyTime now) const {
   common::Duration penalty = std::chrono::duration_cast<common::Duration>(
@@ -331,7 +339,7 @@
 std::optional<common::EndpointId> ServiceGroup::ChooseReader(
     const std::string& caller, const std::set<common::EndpointId>& without) {
   const common::SteadyTime now = common::SteadyNow();
-  if (NeedsConnectionOwners(this->connection_users)) {
+  if (this->UsesConnectionOwners()) {
     return this->ChooseReaderByLoad(now, without);
   }
   std::optional<common::EndpointId> best;
@@ -369,7 +377,15 @@
   if (ids.empty()) return std::nullopt;
   const double random =
       std::uniform_real_distribution<double>(0, 1)(this->random);
-  return ids[session::ChooseReaderByLoad(candidates, random)];
+  const common::EndpointId& chosen =
+      ids[session::ChooseReaderByLoad(candidates, random)];
+  const common::FailureDomainId& domain = this->members.at(chosen).entry.domain;
+  const HostLocation& own = this->context.location;
+  const char* where = own.InSameRegion(domain) ? "same_region" : "other_region";
+  if (domain == own.domain) where = "same_domain";
+  this->context.metrics->Count(
+      "placed_reads", "Reads by the place of their endpoint.", "where", where);
+  return chosen;
 }
 
 void ServiceGroup::OnReadTime(const common::EndpointId& id,
@@ -558,9 +574,8 @@
   if (this->primary == id) this->monitor.OnResponsive(common::SteadyNow());
 }
 
-bool ServiceGroup::TryHedge(const std::string& caller,
-                            const common::EndpointId& waits_for) {
-  if (!this->ChooseReader(caller, {waits_for}).has_value()) return false;
+bool ServiceGroup::TryHedge(const common::EndpointId& waits_for) {
+  if (!this->HasReader({waits_for})) return false;
   const bool taken = this->hedge_budget.TryTake();
   this->context.metrics->Count(
       "slow_reads", "Reads without an answer for a third of the objective.",
--- a/Source/Core/Session/service_group.h
+++ b/Source/Core/Session/service_group.h
@@ -68,6 +68,14 @@
   std::optional<common::EndpointId> ChooseReader(
       const std::string& caller, const std::set<common::EndpointId>& without);
 
+  /// Whether a member takes reads, apart from those named.
+  bool HasReader(const std::set<common::EndpointId>& without) const;
+
+  /// Whether statements run at the daemons that own the connections.
+  bool UsesConnectionOwners() const {
+    return NeedsConnectionOwners(this->connection_users);
+  }
+
   /// A read has taken this long at a member, with the round trip and the wait
   /// for a channel, or goes on taking longer.
   void OnReadTime(const common::EndpointId& id, common::Duration time);
@@ -141,7 +149,7 @@
 
   /// Whether a read that waits for one member's answer may also be sent to
   /// another member. If so, it is counted against the hedge budget.
-  bool TryHedge(const std::string& caller, const common::EndpointId& waits_for);
+  bool TryHedge(const common::EndpointId& waits_for);
 
   /// Sends a command to a member, for this daemon or for another one that does
   /// not reach the member.
--- a/Source/Core/Session/session.h
+++ b/Source/Core/Session/session.h
@@ -44,6 +44,7 @@
 #include "Session/statement_forwarding.h"
 #include "Session/statement_run.h"
 #include "Session/transaction_channel.h"
+#include "Session/wait_queue.h"
 #include "Session/watch_lengths.h"
 #include "Session/wire_codec.h"
 #include "Session/workspace_limiter.h"
--- a/Source/Core/Session/statement_attempt.cc
+++ b/Source/Core/Session/statement_attempt.cc
@@ -14,12 +14,36 @@
 /// Maximum number of repetitions of a busy statement inside a transaction.
 constexpr int kMaxBusyRepetitions = 19;
 
+AttemptFailure FailureOf(PoolFailure failure) {
+  switch (failure) {
+    case PoolFailure::kWrongEndpoint:
+      return AttemptFailure::kWrongEndpoint;
+    case PoolFailure::kOverloaded:
+      return AttemptFailure::kOverloaded;
+    case PoolFailure::kUnreachable:
+      return AttemptFailure::kUnreachable;
+  }
+  return AttemptFailure::kUnreachable;
+}
+
 }  // namespace
 
+std::size_t SizeOf(const AttemptRequest& request) {
+  std::size_t bytes =
+      request.statement.request_id.size() + request.statement.text.size();
+  if (request.shape.has_value()) bytes += request.shape->shape.size();
+  for (const auto& [name, value] : request.values) {
+    bytes += name.size() + value.size();
+  }
+  return bytes;
+}
+
 const char* ToString(AttemptFailure failure) {
   switch (failure) {
     case AttemptFailure::kNoFreeChannel:
       return "no_free_channel";
+    case AttemptFailure::kOverloaded:
+      return "overloaded";
     case AttemptFailure::kUnreachable:
       return "unreachable";
     case AttemptFailure::kWrongEndpoint:
@@ -73,6 +97,8 @@
   channel_request.caller = this->request.caller;
   channel_request.values = this->request.values;
   channel_request.priority = this->request.priority + 1;
+  channel_request.waiting_since = this->request.waiting_since;
+  channel_request.deadline = this->request.channel_deadline;
   channel_request.done = [weak = this->weak_from_this()](
                              const ChannelGrant& grant) {
     const auto attempt = weak.lock();
@@ -130,9 +156,7 @@
   this->pool_request.reset();
   this->timer.reset();
   if (const auto* failure = std::get_if<PoolFailure>(&grant)) {
-    this->Finish(*failure == PoolFailure::kWrongEndpoint
-                     ? AttemptFailure::kWrongEndpoint
-                     : AttemptFailure::kUnreachable);
+    this->Finish(FailureOf(*failure));
     return;
   }
   this->channel = std::get<std::shared_ptr<EndpointChannel>>(grant);
--- a/Source/Core/Session/statement_attempt.h
+++ b/Source/Core/Session/statement_attempt.h
@@ -42,13 +42,23 @@
   std::uint32_t priority = 0;
   /// How long the attempt waits for a channel.
   common::Duration channel_wait = std::chrono::milliseconds(250);
+  /// Since when the operation has been waiting, and until when it may wait for
+  /// a channel, over all attempts; none if requests for channels are served in
+  /// order of arrival.
+  std::optional<common::SteadyTime> waiting_since;
+  std::optional<common::SteadyTime> channel_deadline;
   common::Duration statement_timeout = std::chrono::seconds(1);
 };
 
+/// Bytes of a statement with its values and its prepared statement.
+std::size_t SizeOf(const AttemptRequest& request);
+
 /// Why an attempt has no answer of the endpoint.
 enum class AttemptFailure {
   // Nothing has run.
   kNoFreeChannel,
+  /// The statement would get a channel after its deadline.
+  kOverloaded,
   kUnreachable,
   kWrongEndpoint,
   kPreparationFailed,
--- a/Source/Core/Session/statement_messages.cc
+++ b/Source/Core/Session/statement_messages.cc
@@ -1,5 +1,6 @@
 #include "Session/statement_messages.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace camphorferry::session {
@@ -66,6 +67,7 @@
 fleet::v1::StatementFailure ToMessage(AttemptFailure failure) {
   switch (failure) {
     case AttemptFailure::kNoFreeChannel:
+    case AttemptFailure::kOverloaded:
       return fleet::v1::NO_FREE_CHANNEL;
     case AttemptFailure::kUnreachable:
       return fleet::v1::UNREACHABLE;
@@ -183,6 +185,14 @@
   message.set_channel_wait_ms(Milliseconds(attempt.channel_wait));
   message.set_statement_timeout_ms(Milliseconds(attempt.statement_timeout));
   message.set_transaction(request.transaction);
+  const common::SteadyTime now = common::SteadyNow();
+  if (attempt.waiting_since.has_value()) {
+    message.set_waited_ms(Milliseconds(now - *attempt.waiting_since));
+  }
+  if (attempt.channel_deadline.has_value()) {
+    message.set_may_wait_ms(Milliseconds(
+        std::max(*attempt.channel_deadline - now, common::Duration::zero())));
+  }
   return message;
 }
 
@@ -220,6 +230,15 @@
   attempt.channel_wait = std::chrono::milliseconds(message.channel_wait_ms());
   attempt.statement_timeout =
       std::chrono::milliseconds(message.statement_timeout_ms());
+  const common::SteadyTime now = common::SteadyNow();
+  if (message.has_waited_ms()) {
+    attempt.waiting_since =
+        now - std::chrono::milliseconds(message.waited_ms());
+  }
+  if (message.has_may_wait_ms()) {
+    attempt.channel_deadline =
+        now + std::chrono::milliseconds(message.may_wait_ms());
+  }
   return request;
 }
 
@@ -228,7 +247,9 @@
   if (const auto* answer = std::get_if<EndpointAnswer>(&result.outcome)) {
     SetAnswer(*answer, &message);
   } else {
-    message.set_failure(ToMessage(std::get<AttemptFailure>(result.outcome)));
+    const auto failure = std::get<AttemptFailure>(result.outcome);
+    message.set_failure(ToMessage(failure));
+    message.set_overloaded(failure == AttemptFailure::kOverloaded);
   }
   message.set_transaction(result.transaction);
   return message;
@@ -244,7 +265,8 @@
       result.outcome = AttemptFailure::kNoSignature;
     }
   } else {
-    result.outcome = FromMessage(message.failure());
+    result.outcome = message.overloaded() ? AttemptFailure::kOverloaded
+                                          : FromMessage(message.failure());
   }
   result.transaction = message.transaction();
   return result;
--- a/Source/Core/Session/statement_run.cc
+++ b/Source/Core/Session/statement_run.cc
@@ -47,7 +47,12 @@
       request(std::move(request)),
       done(std::move(done)),
       admitted(this->request.received) {
-  this->request.attempt.channel_wait = kChannelWait;
+  AttemptRequest& attempt_request = this->request.attempt;
+  attempt_request.channel_wait = kChannelWait;
+  if (this->group->UsesConnectionOwners()) {
+    attempt_request.waiting_since = this->request.received;
+    attempt_request.channel_deadline = this->request.channel_deadline;
+  }
 }
 
 StatementRun::~StatementRun() = default;
@@ -234,8 +239,7 @@
       this->group->ConnectionOwner(id, this->request.attempt.caller);
   // An owner gets statements of many daemons, each of which limits only its own
   // large ones.
-  const bool large =
-      this->request.attempt.statement.text.size() > kSmallMessageBytes;
+  const bool large = SizeOf(this->request.attempt) > kSmallMessageBytes;
   if (wanted.has_value() && !large &&
       !this->avoided_owners.contains(wanted->id)) {
     this->Forward(*wanted, 0);
@@ -344,7 +348,7 @@
 void StatementRun::SendHedge() {
   this->RecordReadTime();
   this->group->OnStatementFailed(this->endpoint);
-  if (!this->group->TryHedge(this->request.attempt.caller, this->endpoint)) {
+  if (!this->group->TryHedge(this->endpoint)) {
     return;
   }
   this->tried.insert(this->endpoint);
@@ -436,6 +440,9 @@
       this->no_channel = true;
       this->Attempt();
       return;
+    case AttemptFailure::kOverloaded:
+      this->OnOverloaded();
+      return;
     case AttemptFailure::kUnreachable:
     case AttemptFailure::kWrongEndpoint:
       this->tried.insert(this->endpoint);
@@ -453,6 +460,31 @@
   }
 }
 
+void StatementRun::OnOverloaded() {
+  this->tried.insert(this->endpoint);
+  this->overloaded.insert(this->endpoint);
+  this->last_reason = ToString(AttemptFailure::kOverloaded);
+  if (!this->request.needs_primary &&
+      this->group->HasReader(this->overloaded)) {
+    this->Attempt();
+    return;
+  }
+  // Clients that are refused together must not return together: the time is
+  // spread around half of what this one could have waited.
+  const common::Duration mean =
+      (this->request.channel_deadline - this->request.received) / 2;
+  constexpr std::size_t kSteps = 1024;
+  const auto step = static_cast<std::int64_t>(
+      std::hash<std::string>()(this->request.attempt.statement.request_id) %
+      kSteps);
+  const common::Duration retry_after =
+      mean / 2 + mean * step / static_cast<std::int64_t>(kSteps);
+  this->Fail(StatementError::kBusy,
+             "overloaded; retry after " +
+                 std::to_string(common::ToMilliseconds(retry_after).count()) +
+                 " ms");
+}
+
 void StatementRun::OnRefused(const EndpointAnswer& answer) {
   const StatementError code = answer.error->code;
   if (code == StatementError::kReadOnly) {
--- a/Source/Core/Session/statement_run.h
+++ b/Source/Core/Session/statement_run.h
@@ -110,6 +110,9 @@
       const std::variant<EndpointAnswer, AttemptFailure>& outcome);
   void OnAnswer(const EndpointAnswer& answer);
   void OnFailure(AttemptFailure failure);
+  /// The endpoint can't serve the statement in time. Tries those that may, or
+  /// refuses it at once.
+  void OnOverloaded();
   void OnRefused(const EndpointAnswer& answer);
   /// Ends all attempts without using their results.
   void AbandonAttempts();
@@ -145,6 +148,8 @@
   /// Members that have failed this statement; cleared when no other member is
   /// left.
   std::set<common::EndpointId> tried;
+  /// Members that can't serve it in time.
+  std::set<common::EndpointId> overloaded;
   common::SteadyTime attempt_started;
   /// When the operation was last admitted by the rate limiter.
   common::SteadyTime admitted;
