Session: End sessions that are closed for a limit while they send their last bytes

Such a session was never removed, and counted against the limit of sessions. Found by reading; no test.

--- a/Source/Core/Session/client_session.cc
+++ b/Source/Core/Session/client_session.cc
@@ -103,9 +103,14 @@
                {"request", this->current_request},
                {"buffered_bytes",
                 this->stream->BufferedBytes() + this->state.Bytes()}});
-  // Nothing that is queued is sent any more.
+  // Nothing that is queued is sent any more, not even by a session that has
+  // ended and still sends its last bytes.
   this->stream->Close();
-  this->End();
+  if (this->ended) {
+    this->delegate->OnSessionEnded(this);
+  } else {
+    this->End();
+  }
 }
 
 void ClientSession::MeterState(std::size_t former_bytes) {
