--- a/Source/Core/Session/reader_choice.cc
+++ b/Source/Core/Session/reader_choice.cc
@@ -13,6 +13,9 @@
 /// Half-life of the knowledge of an endpoint. A daemon of a large fleet sends
 /// about two statements a second to one group.
 constexpr std::chrono::milliseconds kHalfLife(1000);
+/// What a refused read costs beside its time: an attempt at another endpoint,
+/// which may be in another region and loaded.
+constexpr std::chrono::milliseconds kFailureCost(100);
 /// Added to each expected time, so that differences far below the time of a
 /// usual read don't matter.
 constexpr std::chrono::milliseconds kTypicalRead(10);
@@ -39,6 +42,11 @@
   this->recorded_at = now;
 }
 
+void ResponseTimes::RecordFailure(common::Duration time,
+                                  common::SteadyTime now) {
+  this->Record(time + kFailureCost, now);
+}
+
 double ResponseTimes::Weight(common::SteadyTime now) const {
   if (!this->average.has_value()) return 0;
   const std::chrono::duration<double> half_life = kHalfLife;
--- a/Source/Core/Session/reader_choice.h
+++ b/Source/Core/Session/reader_choice.h
@@ -18,6 +18,11 @@
   /// one read, without the round trip.
   void Record(common::Duration time, common::SteadyTime now);
 
+  /// Records a read that the endpoint has refused or failed after this time. It
+  /// counts as a slow one, so that an endpoint that refuses at once does not
+  /// attract reads.
+  void RecordFailure(common::Duration time, common::SteadyTime now);
+
   /// The average; none before the first record.
   const std::optional<common::Duration>& Average() const {
     return this->average;
--- a/Source/Core/Session/service_group.cc
+++ b/Source/Core/Session/service_group.cc
@@ -389,13 +389,18 @@
 }
 
 void ServiceGroup::OnReadTime(const common::EndpointId& id,
-                              common::Duration time) {
+                              common::Duration time, bool served) {
   const auto found = this->members.find(id);
   if (found == this->members.end()) return;
   Member& member = found->second;
-  member.response_times.Record(std::max(time - this->RoundTripTo(member.entry),
-                                        common::Duration::zero()),
-                               common::SteadyNow());
+  const common::Duration at_endpoint = std::max(
+      time - this->RoundTripTo(member.entry), common::Duration::zero());
+  const common::SteadyTime now = common::SteadyNow();
+  if (served) {
+    member.response_times.Record(at_endpoint, now);
+  } else {
+    member.response_times.RecordFailure(at_endpoint, now);
+  }
 }
 
 void ServiceGroup::SendCommand(const common::EndpointId& id,
--- a/Source/Core/Session/service_group.h
+++ b/Source/Core/Session/service_group.h
@@ -77,8 +77,9 @@
   }
 
   /// A read has taken this long at a member, with the round trip and the wait
-  /// for a channel, or goes on taking longer.
-  void OnReadTime(const common::EndpointId& id, common::Duration time);
+  /// for a channel, and was served or not.
+  void OnReadTime(const common::EndpointId& id, common::Duration time,
+                  bool served);
 
   /// Connection pool of a member; null if the member is gone.
   EndpointPool* PoolOf(const common::EndpointId& id);
--- a/Source/Core/Session/statement_run.cc
+++ b/Source/Core/Session/statement_run.cc
@@ -335,18 +335,18 @@
   });
 }
 
-void StatementRun::RecordReadTime() {
+void StatementRun::RecordReadTime(bool served) {
   // A transaction's later statements stay at the member of the first.
   if (this->request.needs_primary ||
       this->request.attempt.use == TransactionUse::kContinues) {
     return;
   }
   this->group->OnReadTime(this->endpoint,
-                          common::SteadyNow() - this->attempt_started);
+                          common::SteadyNow() - this->attempt_started, served);
 }
 
 void StatementRun::SendHedge() {
-  this->RecordReadTime();
+  this->RecordReadTime(false);
   this->group->OnStatementFailed(this->endpoint);
   if (!this->group->TryHedge(this->endpoint)) {
     return;
@@ -371,7 +371,8 @@
     if (this->done) this->OnEarlierResult(outcome);
     return;
   }
-  this->RecordReadTime();
+  const auto* complete = std::get_if<EndpointAnswer>(&outcome);
+  this->RecordReadTime(complete != nullptr && !complete->error.has_value());
   this->attempt.reset();
   this->timer.reset();
   this->channel = std::move(with_channel);
--- a/Source/Core/Session/statement_run.h
+++ b/Source/Core/Session/statement_run.h
@@ -95,8 +95,8 @@
   void Forward(const FleetHost& to, std::uint64_t transaction);
   StatementAttempt::Observers NewObservers(std::uint64_t number);
   void StartHedgeTimer();
-  /// Records how long the current attempt has taken.
-  void RecordReadTime();
+  /// Records how long the current attempt has taken, and whether it was served.
+  void RecordReadTime(bool served);
   /// Sends a read that has waited long for its answer to a second member as
   /// well, unless the group's hedge budget is used up.
   void SendHedge();
--- a/Source/UnitTests/Core/Session/reader_choice_test.cc
+++ b/Source/UnitTests/Core/Session/reader_choice_test.cc
@@ -234,6 +234,19 @@
   EXPECT_GT(shares[0], 0.35);
 }
 
+// Guards against an endpoint that attracts reads by refusing them at once, as a
+// replica does that lags.
+TEST_F(ReaderChoiceTest, RefusesAtOnce_Endpoint_GetsHardlyAny) {
+  ResponseTimes refusing;
+  for (int count = 0; count < 5; ++count) {
+    refusing.RecordFailure(milliseconds(1), kStart);
+  }
+  const auto shares = Shares(
+      {{milliseconds(1), refusing.Average(), refusing.Weight(kStart), {}},
+       {milliseconds(3), milliseconds(20), 1, {}}});
+  EXPECT_LT(shares[0], 0.02);
+}
+
 // Guards against flooding an endpoint of which nothing is known yet.
 TEST_F(ReaderChoiceTest, NewEndpoint_Reads_GetsNoMoreThanOthers) {
   const auto shares = Shares({{milliseconds(1), std::nullopt, 0, {}},
