--- a/Source/UnitTests/ClientLimits/crowd.cc
+++ b/Source/UnitTests/ClientLimits/crowd.cc
@@ -31,8 +31,12 @@
     client.socket = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
     setsockopt(client.socket, SOL_SOCKET, SO_RCVBUF, &kReceiveBufferBytes,
                sizeof(kReceiveBufferBytes));
-    connect(client.socket, reinterpret_cast<const sockaddr*>(&address),
-            sizeof(address));
+    const int connected =
+        connect(client.socket, reinterpret_cast<const sockaddr*>(&address),
+                sizeof(address));
+    if (connected != 0 && !WouldBlock()) {
+      close(std::exchange(client.socket, -1));
+    }
   }
 }
 
--- a/Source/UnitTests/Core/Session/workspace_limiter_test.cc
+++ b/Source/UnitTests/Core/Session/workspace_limiter_test.cc
@@ -157,8 +157,8 @@
     const common::SteadyTime now = kStart + milliseconds(ms);
     if (ms == 8000) next.SetOwned(kWorkspace, true, now);
     WorkspaceLimiter& owner = ms < 8000 ? former : next;
-    if (!owner.Admit({Host(1), kWorkspace}, now).retry_after.has_value())
-      window.Add(now);
+    const AdmissionReply reply = owner.Admit({Host(1), kWorkspace}, now);
+    if (!reply.retry_after.has_value()) window.Add(now);
     ASSERT_LE(window.Count(now), AllowedInWindow(rate));
   }
 }
