Session: Keep a stream's large messages in one place, and state less twice

No behaviour changes but one: response times are recorded only where reads are placed by them. The stream itself waits for room and gives it back when it is closed, so clients' sessions and channels to endpoints no longer each have a copy of that, nor a destructor for it. A flag for delivered large messages was always set where it was read. The view of a fleet is one type from the membership to the limiter, and its recent size is the sum over failure domains. Sessions are listed for the limits in one function, "idle" is defined once, places in the wait queue are kept twice instead of three times, seconds are converted in Common, and two tests of a rate owner share their replay. Unused: AdmissionQueue::Empty, WaitQueue::Size.

--- a/Source/Core/Common/time.h
+++ b/Source/Core/Common/time.h
@@ -19,6 +19,17 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(duration);
 }
 
+/// Seconds of a duration, with their fraction.
+constexpr double ToSeconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+/// The duration of a number of seconds.
+constexpr Duration FromSeconds(double seconds) {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(seconds));
+}
+
 }  // namespace camphorferry::common
 
 #endif  // CAMPHORFERRY_COMMON_TIME_H_
--- a/Source/Core/Session/admission_queue.cc
+++ b/Source/Core/Session/admission_queue.cc
@@ -57,8 +57,4 @@
       until_turn + this->turn_interval * this->refused++, kMaxRetryAfter);
 }
 
-bool AdmissionQueue::Empty(common::SteadyTime now) const {
-  return this->waiting == 0 && this->requests == 0 && now >= this->refuse_until;
-}
-
 }  // namespace camphorferry::session
--- a/Source/Core/Session/admission_queue.h
+++ b/Source/Core/Session/admission_queue.h
@@ -11,8 +11,8 @@
 
 /// Operations of one workspace at one daemon that are to be admitted by the
 /// owner of its rate. Answers a workspace that sends many times its rate
-/// through all daemons: its rate owner is one small host, which must not be
-/// asked for each operation. Few requests are in progress at a time and each
+/// through all daemons: its rate owner is one host, which must not be asked for
+/// each operation. Few requests are in progress at a time and each
 /// contains all operations that wait; after a refusal, operations are refused
 /// without asking until the time that the owner has named.
 class AdmissionQueue {
@@ -44,9 +44,6 @@
   /// The time after which the client of a refused operation should return.
   common::Duration NextRetry(common::SteadyTime now);
 
-  /// Whether nothing waits, is in progress or is remembered.
-  bool Empty(common::SteadyTime now) const;
-
  private:
   /// Takes all waiting operations into a request.
   Ask TakeWaiting();
--- a/Source/Core/Session/client_session.cc
+++ b/Source/Core/Session/client_session.cc
@@ -53,26 +53,22 @@
     this->ReplyError(StatementError::kTooLarge, "message above 1 MiB");
     this->End();
   };
-  events.needs_room = [this] { this->RequestRoom(); };
+  this->stream->SetLargeMessages(this->delegate->LargeMessages());
   this->stream->SetMeter(this->delegate->Meter());
   this->stream->Start(std::move(events));
 }
 
-void ClientSession::RequestRoom() {
-  this->room_requested = true;
-  this->delegate->LargeMessages()->Request(
-      this, [this] { this->stream->SetLargeMessages(true); });
+bool ClientSession::StatementInProgress() const {
+  return this->run != nullptr || this->awaiting_admission;
+}
+
+bool ClientSession::IsIdle() const {
+  return !this->StatementInProgress() &&
+         this->state.Phase() == TransactionPhase::kIdle;
 }
 
 void ClientSession::ReleaseRoomIfDone() {
-  if (!this->room_requested) return;
-  const bool in_progress = !this->large_delivered || this->run != nullptr ||
-                           this->awaiting_admission;
-  if (in_progress && !this->ended) return;
-  this->room_requested = false;
-  this->large_delivered = false;
-  this->stream->SetLargeMessages(false);
-  this->delegate->LargeMessages()->Release(this);
+  if (!this->StatementInProgress()) this->stream->ReleaseRoom();
 }
 
 SessionTimes ClientSession::Times() const {
@@ -88,8 +84,7 @@
 SessionUsage ClientSession::Usage() const {
   SessionUsage usage;
   usage.opened = this->opened;
-  usage.idle = this->run == nullptr && !this->awaiting_admission &&
-               this->state.Phase() == TransactionPhase::kIdle;
+  usage.idle = this->IsIdle();
   usage.workspace = this->workspace;
   usage.last_message = std::max(this->accepted, this->current_received);
   usage.buffered_bytes = this->stream->BufferedBytes() + this->state.Bytes();
@@ -101,8 +96,7 @@
               {{"limit", ToString(cause)},
                {"workspace", this->workspace},
                {"request", this->current_request},
-               {"buffered_bytes",
-                this->stream->BufferedBytes() + this->state.Bytes()}});
+               {"buffered_bytes", this->Usage().buffered_bytes}});
   // Nothing that is queued is sent any more, not even by a session that has
   // ended and still sends its last bytes.
   this->stream->Close();
@@ -126,7 +120,6 @@
 
 void ClientSession::OnMessage(std::string_view line) {
   const auto keep = this->shared_from_this();
-  this->large_delivered = true;
   this->HandleMessage(line);
   this->ReleaseRoomIfDone();
 }
@@ -522,8 +515,7 @@
 void ClientSession::RollBackTransaction() { RollBack(&this->pinned_channel); }
 
 bool ClientSession::CloseIfIdle() {
-  const bool busy = this->run != nullptr || this->awaiting_admission;
-  if (busy || this->state.Transaction().has_value()) return false;
+  if (!this->IsIdle()) return false;
   const auto keep = this->shared_from_this();
   this->End();
   return true;
@@ -557,7 +549,7 @@
     this->run.reset();
   }
   this->RollBackTransaction();
-  this->ReleaseRoomIfDone();
+  this->stream->ReleaseRoom();
   // The process must not exit before the last answer is sent.
   this->stream->CloseWhenSent([weak = this->weak_from_this()] {
     const auto session = weak.lock();
--- a/Source/Core/Session/client_session.h
+++ b/Source/Core/Session/client_session.h
@@ -47,7 +47,7 @@
   virtual std::shared_ptr<BufferMeter> Meter() = 0;
 
   /// Room for large messages of clients.
-  virtual LargeMessageQueue* LargeMessages() = 0;
+  virtual std::shared_ptr<LargeMessageQueue> LargeMessages() = 0;
 
   /// The meter may have risen above the limit.
   virtual void CheckMeter() = 0;
@@ -121,10 +121,11 @@
 
   /// Sends bytes to the client.
   void Send(std::string_view bytes);
-  /// A message is larger than a small one.
-  void RequestRoom();
-  /// Ends the use of room for a large message once nothing of it is in
-  /// progress.
+  /// A statement waits for its admission or runs.
+  bool StatementInProgress() const;
+  /// No statement is in progress and no transaction is open.
+  bool IsIdle() const;
+  /// Releases the room of a large message unless its statement is in progress.
   void ReleaseRoomIfDone();
   /// The size of the session's state has changed.
   void MeterState(std::size_t former_bytes);
@@ -155,10 +156,6 @@
   std::string current_request;
   common::SteadyTime current_received;
   common::SteadyTime accepted;
-  /// A message that is larger than a small one has been received or waits for
-  /// room.
-  bool room_requested = false;
-  bool large_delivered = false;
 };
 
 }  // namespace camphorferry::session
--- a/Source/Core/Session/endpoint_channel.cc
+++ b/Source/Core/Session/endpoint_channel.cc
@@ -16,21 +16,6 @@
       caller(std::move(caller)),
       large_responses(std::move(queue)) {}
 
-EndpointChannel::~EndpointChannel() { this->ReleaseRoom(); }
-
-void EndpointChannel::RequestRoom() {
-  this->room_requested = true;
-  this->large_responses->Request(this, [this] {
-    if (this->stream != nullptr) this->stream->SetLargeMessages(true);
-  });
-}
-
-void EndpointChannel::ReleaseRoom() {
-  if (!std::exchange(this->room_requested, false)) return;
-  if (this->stream != nullptr) this->stream->SetLargeMessages(false);
-  this->large_responses->Release(this);
-}
-
 void EndpointChannel::Open(common::Duration timeout,
                            std::function<void(OpenResult)> done) {
   this->stream = std::make_shared<MessageStream>(this->loop, this->address);
@@ -39,9 +24,7 @@
   events.message = [this](std::string_view line) { this->OnMessage(line); };
   events.closed = [this] { this->OnClosed(); };
   events.oversized = [this] { this->OnClosed(); };
-  if (this->large_responses != nullptr) {
-    events.needs_room = [this] { this->RequestRoom(); };
-  }
+  this->stream->SetLargeMessages(this->large_responses);
   this->stream->Start(std::move(events));
   this->Send(
       this->codec->EncodeOpen(this->service, this->caller, this->endpoint),
@@ -86,7 +69,6 @@
 
 void EndpointChannel::Close() {
   this->ready = false;
-  this->ReleaseRoom();
   if (this->stream == nullptr) return;
   this->stream->Close();
   // This may have been called from a callback of the stream, so the stream is
@@ -144,7 +126,7 @@
   this->timer.reset();
   const auto done = std::exchange(this->pending, nullptr);
   if (done) done(std::move(result));
-  this->ReleaseRoom();
+  if (this->stream != nullptr) this->stream->ReleaseRoom();
 }
 
 }  // namespace camphorferry::session
--- a/Source/Core/Session/endpoint_channel.h
+++ b/Source/Core/Session/endpoint_channel.h
@@ -35,7 +35,6 @@
   EndpointChannel(connection::EventLoop* loop, const WireCodec* codec,
                   const GroupMember& member, std::string caller,
                   std::shared_ptr<LargeMessageQueue> large_responses = nullptr);
-  ~EndpointChannel();
   EndpointChannel(const EndpointChannel&) = delete;
   EndpointChannel& operator=(const EndpointChannel&) = delete;
 
@@ -76,9 +75,6 @@
   void OnMessage(std::string_view line);
   void OnClosed();
   void Finish(ChannelResult result);
-  /// Reads the rest of a large response once there is room for it.
-  void RequestRoom();
-  void ReleaseRoom();
 
   connection::EventLoop* loop;
   const WireCodec* codec;
@@ -93,7 +89,6 @@
   std::function<void()> idle_close;
   EndpointAnswer answer;
   ChannelState state;
-  bool room_requested = false;
   bool connected = false;
   bool ready = false;
 };
--- a/Source/Core/Session/fleet_membership.cc
+++ b/Source/Core/Session/fleet_membership.cc
@@ -47,6 +47,11 @@
 /// is long.
 constexpr int kTurnsUntilLost = 2;
 
+/// Whether a number of daemons is most of those of a failure domain.
+bool IsMost(std::size_t part, std::size_t whole) {
+  return part * kMostDenominator >= whole * kMostNumerator;
+}
+
 }  // namespace
 
 FleetMembership::FleetMembership(HostLocation own)
@@ -82,17 +87,11 @@
 }
 
 std::size_t FleetMembership::RecentSize(common::SteadyTime now) const {
-  // Entries of daemons that ended long ago stay in the directory, so those that
-  // have never answered don't count.
-  const auto known = std::count_if(
-      this->peers.begin(), this->peers.end(), [](const auto& item) {
-        return item.second.has_replied || !IsSilent(item.second);
-      });
-  const auto lost = std::count_if(
-      this->removed.begin(), this->removed.end(), [now](const auto& item) {
-        return now - item.second.at < kRemovedCounts;
-      });
-  return static_cast<std::size_t>(known + lost) + 1;
+  std::size_t size = 0;
+  for (const auto& [domain, count] : this->CountByDomain(now)) {
+    size += count.recent;
+  }
+  return size;
 }
 
 bool FleetMembership::IsHeard(const Peer& peer, common::SteadyTime now) const {
@@ -106,6 +105,8 @@
   std::map<common::FailureDomainId, DomainCount> counts;
   counts[this->own.domain] = {1, 1};
   for (const auto& [id, peer] : this->peers) {
+    // Entries of daemons that ended long ago stay in the directory, so those
+    // that have never answered don't count.
     if (!peer.has_replied && IsSilent(peer)) continue;
     DomainCount& count = counts[peer.host.domain];
     ++count.recent;
@@ -120,16 +121,14 @@
 bool FleetMembership::HearsFailureDomain(common::SteadyTime now) const {
   const auto counts = this->CountByDomain(now);
   return std::any_of(counts.begin(), counts.end(), [](const auto& item) {
-    return item.second.heard * kMostDenominator >=
-           item.second.recent * kMostNumerator;
+    return IsMost(item.second.heard, item.second.recent);
   });
 }
 
 bool FleetMembership::MissesFailureDomain(common::SteadyTime now) const {
   const auto counts = this->CountByDomain(now);
   return std::any_of(counts.begin(), counts.end(), [](const auto& item) {
-    const std::size_t missed = item.second.recent - item.second.heard;
-    return missed * kMostDenominator >= item.second.recent * kMostNumerator;
+    return IsMost(item.second.recent - item.second.heard, item.second.recent);
   });
 }
 
--- a/Source/Core/Session/fleet_task.cc
+++ b/Source/Core/Session/fleet_task.cc
@@ -346,16 +346,16 @@
     this->callbacks.rate_owners_changed();
   }
   const common::SteadyTime now = common::SteadyNow();
-  const FleetSize size{this->membership.Size(),
-                       this->membership.RecentSize(now),
-                       this->membership.HeardCount(now),
-                       this->membership.HearsFailureDomain(now),
-                       this->membership.MissesFailureDomain(now),
-                       this->hosts_listed};
+  const FleetSize size{
+      this->membership.Size(),
+      {this->membership.RecentSize(now), this->membership.HeardCount(now),
+       this->membership.HearsFailureDomain(now),
+       this->membership.MissesFailureDomain(now)},
+      this->hosts_listed};
   if (size == this->last_size) return;
   if (size.live != this->last_size.live) {
     common::Log(Subsystem::kProcess, LogLevel::kInfo, "fleet_size",
-                {{"size", size.live}, {"heard", size.heard}});
+                {{"size", size.live}, {"heard", size.recent.responsive}});
   }
   this->last_size = size;
   this->callbacks.on_size_changed(size);
--- a/Source/Core/Session/fleet_task.h
+++ b/Source/Core/Session/fleet_task.h
@@ -13,18 +13,13 @@
 
 namespace camphorferry::session {
 
-/// Numbers of daemons, each including this one.
+/// How large the fleet is, as this daemon sees it.
 struct FleetSize {
-  /// Those that may be alive.
+  /// Daemons that may be alive, including this one.
   std::size_t live = 1;
-  /// Those that may be alive or were a minute ago.
-  std::size_t recent = 1;
-  /// Those that have been heard lately.
-  std::size_t heard = 1;
-  /// Those that have been heard are most of a failure domain.
-  bool hears_domain = false;
-  /// Those that have not been heard may be most of a failure domain.
-  bool misses_domain = true;
+  /// Daemons that may be alive or were a minute ago, and those of them that
+  /// have been heard lately.
+  FleetView recent;
   /// The hosts have been listed after this daemon's registration.
   bool listed = false;
 
@@ -167,7 +162,8 @@
   FleetHost own;
   FleetMembership membership;
   FleetCallbacks callbacks;
-  FleetSize last_size{0, 0, 0, false, true, false};
+  /// Numbers that no fleet has, before the first report.
+  FleetSize last_size{0, {0, 0}, false};
   std::vector<common::HostId> last_rate_owners;
   /// Another daemon or the whole directory is known. Before that, this daemon
   /// would take itself as the owner of every rate.
--- a/Source/Core/Session/message_stream.cc
+++ b/Source/Core/Session/message_stream.cc
@@ -61,7 +61,7 @@
   if (this->handle == nullptr) return;
   this->events = std::make_shared<StreamEvents>(std::move(stream_events));
   bufferevent_setcb(this->handle, OnReadable, OnWritten, OnEvent, this);
-  this->SetLargeMessages(!this->events->needs_room);
+  this->SetReadLimit();
   if (this->meter != nullptr) {
     for (evbuffer* buffer : {bufferevent_get_input(this->handle),
                              bufferevent_get_output(this->handle)}) {
@@ -84,28 +84,34 @@
   shared->bytes -= info->n_deleted;
 }
 
-std::size_t MessageStream::ReceivedBytes() const {
-  return this->handle == nullptr
-             ? 0
-             : evbuffer_get_length(bufferevent_get_input(this->handle));
-}
-
 std::size_t MessageStream::BufferedBytes() const {
   if (this->handle == nullptr) return 0;
-  return this->ReceivedBytes() +
+  return evbuffer_get_length(bufferevent_get_input(this->handle)) +
          evbuffer_get_length(bufferevent_get_output(this->handle));
 }
 
-void MessageStream::SetLargeMessages(bool allowed) {
-  if (this->handle == nullptr) return;
-  this->large_messages = allowed;
-  this->room_requested = false;
-  this->incomplete_since.reset();
-  if (allowed && this->ReceivedBytes() > 0) {
-    this->incomplete_since = common::SteadyNow();
-  }
+void MessageStream::SetLargeMessages(std::shared_ptr<LargeMessageQueue> queue) {
+  this->large_messages = std::move(queue);
+}
+
+void MessageStream::SetReadLimit() {
+  const bool large = this->large_messages == nullptr || this->has_room;
   bufferevent_setwatermark(this->handle, EV_READ, 0,
-                           allowed ? kMaxInputBytes : kSmallMessageBytes);
+                           large ? kMaxInputBytes : kSmallMessageBytes);
+}
+
+void MessageStream::OnRoom() {
+  this->has_room = true;
+  this->incomplete_since = common::SteadyNow();
+  this->SetReadLimit();
+}
+
+void MessageStream::ReleaseRoom() {
+  if (!std::exchange(this->room_requested, false)) return;
+  this->has_room = false;
+  this->incomplete_since.reset();
+  if (this->handle != nullptr) this->SetReadLimit();
+  this->large_messages->Release(this);
 }
 
 void MessageStream::Send(std::string_view bytes) {
@@ -140,6 +146,7 @@
     }
   }
   bufferevent_free(std::exchange(this->handle, nullptr));
+  this->ReleaseRoom();
   this->events.reset();
   this->close_timer.reset();
   this->when_sent = nullptr;
@@ -216,14 +223,12 @@
   if (!this->incomplete_since.has_value()) {
     this->incomplete_since = common::SteadyNow();
   }
-  if (received >= kSmallMessageBytes && !this->large_messages &&
-      !this->room_requested) {
-    this->room_requested = true;
-    const auto current = this->events;
-    current->needs_room();
+  if (received >= kSmallMessageBytes && this->large_messages != nullptr &&
+      !std::exchange(this->room_requested, true)) {
+    this->large_messages->Request(this, [this] { this->OnRoom(); });
   }
   // While it waits for room, the peer is not to blame for the rest.
-  if (this->room_requested) this->incomplete_since.reset();
+  if (this->room_requested && !this->has_room) this->incomplete_since.reset();
   return false;
 }
 
--- a/Source/Core/Session/message_stream.h
+++ b/Source/Core/Session/message_stream.h
@@ -8,6 +8,7 @@
 #include <string_view>
 
 #include "Connection/connection.h"
+#include "Session/large_message_queue.h"
 
 struct bufferevent;
 struct evbuffer;
@@ -39,9 +40,6 @@
   std::function<void()> closed = [] {};
   /// A message exceeds the size limit. The stream delivers nothing more.
   std::function<void()> oversized = [] {};
-  /// A message is larger than a small one. The stream reads no more of it until
-  /// SetLargeMessages; if this is unset, it needs no permission.
-  std::function<void()> needs_room;
 };
 
 /// TCP connection that carries messages of one line each. Must be owned by a
@@ -66,8 +64,13 @@
   /// Stops or resumes the delivery of messages.
   void SetPaused(bool paused);
 
-  /// Whether messages that are larger than a small one are received.
-  void SetLargeMessages(bool allowed);
+  /// Lets messages that are larger than a small one wait for room in a queue,
+  /// from Start on. Without a queue they are received at once.
+  void SetLargeMessages(std::shared_ptr<LargeMessageQueue> queue);
+
+  /// The last large message has been processed, so others may take its room.
+  /// Does nothing if there is none.
+  void ReleaseRoom();
 
   /// Adds what this stream keeps to a meter, from Start on.
   void SetMeter(std::shared_ptr<BufferMeter> shared);
@@ -75,9 +78,6 @@
   /// Bytes that are received and not delivered, or queued and not sent.
   std::size_t BufferedBytes() const;
 
-  /// Bytes that are received and not delivered.
-  std::size_t ReceivedBytes() const;
-
   /// When the message began of which a part is received; none if there is no
   /// such message, or if its rest is not being read.
   const std::optional<common::SteadyTime>& IncompleteSince() const {
@@ -106,6 +106,9 @@
                               void* context);
   void Configure();
   void Deliver();
+  void SetReadLimit();
+  /// There is room for the large message that has begun.
+  void OnRoom();
   /// Handles the part of a message that is received; returns whether the size
   /// limit is exceeded.
   bool CheckIncomplete(std::size_t received);
@@ -122,8 +125,10 @@
   bool closing = false;
   bool peer_closed = false;
   bool waits_for_peer = false;
-  bool large_messages = true;
+  std::shared_ptr<LargeMessageQueue> large_messages;
+  /// A large message waits for room or has it.
   bool room_requested = false;
+  bool has_room = false;
   std::shared_ptr<BufferMeter> meter;
   std::optional<common::SteadyTime> incomplete_since;
   std::optional<common::SteadyTime> unread_since;
--- a/Source/Core/Session/proxy.cc
+++ b/Source/Core/Session/proxy.cc
@@ -67,7 +67,8 @@
       promotion_lease(platform, this->settings.location.host),
       admission(&this->limiter, &this->metrics),
       limits(ChooseClientLimits(this->settings.resources)),
-      large_messages(this->limits.large_messages),
+      large_messages(
+          std::make_shared<LargeMessageQueue>(this->limits.large_messages)),
       large_responses(
           std::make_shared<LargeMessageQueue>(this->limits.large_responses)),
       forwarded(loop, codec, [this](const common::ServiceId& service) {
@@ -229,24 +230,29 @@
   });
 }
 
-bool Proxy::MakeRoomForSession() {
-  if (this->sessions.size() < this->limits.max_sessions) return true;
-  std::vector<ClientSession*> open;
-  std::vector<SessionUsage> usages;
+Proxy::OpenSessions Proxy::ListSessions() const {
+  OpenSessions open;
   for (const auto& [raw, session] : this->sessions) {
-    open.push_back(raw);
-    usages.push_back(session->Usage());
+    open.sessions.push_back(session);
+    open.usages.push_back(session->Usage());
   }
-  const std::optional<std::size_t> replaced = ChooseSessionToReplace(usages);
+  return open;
+}
+
+bool Proxy::MakeRoomForSession() {
+  if (this->sessions.size() < this->limits.max_sessions) return true;
+  const OpenSessions open = this->ListSessions();
+  const std::optional<std::size_t> replaced =
+      ChooseSessionToReplace(open.usages);
   if (!replaced.has_value()) return false;
-  this->CloseForLimit(open[*replaced], LimitCause::kSessions);
+  this->CloseForLimit(open.sessions[*replaced], LimitCause::kSessions);
   return true;
 }
 
-void Proxy::CloseForLimit(ClientSession* session, LimitCause cause) {
+void Proxy::CloseForLimit(const std::shared_ptr<ClientSession>& session,
+                          LimitCause cause) {
   this->CountLimit(cause);
-  const auto keep = this->sessions.at(session);
-  keep->Abort(cause);
+  session->Abort(cause);
 }
 
 void Proxy::CountLimit(LimitCause cause) {
@@ -264,15 +270,10 @@
 
 void Proxy::CloseLargestSessions() {
   this->closes_largest = false;
-  std::vector<ClientSession*> open;
-  std::vector<SessionUsage> usages;
-  for (const auto& [raw, session] : this->sessions) {
-    open.push_back(raw);
-    usages.push_back(session->Usage());
-  }
+  const OpenSessions open = this->ListSessions();
   for (const std::size_t index :
-       ChooseSessionsToClose(usages, this->limits.max_buffered_bytes)) {
-    this->CloseForLimit(open[index], LimitCause::kMemory);
+       ChooseSessionsToClose(open.usages, this->limits.max_buffered_bytes)) {
+    this->CloseForLimit(open.sessions[index], LimitCause::kMemory);
   }
 }
 
@@ -282,7 +283,7 @@
   const auto open = this->sessions;
   for (const auto& [raw, session] : open) {
     const auto cause = CheckTimes(this->limits, session->Times(), now);
-    if (cause.has_value()) this->CloseForLimit(raw, *cause);
+    if (cause.has_value()) this->CloseForLimit(session, *cause);
   }
 }
 
@@ -315,7 +316,7 @@
                          static_cast<std::int64_t>(this->meter->bytes));
   this->metrics.SetGauge(
       "large_messages_waiting", "Client messages that wait for memory.",
-      static_cast<std::int64_t>(this->large_messages.Waiting()));
+      static_cast<std::int64_t>(this->large_messages->Waiting()));
   this->metrics.SetGauge("fleet_size", "Daemons that may be alive.",
                          static_cast<std::int64_t>(this->fleet_size));
   const auto in_force = this->Configuration();
@@ -681,12 +682,8 @@
   const bool resized = std::exchange(this->fleet_size, size.live) != size.live;
   this->hosts_in_domain = this->fleet->SizeOf(this->settings.location.domain);
   // A daemon that knows few others yet must not take their shares.
-  FleetView view;
-  view.size =
-      size.listed ? size.recent : std::max(size.recent, kMinAssumedFleetSize);
-  view.responsive = size.heard;
-  view.hears_domain = size.hears_domain;
-  view.misses_domain = size.misses_domain;
+  FleetView view = size.recent;
+  if (!size.listed) view.size = std::max(view.size, kMinAssumedFleetSize);
   this->limiter.SetFleet(view);
   if (resized) this->UpdateChannelLimits();
 }
--- a/Source/Core/Session/proxy.h
+++ b/Source/Core/Session/proxy.h
@@ -85,7 +85,9 @@
                    std::optional<StatementError> code,
                    common::Duration age) override;
   std::shared_ptr<BufferMeter> Meter() override { return this->meter; }
-  LargeMessageQueue* LargeMessages() override { return &this->large_messages; }
+  std::shared_ptr<LargeMessageQueue> LargeMessages() override {
+    return this->large_messages;
+  }
   void CheckMeter() override;
   bool ClosesSessions() const override;
   void OnSessionEnded(ClientSession* session) override;
@@ -98,11 +100,18 @@
   static void OnAcceptError(evconnlistener* listener, void* context);
   /// Makes room for a new session; returns false if there is none.
   bool MakeRoomForSession();
+  /// The sessions and their use of resources, in the same order.
+  struct OpenSessions {
+    std::vector<std::shared_ptr<ClientSession>> sessions;
+    std::vector<SessionUsage> usages;
+  };
+  OpenSessions ListSessions() const;
   /// Closes the sessions that keep most until all are below the limit.
   void CloseLargestSessions();
   void CheckSessionTimes(common::SteadyTime now);
   /// Closes a session that exceeds a limit.
-  void CloseForLimit(ClientSession* session, LimitCause cause);
+  void CloseForLimit(const std::shared_ptr<ClientSession>& session,
+                     LimitCause cause);
   void CountLimit(LimitCause cause);
   void OnConfigurations(const std::map<std::string, DirectoryValue>& objects);
   void OnMembers(const std::map<std::string, DirectoryValue>& objects);
@@ -164,7 +173,7 @@
   ClientLimits limits;
   std::shared_ptr<BufferMeter> meter = std::make_shared<BufferMeter>();
   bool closes_largest = false;
-  LargeMessageQueue large_messages;
+  std::shared_ptr<LargeMessageQueue> large_messages;
   std::shared_ptr<LargeMessageQueue> large_responses;
   common::SteadyTime next_times_check;
   std::unique_ptr<connection::Timer> accept_timer;
--- a/Source/Core/Session/reader_choice.cc
+++ b/Source/Core/Session/reader_choice.cc
@@ -24,21 +24,13 @@
 /// round trip between regions (40 ms) leaves an endpoint about 1 in 200.
 constexpr double kExponent = 4;
 
-double Seconds(common::Duration duration) {
-  return std::chrono::duration<double>(duration).count();
-}
-
-common::Duration ToDuration(double seconds) {
-  return std::chrono::duration_cast<common::Duration>(
-      std::chrono::duration<double>(seconds));
-}
-
 }  // namespace
 
 void ResponseTimes::Record(common::Duration time, common::SteadyTime now) {
   const double former =
-      Seconds(this->average.value_or(time)) * (1 - kRecordWeight);
-  this->average = ToDuration(former + Seconds(time) * kRecordWeight);
+      common::ToSeconds(this->average.value_or(time)) * (1 - kRecordWeight);
+  this->average =
+      common::FromSeconds(former + common::ToSeconds(time) * kRecordWeight);
   this->recorded_at = now;
 }
 
@@ -50,7 +42,8 @@
 double ResponseTimes::Weight(common::SteadyTime now) const {
   if (!this->average.has_value()) return 0;
   const std::chrono::duration<double> half_life = kHalfLife;
-  return std::exp2(-Seconds(now - this->recorded_at) / half_life.count());
+  return std::exp2(-common::ToSeconds(now - this->recorded_at) /
+                   half_life.count());
 }
 
 std::vector<common::Duration> ExpectedTimes(
@@ -59,7 +52,7 @@
   double weights = 0;
   for (const ReaderCandidate& candidate : candidates) {
     if (!candidate.response_time.has_value()) continue;
-    total += Seconds(*candidate.response_time) * candidate.weight;
+    total += common::ToSeconds(*candidate.response_time) * candidate.weight;
     weights += candidate.weight;
   }
   const double common_time = weights > 0 ? total / weights : 0;
@@ -68,11 +61,11 @@
   for (const ReaderCandidate& candidate : candidates) {
     const double own =
         candidate.response_time.has_value()
-            ? Seconds(*candidate.response_time) * candidate.weight +
+            ? common::ToSeconds(*candidate.response_time) * candidate.weight +
                   common_time * (1 - candidate.weight)
             : common_time;
     expected.push_back(candidate.distance + candidate.penalty +
-                       ToDuration(own));
+                       common::FromSeconds(own));
   }
   return expected;
 }
@@ -83,7 +76,8 @@
   std::vector<double> shares;
   shares.reserve(expected.size());
   for (const common::Duration& time : expected) {
-    shares.push_back(std::pow(Seconds(time + kTypicalRead), -kExponent));
+    shares.push_back(
+        std::pow(common::ToSeconds(time + kTypicalRead), -kExponent));
   }
   double rest = random * std::accumulate(shares.begin(), shares.end(), 0.0);
   for (std::size_t index = 0; index + 1 < shares.size(); ++index) {
--- a/Source/Core/Session/service_group.cc
+++ b/Source/Core/Session/service_group.cc
@@ -280,7 +280,7 @@
     const common::EndpointId& id, const std::string& caller) const {
   const auto found = this->members.find(id);
   if (found == this->members.end()) return std::nullopt;
-  if (!NeedsConnectionOwners(this->connection_users)) return std::nullopt;
+  if (!this->UsesConnectionOwners()) return std::nullopt;
   return this->context.forwarding.connection_owner(caller, found->second.entry);
 }
 
@@ -718,7 +718,7 @@
 }
 
 bool ServiceGroup::StartRoundAtPeer() {
-  if (!NeedsConnectionOwners(this->connection_users)) return false;
+  if (!this->UsesConnectionOwners()) return false;
   if (common::SteadyNow() < this->own_rounds_until) return false;
   const std::optional<FleetHost> prover =
       this->context.forwarding.prover(this->members.at(*this->primary).entry);
--- a/Source/Core/Session/statement_attempt.cc
+++ b/Source/Core/Session/statement_attempt.cc
@@ -9,8 +9,6 @@
 /// Limit of a command that prepares a channel: a round trip between regions (40
 /// ms) and a reserve for a busy daemon.
 constexpr std::chrono::milliseconds kPrepareTimeout(500);
-/// Pause before a busy statement is sent again.
-constexpr std::chrono::milliseconds kBusyRetryPause(10);
 /// Maximum number of repetitions of a busy statement inside a transaction.
 constexpr int kMaxBusyRepetitions = 19;
 
--- a/Source/Core/Session/statement_attempt.h
+++ b/Source/Core/Session/statement_attempt.h
@@ -50,6 +50,9 @@
   common::Duration statement_timeout = std::chrono::seconds(1);
 };
 
+/// Pause before a busy statement is sent again.
+inline constexpr std::chrono::milliseconds kBusyRetryPause(10);
+
 /// Bytes of a statement with its values and its prepared statement.
 std::size_t SizeOf(const AttemptRequest& request);
 
--- a/Source/Core/Session/statement_run.cc
+++ b/Source/Core/Session/statement_run.cc
@@ -32,8 +32,6 @@
 constexpr std::chrono::milliseconds kMaxRatePause(300);
 /// Proofs are required to be younger than the route allows by this margin.
 constexpr std::chrono::milliseconds kStalenessMargin(100);
-/// Pause before a busy statement is sent again.
-constexpr std::chrono::milliseconds kBusyRetryPause(10);
 
 }  // namespace
 
@@ -337,10 +335,9 @@
 
 void StatementRun::RecordReadTime(bool served) {
   // A transaction's later statements stay at the member of the first.
-  if (this->request.needs_primary ||
-      this->request.attempt.use == TransactionUse::kContinues) {
-    return;
-  }
+  const bool placed = !this->request.needs_primary &&
+                      this->request.attempt.use != TransactionUse::kContinues;
+  if (!placed || !this->group->UsesConnectionOwners()) return;
   this->group->OnReadTime(this->endpoint,
                           common::SteadyNow() - this->attempt_started, served);
 }
@@ -371,12 +368,12 @@
     if (this->done) this->OnEarlierResult(outcome);
     return;
   }
-  const auto* complete = std::get_if<EndpointAnswer>(&outcome);
-  this->RecordReadTime(complete != nullptr && !complete->error.has_value());
+  const auto* answer = std::get_if<EndpointAnswer>(&outcome);
+  this->RecordReadTime(answer != nullptr && !answer->error.has_value());
   this->attempt.reset();
   this->timer.reset();
   this->channel = std::move(with_channel);
-  if (const auto* answer = std::get_if<EndpointAnswer>(&outcome)) {
+  if (answer != nullptr) {
     this->OnAnswer(*answer);
   } else {
     this->OnFailure(std::get<AttemptFailure>(outcome));
--- a/Source/Core/Session/wait_queue.cc
+++ b/Source/Core/Session/wait_queue.cc
@@ -41,12 +41,12 @@
   const auto found = this->lanes.find(lane);
   if (found == this->lanes.end()) return;
   std::uint64_t round = this->rounds[lane.first];
-  for (auto& [order, place] : found->second) {
+  for (const auto& [since, id] : found->second) {
+    Place& place = this->places.at(id);
     if (place.round != round) {
       auto entry = this->entries.extract(place);
       place.round = round;
       entry.key() = place;
-      this->places[place.id] = place;
       this->entries.insert(std::move(entry));
     }
     ++round;
@@ -55,22 +55,20 @@
 
 void WaitQueue::Add(const WaitingRequest& request, common::SteadyTime now) {
   const common::SteadyTime since = request.waiting_since.value_or(now);
+  const Lane lane{request.priority, request.workspace};
   Place place{request.priority, this->rounds[request.priority], since,
               request.id};
+  bool youngest = true;
   if (request.waiting_since.has_value()) {
-    const Lane lane{request.priority, request.workspace};
     auto& members = this->lanes[lane];
     place.round += members.size();
-    members[{since, request.id}] = place;
-    this->entries.emplace(place, request);
-    this->places[request.id] = place;
-    // An operation that has waited for longer takes the place of a younger one.
-    const bool youngest = members.rbegin()->first.second == request.id;
-    if (!youngest) this->AssignRounds(lane);
-    return;
+    members.emplace(since, request.id);
+    youngest = members.rbegin()->second == request.id;
   }
   this->entries.emplace(place, request);
   this->places[request.id] = place;
+  // An operation that has waited for longer takes the place of a younger one.
+  if (!youngest) this->AssignRounds(lane);
 }
 
 void WaitQueue::Erase(std::uint64_t id) {
@@ -90,9 +88,8 @@
 void WaitQueue::OnServed(std::uint64_t id, common::SteadyTime now) {
   const auto place = this->places.find(id);
   if (place == this->places.end()) return;
-  const auto& [priority, round, since, number] = place->second;
-  std::uint64_t& current = this->rounds[priority];
-  current = std::max(current, round);
+  std::uint64_t& current = this->rounds[place->second.priority];
+  current = std::max(current, place->second.round);
   if (this->busy) {
     const common::Duration interval = now - this->last_service;
     const common::Duration former = this->service_interval.value_or(interval);
--- a/Source/Core/Session/wait_queue.h
+++ b/Source/Core/Session/wait_queue.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -59,8 +60,6 @@
   /// The request after the given one in order, or the first; none at the end.
   std::optional<std::uint64_t> Next(std::optional<std::uint64_t> after) const;
 
-  std::size_t Size() const { return this->entries.size(); }
-
  private:
   /// Place in the order.
   struct Place {
@@ -81,8 +80,7 @@
   std::map<Place, WaitingRequest> entries;
   std::map<std::uint64_t, Place> places;
   /// Requests of each workspace and priority by waiting time.
-  std::map<Lane, std::map<std::pair<common::SteadyTime, std::uint64_t>, Place>>
-      lanes;
+  std::map<Lane, std::set<std::pair<common::SteadyTime, std::uint64_t>>> lanes;
   /// The round that is being served, by priority.
   std::map<std::uint32_t, std::uint64_t> rounds;
   /// Average time between two services while requests wait.
--- a/Source/Core/Session/workspace_limiter.cc
+++ b/Source/Core/Session/workspace_limiter.cc
@@ -55,8 +55,9 @@
 /// trip between regions (40 ms) and the time until its next operation.
 constexpr std::chrono::milliseconds kTurnGrace(100);
 
-double Seconds(common::Duration duration) {
-  return std::chrono::duration<double>(duration).count();
+/// Time until something is likely, cut at the longest retry time.
+common::Duration CutRetryTime(double seconds) {
+  return common::FromSeconds(std::min(seconds, kMaxRetryAfterSeconds));
 }
 
 }  // namespace
@@ -64,7 +65,7 @@
 void WorkspaceLimiter::RateMeter::Count(common::SteadyTime now, double added) {
   const common::Duration length = now - this->period_start;
   if (length >= kMeterPeriod) {
-    const double newest = this->count / Seconds(length);
+    const double newest = this->count / common::ToSeconds(length);
     this->rate = this->rate * (1 - kMeterWeight) + newest * kMeterWeight;
     this->count = 0;
     this->period_start = now;
@@ -74,8 +75,8 @@
 
 void WorkspaceLimiter::TokenBucket::Fill(double rate, double capacity,
                                          common::SteadyTime now) {
-  this->level =
-      std::min(capacity, this->level + rate * Seconds(now - this->filled));
+  this->level = std::min(
+      capacity, this->level + rate * common::ToSeconds(now - this->filled));
   this->filled = now;
 }
 
@@ -88,8 +89,7 @@
   }
   const double wait =
       rate > 0 ? (1 - this->level) / rate : kMaxRetryAfterSeconds;
-  return std::chrono::duration_cast<common::Duration>(
-      std::chrono::duration<double>(std::min(wait, kMaxRetryAfterSeconds)));
+  return CutRetryTime(wait);
 }
 
 void WorkspaceLimiter::SetRates(
@@ -179,7 +179,8 @@
 
 double WorkspaceLimiter::Capacity(const WorkspaceEntry& entry) const {
   const WorkspaceRate& limit = entry.limit;
-  const double window_total = limit.rate * Seconds(kRateWindow) + limit.burst;
+  const double window_total =
+      limit.rate * common::ToSeconds(kRateWindow) + limit.burst;
   const double tolerated =
       window_total * this->tolerance.share + this->tolerance.operations;
   const double capacity =
@@ -208,9 +209,9 @@
                                  common::SteadyTime now) const {
   const auto found = this->hosts.find(host);
   if (found == this->hosts.end() || found->second.asked.rate <= 0) return false;
-  return Seconds(now - found->second.last_request) >
+  return common::ToSeconds(now - found->second.last_request) >
          std::max(kOverdueIntervals / found->second.asked.rate,
-                  Seconds(kMinSilence));
+                  common::ToSeconds(kMinSilence));
 }
 
 void WorkspaceLimiter::ReserveForSilentRequesters(
@@ -223,9 +224,9 @@
         std::max({requester.reserved_until, requester.last_request,
                   this->hosts.at(host).last_request});
     const common::SteadyTime window_end = requester.last_request + kRateWindow;
-    const double former = Seconds(
+    const double former = common::ToSeconds(
         std::max(std::min(now, window_end) - from, common::Duration::zero()));
-    const double later = Seconds(
+    const double later = common::ToSeconds(
         std::max(now - std::max(from, window_end), common::Duration::zero()));
     const double silent_rate = this->SilentRate(*entry);
     const double tokens =
@@ -280,16 +281,11 @@
                                               double rate,
                                               common::SteadyTime now) {
   if (rate <= 0) return now + kMaxTurn;
-  const auto to_duration = [](double seconds) {
-    return std::chrono::duration_cast<common::Duration>(
-        std::chrono::duration<double>(
-            std::min(seconds, kMaxRetryAfterSeconds)));
-  };
   const common::SteadyTime first =
-      now + to_duration((1 - entry->bucket.level) / rate);
+      now + CutRetryTime((1 - entry->bucket.level) / rate);
   const common::SteadyTime turn = std::min<common::SteadyTime>(
       std::max(entry->next_turn, first), now + kMaxTurn);
-  entry->next_turn = turn + to_duration(1 / rate);
+  entry->next_turn = turn + CutRetryTime(1 / rate);
   return turn;
 }
 
--- a/Source/Core/Session/workspace_limiter.h
+++ b/Source/Core/Session/workspace_limiter.h
@@ -29,6 +29,8 @@
   bool hears_domain = true;
   /// Those that don't respond may be most of a failure domain.
   bool misses_domain = true;
+
+  bool operator==(const FleetView&) const = default;
 };
 
 /// Enforces each workspace's rate over the whole fleet. One daemon, the rate
--- a/Source/UnitTests/Core/Session/workspace_limiter_test.cc
+++ b/Source/UnitTests/Core/Session/workspace_limiter_test.cc
@@ -97,7 +97,26 @@
   }
 }
 
-class WorkspaceLimiterTest : public testing::Test {};
+class WorkspaceLimiterTest : public testing::Test {
+ protected:
+  /// Operations that an owner admits in 10 s at a rate of 200, of more than
+  /// that, if it sees the fleet like this.
+  static int AdmittedByOwner(const FleetView& view) {
+    const WorkspaceRate rate{200, 200};
+    WorkspaceLimiter owner;
+    owner.SetTolerance(kTolerance);
+    owner.SetFleet(view);
+    owner.SetRates({{kWorkspace, rate}}, kStart);
+    owner.SetOwned(kWorkspace, true, kStart);
+    int admitted = 0;
+    for (int ms = 0; ms < 20000; ms += 2) {
+      const common::SteadyTime now = kStart + milliseconds(ms);
+      const auto reply = owner.Admit({Host(1), kWorkspace}, now);
+      if (ms >= 10000) admitted += static_cast<int>(reply.admitted);
+    }
+    return admitted;
+  }
+};
 
 // Guards against refusals of a workspace that stays within its rate, however
 // its operations are spread over many daemons.
@@ -220,36 +239,14 @@
 // Guards against an owner that admits the even shares of daemons that it has
 // never heard, which may admit them themselves.
 TEST_F(WorkspaceLimiterTest, SilentDaemons_NeverHeard_TheirSharesAreLeft) {
-  const WorkspaceRate rate{200, 200};
-  WorkspaceLimiter owner;
-  owner.SetTolerance(kTolerance);
-  owner.SetFleet({20, 14});
-  owner.SetRates({{kWorkspace, rate}}, kStart);
-  owner.SetOwned(kWorkspace, true, kStart);
-  int admitted = 0;
-  for (int ms = 0; ms < 20000; ms += 2) {
-    const common::SteadyTime now = kStart + milliseconds(ms);
-    const auto reply = owner.Admit({Host(1), kWorkspace}, now);
-    if (ms >= 10000) admitted += static_cast<int>(reply.admitted);
-  }
+  const int admitted = AdmittedByOwner({20, 14});
   EXPECT_LE(admitted, 200 * 10 * 14 / 20 + 10);
 }
 
 // Guards against leaving a third of the rate unused while single hosts in all
 // failure domains are cut off, which can't have an owner of their own.
 TEST_F(WorkspaceLimiterTest, SingleHostsCutOff_Owner_LeavesALocalShareOnly) {
-  const WorkspaceRate rate{200, 200};
-  WorkspaceLimiter owner;
-  owner.SetTolerance(kTolerance);
-  owner.SetFleet({20, 14, true, false});
-  owner.SetRates({{kWorkspace, rate}}, kStart);
-  owner.SetOwned(kWorkspace, true, kStart);
-  int admitted = 0;
-  for (int ms = 0; ms < 20000; ms += 2) {
-    const common::SteadyTime now = kStart + milliseconds(ms);
-    const auto reply = owner.Admit({Host(1), kWorkspace}, now);
-    if (ms >= 10000) admitted += static_cast<int>(reply.admitted);
-  }
+  const int admitted = AdmittedByOwner({20, 14, true, false});
   EXPECT_GE(admitted, 200 * 10 * 9 / 10);
   // Six silent hosts admit a quarter of their even shares.
   EXPECT_LE(admitted, 200 * 10 * (80 - 6) / 80 + 10);
