--- a/Source/UnitTests/Core/Session/watch_lengths_test.cc
+++ b/Source/UnitTests/Core/Session/watch_lengths_test.cc
@@ -24,6 +24,20 @@
   EXPECT_EQ(lengths.first, lengths.regular);
 }
 
+// Guards against a lost watch that only the reports of others make good: they
+// take longer than the settling time to reach all daemons of a large fleet.
+TEST_F(WatchLengthsTest, AnyRoleInLargeFleet_LostWatch_IsMadeGoodInTime) {
+  constexpr std::size_t kWatchers = 12;
+  for (std::size_t position = 0; position <= kWatchers; ++position) {
+    const WatchLengths lengths =
+        ChooseWatchLengths(kSettlingTime, {kWatchers, position, false});
+    EXPECT_LE(std::max(lengths.first, lengths.regular) + kStoreCallTimeout +
+                  kNextCall,
+              kSettlingTime)
+        << "position " << position;
+  }
+}
+
 // Guards against watches of a large fleet that end together, too late for the
 // daemons that hear of changes from the close watchers.
 TEST_F(WatchLengthsTest, FewWatchClosely_LostWatches_OneIsNoticedEarly) {
