--- a/Source/UnitTests/Core/Session/promotion_model.cc
+++ b/Source/UnitTests/Core/Session/promotion_model.cc
@@ -45,6 +45,8 @@
 constexpr milliseconds kStartDuration(700);
 /// Pause before another attempt to start while an order is being executed.
 constexpr milliseconds kStartRetry(100);
+/// Longest time until a daemon hears of a change of the entries.
+constexpr int kLongestWatchLag = 3000;
 /// How much of the trace a report shows.
 constexpr std::size_t kTraceLines = 160;
 
@@ -158,6 +160,7 @@
     entry.reports_primary = index == 0;
     this->entries[index] = entry;
   }
+  this->OnEntriesChanged();
 }
 
 std::string DatabaseGroupModel::NameOf(int index) {
@@ -171,10 +174,17 @@
   return -1;
 }
 
-std::vector<GroupMember> DatabaseGroupModel::Entries() const {
+void DatabaseGroupModel::OnEntriesChanged() {
+  this->entry_history[this->context->time.Now()] = this->entries;
+}
+
+std::vector<GroupMember> DatabaseGroupModel::EntriesAt(
+    common::SteadyTime time) const {
+  auto latest = this->entry_history.upper_bound(time);
+  if (latest != this->entry_history.begin()) --latest;
   std::vector<GroupMember> present;
-  present.reserve(this->entries.size());
-  for (const auto& [index, entry] : this->entries) present.push_back(entry);
+  present.reserve(latest->second.size());
+  for (const auto& [index, entry] : latest->second) present.push_back(entry);
   return present;
 }
 
@@ -541,6 +551,7 @@
   if (index >= this->Size() || this->databases[index].lapsed) return;
   this->databases[index].lapsed = true;
   this->entries.erase(index);
+  this->OnEntriesChanged();
   this->context->Trace("entry of " + NameOf(index) + " lapses");
   this->context->time.RunLater(this->context->Between(200, 2000),
                                [this, index] {
@@ -560,6 +571,7 @@
         entry.incarnation = database.incarnation;
         entry.reports_primary = database.role == GroupRole::kPrimary;
         this->entries[index] = entry;
+        this->OnEntriesChanged();
       });
 }
 
@@ -570,7 +582,11 @@
       group(group),
       store(store),
       faults(faults),
-      number(number) {
+      number(number),
+      listed_at(context->time.Now()) {
+  if (faults.lagging_watches) {
+    this->watch_lag = context->Between(0, kLongestWatchLag);
+  }
   this->UpdateMembers();
   for (const GroupMember& member : this->members) {
     const auto status = this->group->Execute(this->group->IndexOf(member.id),
@@ -590,7 +606,8 @@
 }
 
 void DaemonModel::UpdateMembers() {
-  std::vector<GroupMember> present = this->group->Entries();
+  std::vector<GroupMember> present = this->group->EntriesAt(
+      std::max(this->context->time.Now() - this->watch_lag, this->listed_at));
   if (present == this->members) return;
   FormerMembers former = this->Former();
   UpdateFormerMembers(this->members, present, &former);
@@ -700,6 +717,10 @@
 
 void DaemonModel::Begin() {
   const common::SteadyTime now = this->context->time.Now();
+  if (this->store_reachable) {
+    this->listed_at = now;
+    this->UpdateMembers();
+  }
   const std::optional<common::EndpointId> primary = this->view.Primary();
   this->context->Trace(
       this->Name() + " begins a plan, primary " +
--- a/Source/UnitTests/Core/Session/promotion_model.h
+++ b/Source/UnitTests/Core/Session/promotion_model.h
@@ -44,6 +44,9 @@
   bool joins = false;
   /// The store does not answer some of the daemons.
   bool store_cuts = false;
+  /// Daemons hear of changes of the entries up to 3 s late, apart from those
+  /// that a listing at the begin of a plan shows.
+  bool lagging_watches = false;
   /// A replica compares the term of a hold with the newest term that it knows,
   /// not with the newest term of the group.
   bool holds_compare_own_term = false;
@@ -216,8 +219,8 @@
   }
   static std::string NameOf(int index);
   int IndexOf(const common::EndpointId& id) const;
-  /// The entries that the store has now.
-  std::vector<GroupMember> Entries() const;
+  /// The entries that the store had at the given time.
+  std::vector<GroupMember> EntriesAt(common::SteadyTime time) const;
 
  private:
   struct LogEntry {
@@ -252,6 +255,7 @@
   void StartWhenNoOrder(int index, std::uint64_t process,
                         const std::function<void()>& start);
   void WriteEntry(int index);
+  void OnEntriesChanged();
   bool Linked(int one, int other) const;
   bool IsKeptWithout(int index) const;
   EndpointStatus StatusOf(int index) const;
@@ -263,6 +267,8 @@
   std::vector<Database> databases;
   std::set<std::pair<int, int>> cut;
   std::map<int, GroupMember> entries;
+  /// The entries after each of their changes.
+  std::map<common::SteadyTime, std::map<int, GroupMember>> entry_history;
   std::vector<LogEntry> acknowledged;
   common::Term newest_term = 1;
   int leader = 0;
@@ -302,6 +308,7 @@
  private:
   using StatusCallback = std::function<void(const EndpointStatus&)>;
 
+  /// Takes over the entries that this daemon has heard of.
   void UpdateMembers();
   FormerMembers Former() const;
   void Send(const common::EndpointId& id, ModelCommand command,
@@ -355,6 +362,10 @@
   int process = 0;
 
   std::vector<GroupMember> members;
+  /// How late changes of the entries are heard of, and since when all are known
+  /// from a listing.
+  std::chrono::milliseconds watch_lag{0};
+  common::SteadyTime listed_at;
   /// Processes that have disappeared, and until when they count.
   std::map<std::pair<common::EndpointId, std::uint64_t>, common::SteadyTime>
       former_members;
--- a/Source/UnitTests/Core/Session/promotion_model_test.cc
+++ b/Source/UnitTests/Core/Session/promotion_model_test.cc
@@ -688,6 +688,14 @@
   CheckAnySchedule(ModelGuarantee::kNoneLost, {.joins = true});
 }
 
+// Guards against relying on members that were listed when the plan began, while
+// a database that has joined since confirms commits of the old primary.
+RC_GTEST_PROP(PromotionModelTest,
+              AnyJoinsLaggingWatches_Promoted_HoldsAllCommits, ()) {
+  CheckAnySchedule(ModelGuarantee::kNoneLost,
+                   {.joins = true, .lagging_watches = true});
+}
+
 // Guards against orders of a daemon from which the lease was taken over.
 RC_GTEST_PROP(PromotionModelTest, AnyStoreCuts_Promoted_HoldsAllCommits, ()) {
   CheckAnySchedule(ModelGuarantee::kNoneLost, {.store_cuts = true});
