Session: Follow the members without lag while a promotion is carried out

Cause: a promotion lists the members without lag when it begins and then relies on hearing of each change, to hold a replica that joins before it confirms commits of the old primary. So a replica could join unseen, and confirm commits until the order took effect.

Change: from the listing until the end of its promotion, a daemon's watches of the members do not lag, do not pause, and last 500 ms at most, so that one that the store has lost is noticed. The model's daemons with a plan do the same; that PromotionTask and DirectoryWatcher do is stated by PromotionTaskTest.Promotion_UntilItsEnd_FollowsMembersClosely and DirectoryWatcherTest.FollowedClosely_Watches_NeitherLagNorPause.

Not prevented: a replica that confirms commits before it is registered, and one that takes part within the time of a call after its registration.

--- a/Source/Core/Session/directory.h
+++ b/Source/Core/Session/directory.h
@@ -172,6 +172,10 @@
   std::vector<SharedObject> objects;
 };
 
+/// A use of a part of the directory that needs to know of changes at once. As
+/// long as one exists, the part is followed without lag and without pauses.
+using CloseFollowing = std::shared_ptr<const void>;
+
 /// Name as used in logs and metrics.
 const char* ToString(DirectoryKind kind);
 
--- a/Source/Core/Session/directory_watcher.cc
+++ b/Source/Core/Session/directory_watcher.cc
@@ -18,8 +18,9 @@
 /// has a cost, even while the store is down.
 constexpr std::chrono::milliseconds kInitialBackoff(150);
 constexpr std::chrono::milliseconds kMaxBackoff(600);
-/// Longest watch while the store has not answered the last call. It shows soon
-/// whether the store has returned, and is soon noticed if the store loses it.
+/// Longest watch while the store has not answered the last call, or while the
+/// objects are followed closely. It shows soon whether the store has returned,
+/// and is soon noticed if the store loses it.
 constexpr std::chrono::milliseconds kMaxProbeLength(500);
 /// Longest pause between listings while no watch succeeds because the store
 /// lacks its history. Below the bound within which a change must be in force
@@ -99,8 +100,8 @@
 
 void DirectoryWatcher::Watch() {
   const StoreRevision after = *this->revision;
-  const bool may_lag =
-      this->settings.watches_may_lag && this->TrustsLaggingReads();
+  const bool may_lag = this->settings.watches_may_lag &&
+                       this->TrustsLaggingReads() && !this->IsFollowedClosely();
   this->platform->Watch(
       this->settings.kind, after, this->TakeWatchLength(),
       may_lag ? DirectoryFreshness::kAllowStale : this->Freshness(),
@@ -113,7 +114,7 @@
 
 common::Duration DirectoryWatcher::TakeWatchLength() {
   const WatchLengths& lengths = this->settings.watch_lengths;
-  if (this->backoff != common::Duration::zero()) {
+  if (this->backoff != common::Duration::zero() || this->IsFollowedClosely()) {
     return std::min<common::Duration>(kMaxProbeLength, lengths.regular);
   }
   return std::exchange(this->first_watch, false) ? lengths.first
@@ -121,8 +122,9 @@
 }
 
 DirectoryFreshness DirectoryWatcher::Freshness() const {
-  return this->TrustsLaggingReads() ? FreshnessOf(this->settings.kind)
-                                    : DirectoryFreshness::kLatest;
+  return this->TrustsLaggingReads() && !this->IsFollowedClosely()
+             ? FreshnessOf(this->settings.kind)
+             : DirectoryFreshness::kLatest;
 }
 
 bool DirectoryWatcher::TrustsLaggingReads() const {
@@ -151,6 +153,15 @@
   this->ListInstead();
 }
 
+CloseFollowing DirectoryWatcher::FollowClosely() {
+  CloseFollowing following = this->close_following.lock();
+  if (following == nullptr) {
+    following = std::make_shared<const bool>(true);
+    this->close_following = following;
+  }
+  return following;
+}
+
 void DirectoryWatcher::ListInstead() {
   this->needs_listing = true;
   this->timer.reset();
@@ -238,6 +249,10 @@
             }
             this->first_watch = true;
             this->NotifyObserver();
+            if (this->IsFollowedClosely()) {
+              this->Watch();
+              return;
+            }
             this->timer =
                 this->loop->After(kBatchPause, [this] { this->Watch(); });
           },
--- a/Source/Core/Session/directory_watcher.h
+++ b/Source/Core/Session/directory_watcher.h
@@ -69,6 +69,10 @@
   /// them, with true, or with false if the store did not answer.
   void Refresh(std::function<void(bool listed)> done);
 
+  /// Has watches and listings that start from now on neither lag nor pause, as
+  /// long as the returned object or one from another call exists.
+  CloseFollowing FollowClosely();
+
   /// Another daemon knows a newer state.
   void OnPeerAhead(common::SteadyTime now);
 
@@ -114,6 +118,7 @@
   common::Duration TakeWatchLength();
   void OnListed(DirectoryFreshness freshness, const DirectoryResult& result);
   void OnWatched(StoreRevision after, const DirectoryResult& result);
+  bool IsFollowedClosely() const { return !this->close_following.expired(); }
   /// Whether a read that lags shows no objects of an earlier era.
   bool TrustsLaggingReads() const;
   DirectoryFreshness Freshness() const;
@@ -152,6 +157,8 @@
   bool listing = false;
   /// Callbacks of the refreshes that wait for the listing in progress.
   std::vector<std::function<void(bool)>> refreshes;
+  /// What FollowClosely has returned last.
+  std::weak_ptr<const void> close_following;
   /// Number of the last call; answers to earlier ones are ignored.
   std::uint64_t last_call = 0;
   /// Since when the store has not answered, and since when another daemon has
--- a/Source/Core/Session/group_context.h
+++ b/Source/Core/Session/group_context.h
@@ -44,6 +44,9 @@
   /// Lists the members of all groups anew, without lag, and calls back with
   /// whether the store has answered.
   std::function<void(std::function<void(bool listed)>)> refresh_members;
+  /// Has the members of all groups followed without lag as long as the returned
+  /// object exists.
+  std::function<CloseFollowing()> follow_members_closely;
   /// Asks peers to send a command to a member.
   std::function<void(const CommandRelay&, RelayCallback)> relay_command;
   StatementForwarding forwarding;
--- a/Source/Core/Session/promotion_task.cc
+++ b/Source/Core/Session/promotion_task.cc
@@ -87,6 +87,7 @@
 }
 
 void PromotionTask::RefreshMembers(FailoverReason reason) {
+  this->following = this->context.follow_members_closely();
   this->context.refresh_members(
       [this, still_alive = this->alive, reason](bool listed) {
         if (!*still_alive) return;
@@ -458,6 +459,7 @@
                                "result", finished.reason);
   if (finished.promoted) this->RecordPhase("promote");
   this->plan.reset();
+  this->following.reset();
   this->running = false;
   this->SettleExecutedOrder(common::SteadyNow());
   // The next holder's promotion must not meet a command of this one.
--- a/Source/Core/Session/promotion_task.h
+++ b/Source/Core/Session/promotion_task.h
@@ -60,8 +60,10 @@
   void Tick(common::SteadyTime now);
 
  private:
-  /// Lists the members before a promotion begins. The list may be outdated
-  /// after this daemon was cut off, and lack a member that leads meanwhile.
+  /// Lists the members before a promotion begins, and follows them without lag
+  /// until it ends. The list may be outdated after this daemon was cut off, and
+  /// lack a member that leads meanwhile; a member that joins meanwhile confirms
+  /// commits of the old primary until it is held.
   void RefreshMembers(FailoverReason reason);
   void Begin(FailoverReason reason);
   void Perform(const std::vector<PromotionAction>& actions);
@@ -128,6 +130,8 @@
   bool running = false;
   std::shared_ptr<PromotionPlan> plan;
   std::optional<GivenOrders> given;
+  /// Exists from the listing of the members until the promotion has ended.
+  CloseFollowing following;
   /// The primary that is replaced. Peers that reach it must not go on to get
   /// its commits confirmed.
   std::optional<common::EndpointId> old_primary;
--- a/Source/Core/Session/proxy.cc
+++ b/Source/Core/Session/proxy.cc
@@ -514,6 +514,9 @@
       context.refresh_members = [this](std::function<void(bool)> done) {
         this->member_watcher->Refresh(std::move(done));
       };
+      context.follow_members_closely = [this] {
+        return this->member_watcher->FollowClosely();
+      };
       context.relay_command = [this](const CommandRelay& request,
                                      RelayCallback done) {
         this->fleet->RelayCommand(request, std::move(done));
--- a/Source/UnitTests/Core/Session/directory_watcher_test.cc
+++ b/Source/UnitTests/Core/Session/directory_watcher_test.cc
@@ -103,6 +103,24 @@
             DirectoryFreshness::kAllowStale);
 }
 
+// Guards against a promotion that hears late of a member that has joined.
+TEST_F(DirectoryWatcherTest, FollowedClosely_Watches_NeitherLagNorPause) {
+  this->AnswerList({Change("a", 1)}, 5);
+  CloseFollowing following = this->watcher.FollowClosely();
+  this->watcher.Refresh([](bool) {});
+  this->AnswerList({Change("a", 1)}, 5);
+  this->platform.watches[kKind].pop_front();
+  const auto& watches = this->platform.watches[kKind];
+  EXPECT_EQ(watches.front().freshness, DirectoryFreshness::kLatest);
+  EXPECT_LE(watches.front().wait, milliseconds(500));
+  this->AnswerWatch(DirectoryChanges{{Change("b", 6)}, {0, 6}});
+  ASSERT_EQ(watches.size(), 1U);
+  following.reset();
+  this->AnswerWatch(DirectoryChanges{{}, {0, 6}});
+  EXPECT_EQ(watches.front().freshness, DirectoryFreshness::kAllowStale);
+  EXPECT_EQ(watches.front().wait, seconds(6));
+}
+
 // Guards against a removed database that stays in the routing table.
 TEST_F(DirectoryWatcherTest, RemovedPermanently_Objects_DropItAfterTheGrace) {
   this->AnswerList({Change("a", 1)}, 5);
--- a/Source/UnitTests/Core/Session/promotion_model.cc
+++ b/Source/UnitTests/Core/Session/promotion_model.cc
@@ -606,6 +606,7 @@
 }
 
 void DaemonModel::UpdateMembers() {
+  if (this->plan != nullptr) this->listed_at = this->context->time.Now();
   std::vector<GroupMember> present = this->group->EntriesAt(
       std::max(this->context->time.Now() - this->watch_lag, this->listed_at));
   if (present == this->members) return;
--- a/Source/UnitTests/Core/Session/promotion_model.h
+++ b/Source/UnitTests/Core/Session/promotion_model.h
@@ -44,8 +44,8 @@
   bool joins = false;
   /// The store does not answer some of the daemons.
   bool store_cuts = false;
-  /// Daemons hear of changes of the entries up to 3 s late, apart from those
-  /// that a listing at the begin of a plan shows.
+  /// Daemons hear of changes of the entries up to 3 s late, apart from a daemon
+  /// with a plan, which follows them closely.
   bool lagging_watches = false;
   /// A replica compares the term of a hold with the newest term that it knows,
   /// not with the newest term of the group.
@@ -362,8 +362,8 @@
   int process = 0;
 
   std::vector<GroupMember> members;
-  /// How late changes of the entries are heard of, and since when all are known
-  /// from a listing.
+  /// How late changes of the entries are heard of, and until when all are known
+  /// from a listing or from a watch that did not lag.
   std::chrono::milliseconds watch_lag{0};
   common::SteadyTime listed_at;
   /// Processes that have disappeared, and until when they count.
--- a/Source/UnitTests/Platform/promotion_task_test.cc
+++ b/Source/UnitTests/Platform/promotion_task_test.cc
@@ -24,6 +24,11 @@
     context.platform = &this->platform;
     context.promotion_lease = &this->promotion_lease;
     context.refresh_members = [](const auto& done) { done(true); };
+    context.follow_members_closely = [this] {
+      const auto following = std::make_shared<const bool>(true);
+      this->following = following;
+      return following;
+    };
     context.metrics = &this->metrics;
     session::PromotionCallbacks callbacks;
     callbacks.send_command = [this](const common::EndpointId& id,
@@ -89,6 +94,8 @@
   session::PromotionLease promotion_lease{&this->platform,
                                           common::HostId("own")};
   std::vector<std::string> commands;
+  /// What the promotion follows the members by.
+  std::weak_ptr<const void> following;
   /// Members that answer commands.
   std::set<std::string> responsive{"a"};
   /// Callbacks of the resumes that the test has to answer.
@@ -96,6 +103,16 @@
   std::unique_ptr<session::PromotionTask> task;
 };
 
+// Guards against a member that joins during a promotion and confirms commits of
+// the old primary until a watch that lags shows it (issue 43).
+TEST_F(PromotionTaskTest, Promotion_UntilItsEnd_FollowsMembersClosely) {
+  EXPECT_FALSE(this->following.expired());
+  this->task->Tick(common::SteadyNow() + milliseconds(2500));
+  EXPECT_FALSE(this->following.expired());
+  for (const auto& done : this->resumes) done({EndpointStatus(), true});
+  EXPECT_TRUE(this->following.expired());
+}
+
 // Guards against replicas that stay paused after their promotion was abandoned.
 TEST_F(PromotionTaskTest, Promotion_MembersUnresponsive_ResumesReplicas) {
   this->task->Tick(common::SteadyNow() + milliseconds(2500));
