--- a/Source/Core/Session/directory_watcher.h
+++ b/Source/Core/Session/directory_watcher.h
@@ -69,8 +69,9 @@
   /// them, with true, or with false if the store did not answer.
   void Refresh(std::function<void(bool listed)> done);
 
-  /// Has watches and listings that start from now on neither lag nor pause, as
-  /// long as the returned object or one from another call exists.
+  /// Makes the watches and listings that start from now on neither lag nor
+  /// pause, as long as the returned object, or one from another call, exists.
+  /// Watches then last half a second at most.
   CloseFollowing FollowClosely();
 
   /// Another daemon knows a newer state.
