Tests: Forward a write to an address at which nothing listens

Cause: it ended the owner just before the write, on a connection that was open. Until gRPC has noticed the end, the write is sent on it, and is then truly reported as unknown.

--- a/Source/UnitTests/Platform/forwarding_test.cc
+++ b/Source/UnitTests/Platform/forwarding_test.cc
@@ -116,7 +116,14 @@
 
 // Guards against an unknown outcome for a write that can't have been sent.
 TEST_F(ForwardingTest, Write_OwnerUnreachable_RunsOnAnOwnConnection) {
-  this->owner.reset();
+  // Nothing listens there. A statement that is sent on a connection of before
+  // may have arrived.
+  this->report.host.peer_address = "127.0.0.1:1";
+  bool known = false;
+  this->owner->Exchange(this->platform.registered.at(0).peer_address,
+                        this->report, seconds(5),
+                        [&](const auto&) { known = true; });
+  while (!known) this->RunFor(milliseconds(5));
   const auto client = this->Connect("latest");
   EXPECT_TRUE(HasLine(client->Ask("QUERY 1 WRITE item x"), "COMPLETE sig.p"));
 }
