--- a/Source/UnitTests/Platform/promotion_task_test.cc
+++ b/Source/UnitTests/Platform/promotion_task_test.cc
@@ -25,7 +25,7 @@
     context.promotion_lease = &this->promotion_lease;
     context.refresh_members = [](const auto& done) { done(true); };
     context.follow_members_closely = [this] {
-      const auto following = std::make_shared<const bool>(true);
+      auto following = std::make_shared<const bool>(true);
       this->following = following;
       return following;
     };
