Session: Decide in one place whether reads of the directory may lag

Watches, listings and their freshness each combined the era's condition with the one of close followers. One predicate holds both now. A lagging listing that is answered while the objects are followed closely would be repeated; that doesn't occur, as FollowClosely is followed by a Refresh. Behaviour is unchanged: 28 DirectoryWatcherTest, and RestoredStoreTest, PromotionTaskTest and SilentStoreTest pass. The comment on who watches said what changed.

--- a/Source/Core/Session/directory_watcher.cc
+++ b/Source/Core/Session/directory_watcher.cc
@@ -100,8 +100,7 @@
 
 void DirectoryWatcher::Watch() {
   const StoreRevision after = *this->revision;
-  const bool may_lag = this->settings.watches_may_lag &&
-                       this->TrustsLaggingReads() && !this->IsFollowedClosely();
+  const bool may_lag = this->settings.watches_may_lag && this->ReadsMayLag();
   this->platform->Watch(
       this->settings.kind, after, this->TakeWatchLength(),
       may_lag ? DirectoryFreshness::kAllowStale : this->Freshness(),
@@ -122,12 +121,12 @@
 }
 
 DirectoryFreshness DirectoryWatcher::Freshness() const {
-  return this->TrustsLaggingReads() && !this->IsFollowedClosely()
-             ? FreshnessOf(this->settings.kind)
-             : DirectoryFreshness::kLatest;
+  return this->ReadsMayLag() ? FreshnessOf(this->settings.kind)
+                             : DirectoryFreshness::kLatest;
 }
 
-bool DirectoryWatcher::TrustsLaggingReads() const {
+bool DirectoryWatcher::ReadsMayLag() const {
+  if (this->IsFollowedClosely()) return false;
   return !this->era_known_since.has_value() ||
          common::SteadyNow() - *this->era_known_since >= kMaxLag;
 }
@@ -207,8 +206,7 @@
     return;
   }
   this->OnAvailable();
-  if (freshness == DirectoryFreshness::kAllowStale &&
-      !this->TrustsLaggingReads()) {
+  if (freshness == DirectoryFreshness::kAllowStale && !this->ReadsMayLag()) {
     this->List();
     return;
   }
--- a/Source/Core/Session/directory_watcher.h
+++ b/Source/Core/Session/directory_watcher.h
@@ -120,8 +120,9 @@
   void OnListed(DirectoryFreshness freshness, const DirectoryResult& result);
   void OnWatched(StoreRevision after, const DirectoryResult& result);
   bool IsFollowedClosely() const { return !this->close_following.expired(); }
-  /// Whether a read that lags shows no objects of an earlier era.
-  bool TrustsLaggingReads() const;
+  /// Whether reads may lag: nobody needs to know of changes at once, and they
+  /// show no objects of an earlier era.
+  bool ReadsMayLag() const;
   DirectoryFreshness Freshness() const;
   void AdvanceEra(std::uint64_t store_era);
   void CountAnswer(const DirectoryResult& result);
--- a/Source/Core/Session/proxy.cc
+++ b/Source/Core/Session/proxy.cc
@@ -352,8 +352,8 @@
 }
 
 void Proxy::UpdateConfigurationWatch() {
-  // Rate owners watch the store closely; the other daemons learn of changes
-  // from them.
+  // Rate owners watch the store without lag; the other daemons also learn of
+  // changes from them.
   const WatchRole role = this->fleet->ConfigurationWatchRole();
   this->configuration_watcher->SetWatchLengths(
       ChooseWatchLengths(this->settings.settling_time, role));
