Session: Choose the watch role where the rate owners are chosen

ConfigurationSpreadTest computed the role of a daemon as FleetTask did. The function moves to FleetMembership, whose choice it is, so that the test drives the same decision as the product. Behaviour is unchanged.

--- a/Source/Core/Session/fleet_membership.cc
+++ b/Source/Core/Session/fleet_membership.cc
@@ -198,6 +198,19 @@
   return this->owners;
 }
 
+WatchRole FleetMembership::ConfigurationWatchRole() {
+  const std::vector<common::HostId>& chosen = this->RateOwners();
+  WatchRole role;
+  role.close_watchers = chosen.size();
+  role.position = static_cast<std::size_t>(
+      std::find(chosen.begin(), chosen.end(), this->own.host) - chosen.begin());
+  // With fewer owners than possible, all daemons that are not silent are
+  // owners.
+  role.all_watch_closely =
+      chosen.size() < kMaxRateOwners || chosen.size() == this->Size();
+  return role;
+}
+
 void FleetMembership::ForgetChoices() {
   this->owners.clear();
   this->connection_owners.clear();
--- a/Source/Core/Session/fleet_membership.h
+++ b/Source/Core/Session/fleet_membership.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "Session/group_context.h"
+#include "Session/watch_lengths.h"
 
 namespace camphorferry::session {
 
@@ -41,6 +42,10 @@
   /// The daemon that owns a workspace's rate; none if it is this one.
   std::optional<FleetHost> RateOwnerOf(const common::WorkspaceId& workspace);
 
+  /// The part that this daemon has in watching the configuration: rate owners
+  /// watch closely.
+  WatchRole ConfigurationWatchRole();
+
   /// A daemon has said whether it is shutting down.
   void SetStopping(const common::HostId& host, bool stopping);
 
--- a/Source/Core/Session/fleet_task.cc
+++ b/Source/Core/Session/fleet_task.cc
@@ -1,6 +1,5 @@
 #include "Session/fleet_task.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace camphorferry::session {
@@ -195,19 +194,6 @@
               {{"peer", peer}});
 }
 
-WatchRole FleetTask::ConfigurationWatchRole() {
-  const std::vector<common::HostId>& owners = this->membership.RateOwners();
-  WatchRole role;
-  role.close_watchers = owners.size();
-  role.position = static_cast<std::size_t>(
-      std::find(owners.begin(), owners.end(), this->own.id) - owners.begin());
-  // With fewer owners than possible, all daemons that are not silent are
-  // owners.
-  role.all_watch_closely = owners.size() < kMaxRateOwners ||
-                           owners.size() == this->membership.Size();
-  return role;
-}
-
 bool FleetTask::OwnsRate(const common::WorkspaceId& workspace) {
   return !this->membership.RateOwnerOf(workspace).has_value();
 }
--- a/Source/Core/Session/fleet_task.h
+++ b/Source/Core/Session/fleet_task.h
@@ -84,7 +84,9 @@
 
   /// The part that this daemon has in watching the configuration: rate owners
   /// watch closely.
-  WatchRole ConfigurationWatchRole();
+  WatchRole ConfigurationWatchRole() {
+    return this->membership.ConfigurationWatchRole();
+  }
 
   /// Whether this daemon owns the rate of a workspace.
   bool OwnsRate(const common::WorkspaceId& workspace);
--- a/Source/UnitTests/Core/Session/configuration_spread_test.cc
+++ b/Source/UnitTests/Core/Session/configuration_spread_test.cc
@@ -83,14 +83,8 @@
   /// The store loses the first watch that each daemon sends after a change.
   void LoseWatches() {
     for (Daemon& daemon : this->daemons) {
-      const std::vector<common::HostId>& owners =
-          daemon.membership.RateOwners();
-      const auto position =
-          std::find(owners.begin(), owners.end(), daemon.host.id) -
-          owners.begin();
       const WatchLengths lengths = ChooseWatchLengths(
-          kSettlingTime,
-          {owners.size(), static_cast<std::size_t>(position), false});
+          kSettlingTime, daemon.membership.ConfigurationWatchRole());
       daemon.watch_fails_at = this->now + lengths.first + kStoreCallTimeout;
     }
   }
