Tests: Keep the model's entries in one history

The present entries were kept beside their history, of which they are the last state, and two places listed the members for a daemon with a plan.

--- a/Source/UnitTests/Core/Session/promotion_model.cc
+++ b/Source/UnitTests/Core/Session/promotion_model.cc
@@ -1,6 +1,7 @@
 #include "promotion_model.h"
 
 #include <algorithm>
+#include <iterator>
 #include <ostream>
 #include <sstream>
 
@@ -158,9 +159,8 @@
     entry.id = common::EndpointId(NameOf(index));
     entry.incarnation = 1;
     entry.reports_primary = index == 0;
-    this->entries[index] = entry;
+    this->entries[context->time.Now()][index] = entry;
   }
-  this->OnEntriesChanged();
 }
 
 std::string DatabaseGroupModel::NameOf(int index) {
@@ -174,14 +174,15 @@
   return -1;
 }
 
-void DatabaseGroupModel::OnEntriesChanged() {
-  this->entry_history[this->context->time.Now()] = this->entries;
+std::map<int, GroupMember>& DatabaseGroupModel::ChangeEntries() {
+  const std::map<int, GroupMember>& latest = this->entries.rbegin()->second;
+  return this->entries.try_emplace(this->context->time.Now(), latest)
+      .first->second;
 }
 
 std::vector<GroupMember> DatabaseGroupModel::EntriesAt(
     common::SteadyTime time) const {
-  auto latest = this->entry_history.upper_bound(time);
-  if (latest != this->entry_history.begin()) --latest;
+  const auto latest = std::prev(this->entries.upper_bound(time));
   std::vector<GroupMember> present;
   present.reserve(latest->second.size());
   for (const auto& [index, entry] : latest->second) present.push_back(entry);
@@ -550,8 +551,7 @@
 void DatabaseGroupModel::Lapse(int index) {
   if (index >= this->Size() || this->databases[index].lapsed) return;
   this->databases[index].lapsed = true;
-  this->entries.erase(index);
-  this->OnEntriesChanged();
+  this->ChangeEntries().erase(index);
   this->context->Trace("entry of " + NameOf(index) + " lapses");
   this->context->time.RunLater(this->context->Between(200, 2000),
                                [this, index] {
@@ -570,8 +570,7 @@
         entry.id = common::EndpointId(NameOf(index));
         entry.incarnation = database.incarnation;
         entry.reports_primary = database.role == GroupRole::kPrimary;
-        this->entries[index] = entry;
-        this->OnEntriesChanged();
+        this->ChangeEntries()[index] = entry;
       });
 }
 
@@ -606,7 +605,6 @@
 }
 
 void DaemonModel::UpdateMembers() {
-  if (this->plan != nullptr) this->listed_at = this->context->time.Now();
   std::vector<GroupMember> present = this->group->EntriesAt(
       std::max(this->context->time.Now() - this->watch_lag, this->listed_at));
   if (present == this->members) return;
@@ -632,6 +630,11 @@
   }
 }
 
+void DaemonModel::ListMembers() {
+  this->listed_at = this->context->time.Now();
+  this->UpdateMembers();
+}
+
 FormerMembers DaemonModel::Former() const {
   FormerMembers former;
   for (const auto& [process, until] : this->former_members) {
@@ -692,7 +695,13 @@
   const common::SteadyTime now = this->context->time.Now();
   std::erase_if(this->former_members,
                 [now](const auto& item) { return item.second <= now; });
-  if (this->store_reachable) this->UpdateMembers();
+  if (this->store_reachable) {
+    if (this->plan == nullptr) {
+      this->UpdateMembers();
+    } else {
+      this->ListMembers();
+    }
+  }
   if (this->plan != nullptr) this->Perform(this->plan->OnTick(now));
   if (this->plan != nullptr && this->plan->KeepsLease(now) &&
       now >= this->next_renewal) {
@@ -718,10 +727,7 @@
 
 void DaemonModel::Begin() {
   const common::SteadyTime now = this->context->time.Now();
-  if (this->store_reachable) {
-    this->listed_at = now;
-    this->UpdateMembers();
-  }
+  if (this->store_reachable) this->ListMembers();
   const std::optional<common::EndpointId> primary = this->view.Primary();
   this->context->Trace(
       this->Name() + " begins a plan, primary " +
--- a/Source/UnitTests/Core/Session/promotion_model.h
+++ b/Source/UnitTests/Core/Session/promotion_model.h
@@ -255,7 +255,8 @@
   void StartWhenNoOrder(int index, std::uint64_t process,
                         const std::function<void()>& start);
   void WriteEntry(int index);
-  void OnEntriesChanged();
+  /// The entries from now on, to be changed.
+  std::map<int, GroupMember>& ChangeEntries();
   bool Linked(int one, int other) const;
   bool IsKeptWithout(int index) const;
   EndpointStatus StatusOf(int index) const;
@@ -266,9 +267,8 @@
   bool checks_fence;
   std::vector<Database> databases;
   std::set<std::pair<int, int>> cut;
-  std::map<int, GroupMember> entries;
   /// The entries after each of their changes.
-  std::map<common::SteadyTime, std::map<int, GroupMember>> entry_history;
+  std::map<common::SteadyTime, std::map<int, GroupMember>> entries;
   std::vector<LogEntry> acknowledged;
   common::Term newest_term = 1;
   int leader = 0;
@@ -310,6 +310,8 @@
 
   /// Takes over the entries that this daemon has heard of.
   void UpdateMembers();
+  /// Takes over the entries that the store has now.
+  void ListMembers();
   FormerMembers Former() const;
   void Send(const common::EndpointId& id, ModelCommand command,
             common::Term term, StatusCallback done);
