Tests: End what a test has set before its fixture runs the loop again

Three more in proxy_test.cc and one order in proxy_group_test.cc refer to variables of their test in the same way, and the fixture's destructor runs the loop for 1 ms after they have ended. So the fixture ends behaviors first, and the one test has its plain counter again; its assertions are unchanged.

--- a/Source/UnitTests/Platform/forwarding_test.cc
+++ b/Source/UnitTests/Platform/forwarding_test.cc
@@ -120,8 +120,7 @@
   // may have arrived.
   this->report.host.peer_address = "127.0.0.1:1";
   bool known = false;
-  this->owner->Exchange(this->platform.registered.at(0).peer_address,
-                        this->report, seconds(5),
+  this->owner->Exchange(this->OwnAddress(), this->report, seconds(5),
                         [&](const auto&) { known = true; });
   while (!known) this->RunFor(milliseconds(5));
   const auto client = this->Connect("latest");
@@ -213,10 +212,6 @@
     return result;
   }
 
-  const std::string& OwnAddress() const {
-    return this->platform.registered.at(0).peer_address;
-  }
-
   session::FleetReport report;
   std::unique_ptr<session::FleetTransport> peer;
 };
--- a/Source/UnitTests/Platform/proxy_fixture.h
+++ b/Source/UnitTests/Platform/proxy_fixture.h
@@ -66,7 +66,15 @@
     this->AnswerDirectoryCall(session::DirectoryKind::kHosts, {});
   }
 
-  ~ProxyTest() override { this->RunFor(std::chrono::milliseconds(1)); }
+  ~ProxyTest() override {
+    // What a test has set may refer to its variables, which have ended.
+    for (FakeDatabase* database :
+         {&this->primary_database, &this->replica_a, &this->replica_b}) {
+      database->command_behavior = nullptr;
+    }
+    this->platform.on_order = nullptr;
+    this->RunFor(std::chrono::milliseconds(1));
+  }
 
   void RunFor(common::Duration time) {
     const auto timer = this->loop.After(time, [this] { this->loop.Stop(); });
@@ -96,6 +104,11 @@
     chosen.primary = true;
   }
 
+  /// The address at which the proxy's peers reach it.
+  const std::string& OwnAddress() const {
+    return this->platform.registered.at(0).peer_address;
+  }
+
   /// Starts another daemon of the fleet, which makes itself known to the proxy
   /// and answers its reports with the given one. The handlers serve all other
   /// calls. The report must outlive the daemon.
@@ -109,8 +122,8 @@
                                                std::move(handlers));
     report->host.peer_address =
         connection::ToString({"127.0.0.1", peer->Port()});
-    peer->Exchange(this->platform.registered.at(0).peer_address, *report,
-                   std::chrono::seconds(5), [](const auto&) {});
+    peer->Exchange(this->OwnAddress(), *report, std::chrono::seconds(5),
+                   [](const auto&) {});
     return peer;
   }
 
--- a/Source/UnitTests/Platform/proxy_group_test.cc
+++ b/Source/UnitTests/Platform/proxy_group_test.cc
@@ -143,12 +143,11 @@
 // Guards against daemons that use up an endpoint's slots with status requests
 // while the leadership of the primary cannot be proved.
 TEST_F(ProxyTest, WaitingRead_LeadershipNotProved_BacksOff) {
-  // The databases get requests until the fixture ends.
-  const auto status_requests = std::make_shared<int>(0);
+  int status_requests = 0;
   for (FakeDatabase* database :
        {&this->primary_database, &this->replica_a, &this->replica_b}) {
-    database->command_behavior = [status_requests](const std::string& text) {
-      *status_requests += text == "STATUS" ? 1 : 0;
+    database->command_behavior = [&status_requests](const std::string& text) {
+      status_requests += text == "STATUS" ? 1 : 0;
       return CommandBehavior::kRun;
     };
   }
@@ -158,8 +157,8 @@
   client->Ask("QUERY 1 READ item", milliseconds(1000));
   // Each round sends two status requests. With pauses of 30 to 400 ms, five
   // rounds fit into one second; the rest allows for the group's own probes.
-  EXPECT_GE(*status_requests, 2);
-  EXPECT_LE(*status_requests, 24);
+  EXPECT_GE(status_requests, 2);
+  EXPECT_LE(status_requests, 24);
 }
 
 // Guards against a session that reads from a replica without its own commit.
--- a/Source/UnitTests/Platform/proxy_test.cc
+++ b/Source/UnitTests/Platform/proxy_test.cc
@@ -323,7 +323,7 @@
   session::FleetReport report;
   report.store_era = 5;
   bool exchanged = false;
-  peer->Exchange(this->platform.registered[0].peer_address, report, seconds(2),
+  peer->Exchange(this->OwnAddress(), report, seconds(2),
                  [&](const std::optional<session::FleetReport>& reply) {
                    exchanged = reply.has_value();
                    this->loop.Stop();
