Review: Show an acknowledged commit that a promotion loses

Cause: a COMMIT whose route has moved to another service meanwhile is acknowledged by the group of the new service, so the promotion of the old one doesn't know of it. The other cases are renumbered, the gravest first.

--- a/review/6/case.cc
+++ b/review/6/case.cc
@@ -1,73 +1,90 @@
-// A key is taken away from a client that is inside a transaction.
+// A route moves to another service while a transaction is open, and two
+// databases of the former service crash after its commit.
 #include "stand_ins.h"
 
 namespace {
 
 using namespace review;
 
-constexpr std::int64_t kConfigApplyMs = 4000;
-
 bool Holds(const std::string& folder, bool trouble) {
   Deployment& deployment = *new Deployment(folder, 3);
-  const json before = {
-      {{"name", "wali-seeb"},
-       {"apiKeys", {"k-withdrawn-5wa", "k-kept-9fq"}},
-       {"priority", 1},
-       {"ratePerS", 200},
-       {"burst", 200}}};
-  json after = before;
-  after[0]["apiKeys"] = {"k-kept-9fq"};
-  deployment.PutConfiguration(7, before);
+  Group& group = deployment.group;
+  const json tenants = {{{"name", "wali-seeb"},
+                         {"apiKeys", {"k-kept-9fq"}},
+                         {"priority", 1},
+                         {"ratePerS", 200},
+                         {"burst", 200}}};
+  deployment.PutConfiguration(7, tenants);
   deployment.StartAll();
 
+  // Commits that clients were told of, by the identifier of the write.
+  std::set<std::string> told;
+  std::vector<std::string> lost;
+  group.on_promoted = [&](const Database& promoted) {
+    std::set<std::string> has;
+    for (const Commit& commit : promoted.log) has.insert(commit.id);
+    for (const std::string& id : told) {
+      if (!has.contains(id)) lost.push_back(id);
+    }
+    Note("database " + promoted.id + " is promoted with log end " +
+         promoted.End().Text() + ", without " + std::to_string(lost.size()) +
+         " of " + std::to_string(told.size()) + " acknowledged commits");
+  };
+
   Client client("A", *deployment.proxies[0]);
-  if (!client.Start("confirm1", "k-withdrawn-5wa").Success()) {
-    throw CannotRun("the session does not open");
+  Client reader("B", *deployment.proxies[1]);
+  std::string first;
+  if (!client.Start("confirm1", "k-kept-9fq").Success() ||
+      !reader.Start("view2", "k-kept-9fq").Success() ||
+      !client.Query("WRITE booking17 first", &first).Success()) {
+    throw CannotRun("the sessions do not work");
+  }
+  told.insert(first);
+  SleepMs(500);
+  if (!reader.Query("READ booking17").Success()) {
+    throw CannotRun("the read fails");
   }
+  std::string second;
   if (!client.Query("BEGIN").Success() ||
-      !client.Query("WRITE booking17 first").Success()) {
+      !client.Query("WRITE booking18 second", &second).Success()) {
     throw CannotRun("the transaction does not open");
   }
-  SleepMs(500);
-  // Without the disruption, the same configuration is written with the key.
-  const std::int64_t acknowledged =
-      deployment.PutConfiguration(9, trouble ? after : before);
-
-  // The pauses are half of txIdleMs (3,000 ms).
-  bool broken = false;
-  int successes = 0;
-  const std::vector<std::string> statements = {
-      "READ booking17",        "READ booking17",         "READ booking18",
-      "WRITE booking18 second", "READ customer-of-wali", "WRITE booking19 third",
-      "COMMIT"};
-  for (const std::string& statement : statements) {
-    SleepMs(1500);
-    std::string id;
-    const Answer answer = client.Query(statement, &id);
-    const bool late = client.sent_at > acknowledged + kConfigApplyMs;
-    const auto run = deployment.group.FindRun(id);
-    successes += answer.Success() ? 1 : 0;
-    if (trouble && late && run.has_value()) {
-      broken = true;
-      Note("BROKEN: " + id + " was sent " +
-           std::to_string(client.sent_at - acknowledged) +
-           " ms after the acknowledgement of the version that dropped its key, "
-           "and " + run->database + " ran it for tenant " + run->tenant +
-           "; the client got: " + answer.Text());
-    }
+  // Without the disruption, the configuration changes, but not this route.
+  if (trouble) deployment.confirm_service = deployment.second.service;
+  deployment.PutConfiguration(9, tenants);
+  SleepMs(2000);
+  {
+    const std::scoped_lock lock(group.mutex);
+    group.members[2]->deaf = true;
+    Note("database " + group.members[2]->id + " receives nothing");
+  }
+  const Answer commit = client.Query("COMMIT");
+  if (!commit.Success()) throw CannotRun("the commit fails");
+  {
+    const std::scoped_lock lock(group.mutex);
+    told.insert(second);
+    group.members[0]->Crash();
+    group.members[1]->Crash();
   }
-  // Control: the version is in force everywhere for new sessions.
-  for (const auto& proxy : deployment.proxies) {
-    Client other("B@" + proxy->name, *proxy);
-    const bool opened = other.Start("confirm1", "k-withdrawn-5wa").Success();
-    if (opened == trouble) {
-      throw CannotRun("configuration 9 is not in force at " + proxy->name);
+  const std::int64_t crashed = NowMs();
+  bool listed = true;
+  while (NowMs() < crashed + 14'000) {
+    // Entries go after three heartbeat intervals of silence.
+    if (listed && NowMs() > crashed + 3600) {
+      listed = false;
+      deployment.platform.Remove("servers", group.members[0]->id);
+      deployment.platform.Remove("servers", group.members[1]->id);
     }
+    reader.Query("READ booking18", nullptr, 6000);
+    SleepMs(200);
   }
-  if (!trouble && successes != static_cast<int>(statements.size())) {
-    throw CannotRun("statements fail without the disruption");
+  const std::scoped_lock lock(group.mutex);
+  for (const std::string& id : lost) {
+    Note("BROKEN: the commit of " + id +
+         " was acknowledged to its client and isn't in the log of the "
+         "database that was promoted");
   }
-  return !broken;
+  return lost.empty();
 }
 
 }  // namespace
--- a/review/8/case.cc
+++ b/review/8/case.cc
@@ -1,4 +1,4 @@
-// A key is taken away from a client that is connected to an anonymous route.
+// A key is taken away from a client that is inside a transaction.
 #include "stand_ins.h"
 
 namespace {
@@ -21,51 +21,52 @@
   deployment.StartAll();
 
   Client client("A", *deployment.proxies[0]);
-  std::string first;
-  if (!client.Start("open4", "k-withdrawn-5wa").Success() ||
-      !client.Query("WRITE booking17 first", &first).Success()) {
-    throw CannotRun("the session does not work");
+  if (!client.Start("confirm1", "k-withdrawn-5wa").Success()) {
+    throw CannotRun("the session does not open");
   }
-  const auto told = deployment.group.FindRun(first);
-  if (!told.has_value() || told->tenant != "wali-seeb") {
-    throw CannotRun("the database is not told the tenant of the key");
+  if (!client.Query("BEGIN").Success() ||
+      !client.Query("WRITE booking17 first").Success()) {
+    throw CannotRun("the transaction does not open");
   }
   SleepMs(500);
+  // Without the disruption, the same configuration is written with the key.
   const std::int64_t acknowledged =
       deployment.PutConfiguration(9, trouble ? after : before);
+
+  // The pauses are half of txIdleMs (3,000 ms).
   bool broken = false;
-  for (const char* statement :
-       {"READ booking17", "WRITE booking17 second", "READ booking17"}) {
-    SleepMs(5000);
+  int successes = 0;
+  const std::vector<std::string> statements = {
+      "READ booking17",        "READ booking17",         "READ booking18",
+      "WRITE booking18 second", "READ customer-of-wali", "WRITE booking19 third",
+      "COMMIT"};
+  for (const std::string& statement : statements) {
+    SleepMs(1500);
     std::string id;
     const Answer answer = client.Query(statement, &id);
     const bool late = client.sent_at > acknowledged + kConfigApplyMs;
     const auto run = deployment.group.FindRun(id);
-    if (!answer.Success() && !trouble) throw CannotRun("a statement fails");
-    if (trouble && late && run.has_value() && run->tenant == "wali-seeb") {
+    successes += answer.Success() ? 1 : 0;
+    if (trouble && late && run.has_value()) {
       broken = true;
       Note("BROKEN: " + id + " was sent " +
            std::to_string(client.sent_at - acknowledged) +
-           " ms after the acknowledgement of the version in which no tenant "
-           "holds its key, and " + run->database + " ran it for tenant " +
-           run->tenant);
+           " ms after the acknowledgement of the version that dropped its key, "
+           "and " + run->database + " ran it for tenant " + run->tenant +
+           "; the client got: " + answer.Text());
     }
   }
-  // Control: what a new session with the same key is run as.
+  // Control: the version is in force everywhere for new sessions.
   for (const auto& proxy : deployment.proxies) {
     Client other("B@" + proxy->name, *proxy);
-    std::string id;
-    if (!other.Start("open4", "k-withdrawn-5wa").Success() ||
-        !other.Query("READ booking17", &id).Success()) {
-      throw CannotRun("a new session does not work");
-    }
-    const auto run = deployment.group.FindRun(id);
-    Note("control: a new session at " + proxy->name + " is run as " +
-         (run.has_value() ? run->tenant : "nobody"));
-    if (trouble && run.has_value() && run->tenant == "wali-seeb") {
-      throw CannotRun("configuration 9 is not in force");
+    const bool opened = other.Start("confirm1", "k-withdrawn-5wa").Success();
+    if (opened == trouble) {
+      throw CannotRun("configuration 9 is not in force at " + proxy->name);
     }
   }
+  if (!trouble && successes != static_cast<int>(statements.size())) {
+    throw CannotRun("statements fail without the disruption");
+  }
   return !broken;
 }
 
--- a/review/stand_ins_2/stand_ins.h
+++ b/review/stand_ins_2/stand_ins.h
@@ -501,6 +501,12 @@
   std::uint64_t held = 0;
   std::vector<Commit> log;
   std::size_t connections = 0;
+  /// Runs. A database that has crashed closes its connections at once.
+  bool up = true;
+  /// Receives nothing from its primary.
+  bool deaf = false;
+  /// Crashes; the log is kept. Must be called with the group's lock held.
+  void Crash();
 
  private:
   struct Session {
@@ -518,6 +524,7 @@
 
   std::unique_ptr<Listener> listener;
   std::uint64_t signatures = 0;
+  std::set<Socket*> open;
 };
 
 /// The databases of a service, with replication that is acknowledged once one
@@ -567,7 +574,8 @@
   Database* Leader() const {
     Database* leader = nullptr;
     for (const auto& member : this->members) {
-      if (member->primary && (leader == nullptr || member->term > leader->term)) {
+      if (member->up && member->primary &&
+          (leader == nullptr || member->term > leader->term)) {
         leader = member.get();
       }
     }
@@ -575,7 +583,8 @@
   }
 
   bool Receives(const Database& replica, const Database& from) const {
-    return !replica.primary && replica.held == 0 && replica.term <= from.term;
+    return replica.up && !replica.deaf && !replica.primary &&
+           replica.held == 0 && replica.term <= from.term;
   }
 
   /// Appends commits to a primary's log and waits until a replica has them.
@@ -616,6 +625,7 @@
     const std::scoped_lock lock(this->mutex);
     for (const auto& member : this->members) {
       if (member->id != id) continue;
+      if (!member->up) return false;
       if (member->primary) return true;
       Database* named = member.get();
       std::thread([this, named] {
@@ -625,11 +635,12 @@
         for (const auto& other : this->members) {
           highest = std::max(highest, other->term);
         }
+        if (this->on_promoted) this->on_promoted(*named);
         named->primary = true;
         named->term = highest + 1;
         named->held = 0;
         for (const auto& other : this->members) {
-          if (other.get() == named) continue;
+          if (other.get() == named || !other->up) continue;
           if (!other->primary) other->held = 0;
           if (other->log.size() > named->log.size()) {
             other->log = named->log;
@@ -672,6 +683,8 @@
   std::mutex mutex;
   std::vector<std::unique_ptr<Database>> members;
   std::vector<Run> runs;
+  /// Called when a promotion takes effect, with the lock held.
+  std::function<void(const Database& promoted)> on_promoted;
   /// Rows of a READ; one row with the latest data of the item by default.
   std::function<std::string(const std::string& item)> rows;
 };
@@ -685,6 +698,12 @@
       });
 }
 
+inline void Database::Crash() {
+  Note("database " + this->id + " crashes with log end " + this->End().Text());
+  this->up = false;
+  for (Socket* connection : this->open) connection->Shut();
+}
+
 inline std::string Database::Ready(const Session& session) const {
   return std::string("READY ") + session.state + " " + this->End().Text() +
          "\r\n";
@@ -706,8 +725,10 @@
   }
   {
     const std::scoped_lock lock(this->group->mutex);
+    if (!this->up) return;
     ++this->connections;
-    if (!connection->Send(this->Ready(session))) return;
+    this->open.insert(connection.get());
+    connection->Send(this->Ready(session));
   }
   while (true) {
     const auto line = connection->Line(600'000);
@@ -720,12 +741,14 @@
     std::string reply;
     {
       const std::scoped_lock lock(this->group->mutex);
+      if (!this->up) break;
       reply = this->Execute(&session, id, text);
     }
     if (reply.empty()) continue;
     if (!connection->Send(reply)) break;
   }
   const std::scoped_lock lock(this->group->mutex);
+  this->open.erase(connection.get());
   --this->connections;
 }
 
@@ -1081,12 +1104,17 @@
              std::int64_t promote_ms = 1000)
       : platform(LoopbackAddress(100)),
         group(&this->platform, "ledger7f", LoopbackAddress(101), lag_ms,
-              promote_ms) {
+              promote_ms),
+        second(&this->platform, "ledger8g", LoopbackAddress(102), lag_ms,
+               promote_ms) {
     this->platform.promote = [this](const std::string& service,
                                     const std::string& id) {
-      return service == this->group.service && this->group.PromoteMember(id);
+      Group& named =
+          service == this->group.service ? this->group : this->second;
+      return service == named.service && named.PromoteMember(id);
     };
     this->group.RegisterAll();
+    this->second.RegisterAll();
     const char* zones[] = {"zone-a", "zone-b", "zone-c"};
     for (int index = 0; index < proxies; ++index) {
       this->proxies.push_back(std::make_unique<ProxyProcess>(
@@ -1120,18 +1148,14 @@
       routes.push_back(route);
     };
     add("r-confirm", "confirm1", "primary", 1000, 800, false);
+    routes.back()["service"] = this->confirm_service;
     add("r-view", "view2", "bounded_staleness", 3000, 1200, false);
     add("r-assign", "assign3", "read_your_writes", 1000, 1500, false);
     add("r-open", "open4", "primary", 1000, 800, true);
     return {{"version", version},
             {"routes", routes},
             {"services",
-             {{{"name", this->group.service},
-               {"healthPath", "/healthz"},
-               {"maxConns", 55},
-               {"protocol", "h1"},
-               {"tls", false},
-               {"syncReplicas", 1}}}},
+             {this->Service(this->group), this->Service(this->second)}},
             {"limits",
              {{"headerBytes", 16384},
               {"bodyBytes", 262144},
@@ -1140,17 +1164,26 @@
               {"txIdleMs", 3000}}},
             {"tenants", tenants}};
   }
+  static json Service(const Group& declared) {
+    return {{"name", declared.service}, {"healthPath", "/healthz"},
+            {"maxConns", 55},           {"protocol", "h1"},
+            {"tls", false},             {"syncReplicas", 1}};
+  }
   /// The operator writes a configuration; returns when it is acknowledged.
   std::int64_t PutConfiguration(int version, const json& tenants) {
     this->platform.Put("config", "main", this->Configuration(version, tenants));
     const std::int64_t acknowledged = NowMs();
     Note("operator: configuration " + std::to_string(version) +
-         " is acknowledged, tenants " + tenants.dump());
+         " is acknowledged, confirm1 -> " + this->confirm_service +
+         ", tenants " + tenants.dump());
     return acknowledged;
   }
 
   Platform platform;
   Group group;
+  Group second;
+  /// Service of the route confirm1.
+  std::string confirm_service = "ledger7f";
   std::vector<std::unique_ptr<ProxyProcess>> proxies;
 };
 
