--- a/review/6/case.cc
+++ b/review/6/case.cc
@@ -75,6 +75,10 @@
       deployment.platform.Remove("servers", group.members[0]->id);
       deployment.platform.Remove("servers", group.members[1]->id);
     }
+    {
+      const std::scoped_lock lock(group.mutex);
+      if (NowMs() > crashed + 6000) group.members[2]->deaf = false;
+    }
     reader.Query("READ booking18", nullptr, 6000);
     SleepMs(200);
   }
