--- a/review/stand_ins_2/stand_ins.h
+++ b/review/stand_ins_2/stand_ins.h
@@ -188,7 +188,14 @@
       }
     }).detach();
   }
-  std::string Address() const { return this->ip + ":" + std::to_string(this->port); }
+  std::string Address() const {
+    return this->ip + ":" + std::to_string(this->port);
+  }
+  /// Refuses connections from now on.
+  void Close() {
+    shutdown(this->descriptor, SHUT_RDWR);
+    close(this->descriptor);
+  }
 
   std::string ip;
   int port = 0;
@@ -501,7 +508,7 @@
   std::uint64_t held = 0;
   std::vector<Commit> log;
   std::size_t connections = 0;
-  /// Runs. A database that has crashed closes its connections at once.
+  /// Runs. A database that has crashed refuses connections.
   bool up = true;
   /// Receives nothing from its primary.
   bool deaf = false;
@@ -701,6 +708,7 @@
 inline void Database::Crash() {
   Note("database " + this->id + " crashes with log end " + this->End().Text());
   this->up = false;
+  this->listener->Close();
   for (Socket* connection : this->open) connection->Shut();
 }
 
