--- a/review/8/case.cc
+++ b/review/8/case.cc
@@ -9,12 +9,11 @@
 
 bool Holds(const std::string& folder, bool trouble) {
   Deployment& deployment = *new Deployment(folder, 3);
-  const json before = {
-      {{"name", "wali-seeb"},
-       {"apiKeys", {"k-withdrawn-5wa", "k-kept-9fq"}},
-       {"priority", 1},
-       {"ratePerS", 200},
-       {"burst", 200}}};
+  const json before = {{{"name", "wali-seeb"},
+                        {"apiKeys", {"k-withdrawn-5wa", "k-kept-9fq"}},
+                        {"priority", 1},
+                        {"ratePerS", 200},
+                        {"burst", 200}}};
   json after = before;
   after[0]["apiKeys"] = {"k-kept-9fq"};
   deployment.PutConfiguration(7, before);
@@ -36,10 +35,13 @@
   // The pauses are half of txIdleMs (3,000 ms).
   bool broken = false;
   int successes = 0;
-  const std::vector<std::string> statements = {
-      "READ booking17",        "READ booking17",         "READ booking18",
-      "WRITE booking18 second", "READ customer-of-wali", "WRITE booking19 third",
-      "COMMIT"};
+  const std::vector<std::string> statements = {"READ booking17",
+                                               "READ booking17",
+                                               "READ booking18",
+                                               "WRITE booking18 second",
+                                               "READ customer-of-wali",
+                                               "WRITE booking19 third",
+                                               "COMMIT"};
   for (const std::string& statement : statements) {
     SleepMs(1500);
     std::string id;
@@ -52,7 +54,8 @@
       Note("BROKEN: " + id + " was sent " +
            std::to_string(client.sent_at - acknowledged) +
            " ms after the acknowledgement of the version that dropped its key, "
-           "and " + run->database + " ran it for tenant " + run->tenant +
+           "and " +
+           run->database + " ran it for tenant " + run->tenant +
            "; the client got: " + answer.Text());
     }
   }
--- a/review/stand_ins_2/stand_ins.h
+++ b/review/stand_ins_2/stand_ins.h
@@ -181,7 +181,8 @@
     this->port = ntohs(address.sin_port);
     std::thread([descriptor = this->descriptor, serve = std::move(serve)] {
       while (true) {
-        const int accepted = accept4(descriptor, nullptr, nullptr, SOCK_CLOEXEC);
+        const int accepted =
+            accept4(descriptor, nullptr, nullptr, SOCK_CLOEXEC);
         if (accepted < 0) return;
         auto connection = std::make_shared<Socket>(accepted);
         std::thread([connection, serve] { serve(connection); }).detach();
@@ -381,9 +382,8 @@
       };
       Note("platform: POST /promotion service=" +
            body.at("service").get<std::string>() +
-           " id=" + body.at("id").get<std::string>() +
-           " holder=" + header("x-duty-holder") +
-           " token=" + header("x-fencing-token") +
+           " id=" + body.at("id").get<std::string>() + " holder=" +
+           header("x-duty-holder") + " token=" + header("x-fencing-token") +
            (accepted ? " -> 200" : " -> 409"));
       return HttpText(accepted ? 200 : 409, "{}");
     }
@@ -438,18 +438,18 @@
   std::string Watch(const std::string& kind, const HttpRequest& request,
                     std::unique_lock<std::mutex>* lock) {
     const std::uint64_t after = std::stoull(request.query.at("watch"));
-    const std::int64_t until =
-        NowMs() + std::stoll(request.query.at("waitMs"));
+    const std::int64_t until = NowMs() + std::stoll(request.query.at("waitMs"));
     while (true) {
       json events = json::array();
       for (const Event& event : this->history) {
         if (event.revision <= after || event.kind != kind) continue;
-        events.push_back({{"object", event.object}, {"deleted", event.deleted}});
+        events.push_back(
+            {{"object", event.object}, {"deleted", event.deleted}});
       }
       if (!events.empty() || NowMs() >= until) {
         return HttpText(
-            200, json{{"events", events}, {"storeRevision", this->revision}}
-                     .dump());
+            200,
+            json{{"events", events}, {"storeRevision", this->revision}}.dump());
       }
       this->changed.wait_for(*lock, std::chrono::milliseconds(100));
     }
@@ -619,7 +619,8 @@
     if (leader == nullptr) return;
     const std::int64_t until = NowMs() - this->lag_ms;
     for (const auto& replica : this->members) {
-      if (replica.get() == leader || !this->Receives(*replica, *leader)) continue;
+      if (replica.get() == leader || !this->Receives(*replica, *leader))
+        continue;
       replica->term = leader->term;
       while (replica->log.size() < leader->log.size() &&
              leader->log[replica->log.size()].at_ms <= until) {
@@ -667,7 +668,7 @@
 
   void OnRun(const Database& database, const std::string& tenant,
              const std::string& id, const std::string& text) {
-    Run run{NowMs(), database.id, this->service, tenant,
+    Run run{NowMs(), database.id, this->service,      tenant,
             id,      text,        database.log.size()};
     this->runs.push_back(run);
     Note("database " + database.id + " runs " + id + " " + text.substr(0, 60) +
@@ -867,8 +868,7 @@
     words >> data;
     session->writes.push_back({this->term, id, item, data, 0});
   }
-  const bool commits =
-      verb == "COMMIT" || (writes && session->state == 'I');
+  const bool commits = verb == "COMMIT" || (writes && session->state == 'I');
   this->group->OnRun(*this, session->tenant, id, text);
   if (verb == "COMMIT") session->state = 'I';
   if (commits && !session->writes.empty()) {
@@ -935,15 +935,24 @@
           "quota", "platform"}},
         {"faultTolerance", {{"nodes", 2}, {"zones", 0}, {"regions", 0}}},
         {"contractParams",
-         {{"seedLagS", 3},          {"reuseAfterS", 2},
-          {"contactMs", 5000},      {"ackMs", 6000},
-          {"catchUpS", 4},          {"drainMs", 7000},
-          {"graceS", 6},            {"lossSlackMs", 200},
-          {"configApplyMs", 4000},  {"downgradeSlackMs", 250},
-          {"outerBoundMs", 15000},  {"strictRevoke", false},
-          {"revokeMs", 5000},       {"quotaWindowS", 5},
-          {"quotaOver", 0.1},       {"quotaSlack", 20},
-          {"recoverS", 12},         {"requireFence", false},
+         {{"seedLagS", 3},
+          {"reuseAfterS", 2},
+          {"contactMs", 5000},
+          {"ackMs", 6000},
+          {"catchUpS", 4},
+          {"drainMs", 7000},
+          {"graceS", 6},
+          {"lossSlackMs", 200},
+          {"configApplyMs", 4000},
+          {"downgradeSlackMs", 250},
+          {"outerBoundMs", 15000},
+          {"strictRevoke", false},
+          {"revokeMs", 5000},
+          {"quotaWindowS", 5},
+          {"quotaOver", 0.1},
+          {"quotaSlack", 20},
+          {"recoverS", 12},
+          {"requireFence", false},
           {"thawSlackMs", 300}}},
         {"platform",
          {{"addr", contact},
@@ -964,8 +973,8 @@
 
   /// Starts the command of the deploy file.
   void Start() {
-    const int output =
-        open(this->log.c_str(), O_CREAT | O_WRONLY | O_APPEND | O_CLOEXEC, 0644);
+    const int output = open(this->log.c_str(),
+                            O_CREAT | O_WRONLY | O_APPEND | O_CLOEXEC, 0644);
     const std::string variable = "CAMPHORFERRY_NODE_FILE=" + this->settings;
     const pid_t parent = getpid();
     this->pid = fork();
@@ -974,7 +983,8 @@
       dup2(output, STDERR_FILENO);
       prctl(PR_SET_PDEATHSIG, SIGKILL);
       if (getppid() != parent) _exit(127);
-      const char* program = "target/platform/camphorferry-proxy";  // the deploy file's
+      const char* program =
+          "target/platform/camphorferry-proxy";  // the deploy file's
       char* const arguments[] = {const_cast<char*>(program), nullptr};
       char* const environment[] = {const_cast<char*>(variable.c_str()),
                                    const_cast<char*>("PATH=/usr/bin:/bin"),
@@ -1143,11 +1153,11 @@
     json routes = json::array();
     const auto add = [&](const char* name, const char* host, const char* kind,
                          int timeout, int objective, bool anonymous) {
-      json route = {{"name", name},          {"host", host},
-                    {"pathPrefix", "/"},     {"kind", kind},
-                    {"timeoutMs", timeout},  {"sloMs", objective},
-                    {"priority", 1},         {"service", this->group.service},
-                    {"maxAttempts", 2},      {"anonymous", anonymous}};
+      json route = {{"name", name},         {"host", host},
+                    {"pathPrefix", "/"},    {"kind", kind},
+                    {"timeoutMs", timeout}, {"sloMs", objective},
+                    {"priority", 1},        {"service", this->group.service},
+                    {"maxAttempts", 2},     {"anonymous", anonymous}};
       if (std::string(kind) == "bounded_staleness") {
         route["maxStalenessMs"] = 1500;
       } else if (std::string(kind) == "read_your_writes") {
@@ -1160,22 +1170,25 @@
     add("r-view", "view2", "bounded_staleness", 3000, 1200, false);
     add("r-assign", "assign3", "read_your_writes", 1000, 1500, false);
     add("r-open", "open4", "primary", 1000, 800, true);
-    return {{"version", version},
-            {"routes", routes},
-            {"services",
-             {this->Service(this->group), this->Service(this->second)}},
-            {"limits",
-             {{"headerBytes", 16384},
-              {"bodyBytes", 262144},
-              {"headerTimeoutMs", 3000},
-              {"idleTimeoutMs", 15000},
-              {"txIdleMs", 3000}}},
-            {"tenants", tenants}};
+    return {
+        {"version", version},
+        {"routes", routes},
+        {"services", {this->Service(this->group), this->Service(this->second)}},
+        {"limits",
+         {{"headerBytes", 16384},
+          {"bodyBytes", 262144},
+          {"headerTimeoutMs", 3000},
+          {"idleTimeoutMs", 15000},
+          {"txIdleMs", 3000}}},
+        {"tenants", tenants}};
   }
   static json Service(const Group& declared) {
-    return {{"name", declared.service}, {"healthPath", "/healthz"},
-            {"maxConns", 55},           {"protocol", "h1"},
-            {"tls", false},             {"syncReplicas", 1}};
+    return {{"name", declared.service},
+            {"healthPath", "/healthz"},
+            {"maxConns", 55},
+            {"protocol", "h1"},
+            {"tls", false},
+            {"syncReplicas", 1}};
   }
   /// The operator writes a configuration; returns when it is acknowledged.
   std::int64_t PutConfiguration(int version, const json& tenants) {
@@ -1197,9 +1210,9 @@
 
 /// Runs a case: 0 if the rule held, 1 if it was broken, 2 if it couldn't run.
 /// Arguments: the folder of the case, and 0 or 1 for TROUBLE.
-inline int RunCase(int argc, char** argv,
-                   const std::function<bool(const std::string& folder,
-                                            bool trouble)>& holds) {
+inline int RunCase(
+    int argc, char** argv,
+    const std::function<bool(const std::string& folder, bool trouble)>& holds) {
   signal(SIGPIPE, SIG_IGN);
   if (argc != 3) return 2;
   Record file(std::string(argv[1]) + "/record.txt");
