--- a/Source/Core/Session/client_session.cc
+++ b/Source/Core/Session/client_session.cc
@@ -85,7 +85,7 @@
   SessionUsage usage;
   usage.opened = this->opened;
   usage.idle = this->IsIdle();
-  usage.workspace = this->workspace;
+  usage.workspace = this->Caller();
   usage.last_message = std::max(this->accepted, this->current_received);
   usage.buffered_bytes = this->stream->BufferedBytes() + this->state.Bytes();
   return usage;
@@ -94,7 +94,7 @@
 void ClientSession::Abort(LimitCause cause) {
   common::Log(Subsystem::kRequest, LogLevel::kInfo, "session_closed",
               {{"limit", ToString(cause)},
-               {"workspace", this->workspace},
+               {"workspace", this->Caller()},
                {"request", this->current_request},
                {"buffered_bytes", this->Usage().buffered_bytes}});
   // Nothing that is queued is sent any more, not even by a session that has
@@ -189,7 +189,6 @@
     this->RejectSession(refusal->code, refusal->reason);
     return;
   }
-  this->workspace = std::get<OperationAccess>(decision).workspace;
   this->opened = true;
   this->Send(this->codec->EncodeReady(TransactionPhase::kIdle, std::nullopt));
   this->stream->SetPaused(false);
--- a/Source/Core/Session/client_session.h
+++ b/Source/Core/Session/client_session.h
@@ -130,6 +130,9 @@
   /// Rolls the open transaction back at once if its client may not continue it.
   void EndRefusedTransaction();
   void LogRefusal(const AccessRefusal& refusal) const;
+  /// Who the client is: the caller of the open transaction, or else the one
+  /// that the configuration in force names. Empty if it is anonymous.
+  common::WorkspaceId Caller() const;
   /// The route of the open transaction, or else that of the session in the
   /// configuration in force; null if there is none.
   const DatabaseRoute* RouteInUse() const;
@@ -161,8 +164,6 @@
   bool opened = false;
   bool ended = false;
   SessionAccess access;
-  /// The caller of the latest operation.
-  common::WorkspaceId workspace;
   SessionState state;
   /// An operation waits for its admission by the rate limiter.
   bool awaiting_admission = false;
--- a/Source/Core/Session/client_session_access.cc
+++ b/Source/Core/Session/client_session_access.cc
@@ -18,9 +18,14 @@
     this->ReplyError(refusal->code, refusal->reason);
     return std::nullopt;
   }
-  auto given = std::get<OperationAccess>(decision);
-  this->workspace = given.workspace;
-  return given;
+  return std::get<OperationAccess>(decision);
+}
+
+common::WorkspaceId ClientSession::Caller() const {
+  const std::optional<OpenTransaction>& transaction = this->state.Transaction();
+  return transaction.has_value()
+             ? transaction->access.workspace
+             : this->access.Caller(this->delegate->Configuration().get());
 }
 
 std::optional<AccessRefusal> ClientSession::CheckTransaction() const {
@@ -38,7 +43,7 @@
 void ClientSession::LogRefusal(const AccessRefusal& refusal) const {
   common::Log(Subsystem::kRequest, LogLevel::kInfo, "access_refused",
               {{"request", this->current_request},
-               {"workspace", this->workspace},
+               {"workspace", this->Caller()},
                {"code", ToString(refusal.code)},
                {"reason", refusal.reason},
                {"version", this->delegate->Configuration()->version}});
--- a/Source/Core/Session/operation_access.cc
+++ b/Source/Core/Session/operation_access.cc
@@ -48,6 +48,13 @@
   }
   return AccessRefusal{StatementError::kAborted,
                        "the key belongs to another caller"};
+common::WorkspaceId SessionAccess::Caller(
+    const DirectoryConfiguration* configuration) const {
+  if (configuration == nullptr) return {};
+  return WorkspaceOf(this->opening.key, *configuration)
+      .value_or(common::WorkspaceId());
+}
+
 }
 
 }  // namespace camphorferry::session
--- a/Source/Core/Session/operation_access.h
+++ b/Source/Core/Session/operation_access.h
@@ -58,6 +58,10 @@
  private:
   OpenSession opening;
 };
+  /// Who the client is under a version of the configuration, whether or not it
+  /// may use the route. Empty if no workspace has its key.
+  common::WorkspaceId Caller(const DirectoryConfiguration* configuration) const;
+
 
 }  // namespace camphorferry::session
 
