--- a/Source/Core/Session/statement_attempt.cc
+++ b/Source/Core/Session/statement_attempt.cc
@@ -54,6 +54,10 @@
       return "stopping";
     case AttemptFailure::kNoTransaction:
       return "no_transaction";
+    case AttemptFailure::kUnauthorized:
+      return "unauthorized";
+    case AttemptFailure::kOtherCaller:
+      return "other_caller";
     case AttemptFailure::kConnectionLost:
       return "connection_lost";
     case AttemptFailure::kNoAnswer:
@@ -64,6 +68,14 @@
   return "unknown";
 }
 
+std::optional<AttemptFailure> FailureOf(
+    const std::optional<AccessRefusal>& refusal) {
+  if (!refusal.has_value()) return std::nullopt;
+  return refusal->code == StatementError::kUnauthorized
+             ? AttemptFailure::kUnauthorized
+             : AttemptFailure::kOtherCaller;
+}
+
 bool MayHaveRun(AttemptFailure failure) {
   return failure == AttemptFailure::kConnectionLost ||
          failure == AttemptFailure::kNoAnswer ||
@@ -161,6 +173,18 @@
   this->Prepare();
 }
 
+bool StatementAttempt::EndIfBarred() {
+  const std::optional<AttemptFailure> failure = this->observers.barred();
+  if (!failure.has_value()) return false;
+  if (this->begun) {
+    RollBackAndReturnToPool(std::exchange(this->channel, nullptr));
+  } else if (this->request.use != TransactionUse::kContinues) {
+    this->ReleaseChannel();
+  }
+  this->Finish(*failure);
+  return true;
+}
+
 void StatementAttempt::Prepare() {
   const std::optional<ChannelPreparation> next =
       this->channel->State().NextPreparation(this->request.values,
@@ -210,6 +234,7 @@
 }
 
 void StatementAttempt::Begin() {
+  if (this->EndIfBarred()) return;
   this->channel->Send(
       this->codec->EncodeBegin(this->request.read_only,
                                this->request.min_position),
@@ -230,6 +255,7 @@
     return;
   }
   if (answer != nullptr && answer->phase == TransactionPhase::kOpen) {
+    this->begun = true;
     this->SendStatement();
     return;
   }
@@ -241,6 +267,7 @@
 }
 
 void StatementAttempt::SendStatement() {
+  if (this->EndIfBarred()) return;
   const std::optional<common::LogPosition> bound =
       this->request.use == TransactionUse::kNone && !this->request.writes
           ? this->request.min_position
--- a/Source/Core/Session/statement_attempt.h
+++ b/Source/Core/Session/statement_attempt.h
@@ -8,6 +8,7 @@
 #include <variant>
 
 #include "Session/endpoint_pool.h"
+#include "Session/operation_access.h"
 #include "Session/statement.h"
 
 namespace camphorferry::session {
@@ -71,6 +72,10 @@
   kStopping,
   /// The transaction has ended at the connection owner.
   kNoTransaction,
+  /// No workspace has the client's key any more.
+  kUnauthorized,
+  /// The client is another caller now than when its operation started.
+  kOtherCaller,
   // The statement, or the begin of its transaction, may have run.
   kConnectionLost,
   kNoAnswer,
@@ -82,6 +87,11 @@
 /// Name as used in logs and metrics.
 const char* ToString(AttemptFailure failure);
 
+/// The failure of an attempt whose client may not run the statement any more;
+/// none without a refusal.
+std::optional<AttemptFailure> FailureOf(
+    const std::optional<AccessRefusal>& refusal);
+
 /// Whether a statement may have run although its attempt has failed.
 bool MayHaveRun(AttemptFailure failure);
 
@@ -104,6 +114,11 @@
  public:
   /// Events of an attempt.
   struct Observers {
+    /// Asked right before each command that runs something of the client's.
+    /// If there is a failure, the command is not sent.
+    std::function<std::optional<AttemptFailure>()> barred = [] {
+      return std::nullopt;
+    };
     /// The statement itself has been sent.
     std::function<void()> sent = [] {};
     /// The attempt has ended. Called once, unless it is cancelled before.
@@ -132,6 +147,8 @@
 
  private:
   void OnGrant(const ChannelGrant& grant);
+  /// Ends the attempt if the client may not run its statement any more.
+  bool EndIfBarred();
   void Prepare();
   void OnPrepared(const ChannelPreparation& preparation,
                   const ChannelResult& result);
@@ -155,6 +172,8 @@
   std::weak_ptr<EndpointPool> pool;
   std::optional<ChannelRequestId> pool_request;
   std::shared_ptr<EndpointChannel> channel;
+  /// This attempt has opened a transaction.
+  bool begun = false;
   bool statement_sent = false;
   int repetitions = 0;
   std::unique_ptr<connection::Timer> timer;
--- a/Source/Core/Session/statement_messages.cc
+++ b/Source/Core/Session/statement_messages.cc
@@ -74,6 +74,10 @@
       return fleet::v1::STOPPING;
     case AttemptFailure::kNoTransaction:
       return fleet::v1::NO_TRANSACTION;
+    case AttemptFailure::kUnauthorized:
+      return fleet::v1::UNAUTHORIZED;
+    case AttemptFailure::kOtherCaller:
+      return fleet::v1::OTHER_CALLER;
     case AttemptFailure::kConnectionLost:
       return fleet::v1::CONNECTION_LOST;
     case AttemptFailure::kNoAnswer:
@@ -102,6 +106,10 @@
       return AttemptFailure::kStopping;
     case fleet::v1::NO_TRANSACTION:
       return AttemptFailure::kNoTransaction;
+    case fleet::v1::UNAUTHORIZED:
+      return AttemptFailure::kUnauthorized;
+    case fleet::v1::OTHER_CALLER:
+      return AttemptFailure::kOtherCaller;
     case fleet::v1::CONNECTION_LOST:
       return AttemptFailure::kConnectionLost;
     case fleet::v1::NO_SIGNATURE:
--- a/Source/Core/Session/statement_run.cc
+++ b/Source/Core/Session/statement_run.cc
@@ -217,6 +217,12 @@
 
 StatementAttempt::Observers StatementRun::NewObservers(std::uint64_t number) {
   StatementAttempt::Observers observers;
+  observers.barred =
+      [weak = this->weak_from_this()]() -> std::optional<AttemptFailure> {
+    const auto run = weak.lock();
+    if (run == nullptr || !run->done) return std::nullopt;
+    return FailureOf(run->request.check_access());
+  };
   observers.sent = [weak = this->weak_from_this(), number] {
     const auto run = weak.lock();
     if (run == nullptr || number != run->attempt_number) return;
@@ -444,7 +450,22 @@
 }
 
 void StatementRun::OnFailure(AttemptFailure failure) {
+void StatementRun::OnAccessLost(AttemptFailure failure) {
+  // Only some codes promise that nothing of a transaction is kept.
+  const bool commit =
+      this->request.attempt.statement.kind == StatementKind::kCommit;
+  this->Fail(failure == AttemptFailure::kUnauthorized && !commit
+                 ? StatementError::kUnauthorized
+                 : StatementError::kAborted,
+             ToString(failure));
+}
+
   const bool may_have_run_now = MayHaveRun(failure);
+  if (failure == AttemptFailure::kUnauthorized ||
+      failure == AttemptFailure::kOtherCaller) {
+    this->OnAccessLost(failure);
+    return;
+  }
   if (may_have_run_now || failure == AttemptFailure::kPreparationUnanswered) {
     this->group->OnUnresponsive(this->endpoint);
   }
--- a/Source/Core/Session/statement_run.h
+++ b/Source/Core/Session/statement_run.h
@@ -41,7 +41,8 @@
   /// For kContinues: the channel of the transaction.
   TransactionChannel channel;
   /// Checks whether the client may still run the statement. Called before each
-  /// attempt, since the configuration may change while the statement waits.
+  /// attempt, and again before anything is sent to an endpoint, since the
+  /// configuration may change while the statement waits.
   std::function<std::optional<AccessRefusal>()> check_access = [] {
     return std::nullopt;
   };
@@ -122,6 +123,8 @@
   /// refuses it at once.
   void OnOverloaded();
   void OnRefused(const EndpointAnswer& answer);
+  /// The client may not run the statement any more.
+  void OnAccessLost(AttemptFailure failure);
   /// Ends all attempts without using their results.
   void AbandonAttempts();
   /// Whether the statement can take effect and can't be taken back.
--- a/Source/UnitTests/Platform/session_key_test.cc
+++ b/Source/UnitTests/Platform/session_key_test.cc
@@ -206,6 +206,59 @@
   EXPECT_TRUE(this->ExecutedIds().empty());
 }
 
+// Guards against a statement that waits for a channel while its key is
+// withdrawn, and runs as soon as it gets one.
+TEST_F(SessionKeyTest, Write_KeyWithdrawnInChannelQueue_IsRefused) {
+  // The proxy may use one channel, which the first client's transaction has.
+  this->configuration.services[common::ServiceId("svc")].max_connections = 1;
+  this->Publish();
+  const auto first = this->ConnectAndWrite();
+  const auto second = this->Connect("latest");
+  this->PrepareChange();
+  const auto timer = this->loop.After(milliseconds(100), [this] {
+    // The first client's transaction ends, which frees the channel.
+    this->WithdrawKey();
+  });
+  EXPECT_TRUE(HasLine(second->Ask("QUERY 5 WRITE item y"), "ERROR NOAUTH"));
+  this->RunFor(milliseconds(100));
+  EXPECT_EQ(this->ExecutedIds().count("5"), 0U);
+}
+
+// Guards against a statement whose key is withdrawn, or moves, while its
+// channel is prepared for it.
+TEST_F(SessionKeyTest, Write_KeyWithdrawnWhileChannelIsPrepared_IsRefused) {
+  const auto client = this->Connect("latest");
+  client->Ask("QUERY 1 SET mode fast");
+  this->PrepareChange();
+  this->primary_database.command_behavior = [this](const std::string& text) {
+    if (text.starts_with("SET")) this->WithdrawKey();
+    return CommandBehavior::kRun;
+  };
+  EXPECT_TRUE(HasLine(client->Ask("QUERY 2 WRITE item x"), "ERROR NOAUTH"));
+  EXPECT_TRUE(this->ExecutedIds().empty());
+}
+
+// Guards against a transaction that is left open at its database because the
+// key moves between its begin and its first statement there.
+TEST_F(SessionKeyTest, FirstStatement_KeyMovesAfterBegin_IsRolledBack) {
+  const auto client = this->Connect("latest");
+  client->Ask("QUERY 1 BEGIN");
+  this->PrepareChange();
+  this->primary_database.command_behavior =
+      [this, moved = false](const std::string& text) mutable {
+        if (text.ends_with("BEGIN") && !std::exchange(moved, true)) {
+          this->GiveKeyTo(this->other);
+        }
+        this->rolled_back = this->rolled_back || text == "ROLLBACK";
+        return CommandBehavior::kRun;
+      };
+  EXPECT_TRUE(HasLine(client->Ask("QUERY 2 WRITE item x"), "ERROR ABORTED"));
+  this->RunFor(milliseconds(100));
+  EXPECT_TRUE(this->rolled_back);
+  EXPECT_TRUE(this->ExecutedIds().empty());
+  this->ExpectUsable(client.get());
+}
+
 // Guards against a session on an open route that keeps the name, and the rate,
 // of a workspace that doesn't have its key any more.
 TEST_F(SessionKeyTest, Read_KeyOfOpenRouteWithdrawn_IsAnonymous) {
