--- a/Source/Core/Session/client_session.cc
+++ b/Source/Core/Session/client_session.cc
@@ -365,7 +365,7 @@
   }
   request.own_position = this->state.Position(route.service);
   attempt.values = this->state.Values();
-  attempt.caller = given.workspace.Empty() ? "-" : given.workspace.Value();
+  attempt.caller = CallerName(given.workspace);
   attempt.priority = route.priority;
   attempt.statement_timeout = route.statement_timeout;
   request.hedge_after = route.latency_objective / kHedgeDivisor;
@@ -377,6 +377,9 @@
   request.check_access = [this, given] {
     return this->access.Check(given, this->delegate->Configuration().get());
   };
+  request.claim_access = [this, given]() -> std::optional<AccessClaim> {
+    return this->access.Claim(given, *this->delegate->Configuration());
+  };
   request.readmit =
       [delegate = this->delegate, workspace = given.workspace](
           const std::function<void(std::optional<common::Duration>)>& done) {
--- a/Source/Core/Session/fleet_transport.h
+++ b/Source/Core/Session/fleet_transport.h
@@ -16,6 +16,7 @@
 #include "Session/directory.h"
 #include "Session/evacuations.h"
 #include "Session/member_command.h"
+#include "Session/operation_access.h"
 #include "Session/statement_attempt.h"
 
 namespace camphorferry::session {
@@ -64,6 +65,8 @@
   AttemptRequest attempt;
   /// Transaction that the statement continues; 0 for none.
   std::uint64_t transaction = 0;
+  /// None from a daemon of an earlier version.
+  std::optional<AccessClaim> claim = std::nullopt;
 };
 
 /// A connection owner's reply.
--- a/Source/Core/Session/forwarded_statements.cc
+++ b/Source/Core/Session/forwarded_statements.cc
@@ -18,10 +18,12 @@
 
 ForwardedStatements::ForwardedStatements(connection::EventLoop* loop,
                                          const WireCodec* codec,
-                                         FindGroup find_group)
+                                         FindGroup find_group,
+                                         FindConfiguration find_configuration)
     : loop(loop),
       codec(codec),
       find_group(std::move(find_group)),
+      find_configuration(std::move(find_configuration)),
       next_number(
           static_cast<std::uint64_t>(common::WallNow().time_since_epoch() /
                                      std::chrono::microseconds(1))) {}
@@ -43,6 +45,30 @@
   }
 }
 
+StatementAttempt::Observers ForwardedStatements::NewObservers(
+    const ForwardedStatement& request) {
+  StatementAttempt::Observers observers;
+  if (!request.claim.has_value()) return observers;
+  observers.barred = [this, still_alive = this->alive, claim = *request.claim,
+                      caller = request.attempt.caller,
+                      id = request.attempt.statement.request_id]()
+      -> std::optional<AttemptFailure> {
+    if (!*still_alive) return std::nullopt;
+    const auto refusal =
+        this->judge.Check(claim, caller, this->find_configuration());
+    if (refusal.has_value()) {
+      common::Log(Subsystem::kRequest, LogLevel::kInfo,
+                  "forwarded_access_refused",
+                  {{"request", id},
+                   {"workspace", caller},
+                   {"reason", refusal->reason},
+                   {"sender_version", claim.version}});
+    }
+    return FailureOf(refusal);
+  };
+  return observers;
+}
+
 void ForwardedStatements::StartNew(const ForwardedStatement& request,
                                    ForwardedCallback done) {
   if (this->refuses_new) {
@@ -57,7 +83,7 @@
     return;
   }
   const std::uint64_t number = this->next_number++;
-  StatementAttempt::Observers observers;
+  StatementAttempt::Observers observers = this->NewObservers(request);
   observers.done = [this, still_alive = this->alive, number,
                     requester = request.requester,
                     done = std::move(done)](AttemptResult result) {
@@ -92,7 +118,7 @@
     return;
   }
   const std::uint64_t number = request.transaction;
-  StatementAttempt::Observers observers;
+  StatementAttempt::Observers observers = this->NewObservers(request);
   observers.done = [this, still_alive = this->alive,
                     number](AttemptResult result) {
     if (!*still_alive) return;
--- a/Source/Core/Session/forwarded_statements.h
+++ b/Source/Core/Session/forwarded_statements.h
@@ -7,6 +7,7 @@
 #include <memory>
 
 #include "Session/fleet_transport.h"
+#include "Session/operation_access.h"
 #include "Session/service_group.h"
 #include "Session/statement_attempt.h"
 
@@ -18,9 +19,13 @@
  public:
   using FindGroup = std::function<std::shared_ptr<ServiceGroup>(
       const common::ServiceId& service)>;
+  /// The configuration in force; null if there is none.
+  using FindConfiguration =
+      std::function<std::shared_ptr<const DirectoryConfiguration>()>;
 
   ForwardedStatements(connection::EventLoop* loop, const WireCodec* codec,
-                      FindGroup find_group);
+                      FindGroup find_group,
+                      FindConfiguration find_configuration);
   ~ForwardedStatements();
   ForwardedStatements(const ForwardedStatements&) = delete;
   ForwardedStatements& operator=(const ForwardedStatements&) = delete;
@@ -61,6 +66,8 @@
 
   void StartNew(const ForwardedStatement& request, ForwardedCallback done);
   void Continue(const ForwardedStatement& request, ForwardedCallback done);
+  /// Observers that have the statement judged under the configuration in force.
+  StatementAttempt::Observers NewObservers(const ForwardedStatement& request);
   /// Rolls the transaction back and answers its statement in progress.
   static void Close(Transaction* ended);
   /// Forgets a transaction and closes it. Returns the next one.
@@ -69,6 +76,8 @@
   connection::EventLoop* loop;
   const WireCodec* codec;
   FindGroup find_group;
+  FindConfiguration find_configuration;
+  ClaimJudge judge;
   bool refuses_new = false;
   /// Attempts that are not part of a known transaction, by number.
   std::map<std::uint64_t, std::shared_ptr<StatementAttempt>> attempts;
--- a/Source/Core/Session/operation_access.h
+++ b/Source/Core/Session/operation_access.h
@@ -1,6 +1,9 @@
 #ifndef CAMPHORFERRY_SESSION_OPERATION_ACCESS_H_
 #define CAMPHORFERRY_SESSION_OPERATION_ACCESS_H_
 
+#include <cstdint>
+#include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <utility>
@@ -27,6 +30,21 @@
   std::string reason;
 };
 
+/// The name under which endpoints run the statements of a workspace, or those
+/// of anonymous callers if it is empty.
+std::string CallerName(const common::WorkspaceId& workspace);
+
+/// What a daemon states of the client whose statement it forwards, so that the
+/// receiver can judge it under a later version of the configuration.
+struct AccessClaim {
+  /// Digest of the client's key; the key itself stays at the daemon.
+  std::string key_digest;
+  /// The route can be used without a key.
+  bool open = false;
+  /// Version of the configuration under which the sender has decided.
+  std::uint64_t version = 0;
+};
+
 /// Decides what the client of a session may do under a version of the
 /// configuration. An operation keeps the route of its start, but its caller is
 /// checked again at each statement and each attempt, since a key that has been
@@ -40,6 +58,10 @@
   /// lives as long as the configuration.
   const DatabaseRoute* Route(const DirectoryConfiguration* configuration) const;
 
+  /// Who the client is under a version of the configuration, whether or not it
+  /// may use the route. Empty if no workspace has its key.
+  common::WorkspaceId Caller(const DirectoryConfiguration* configuration) const;
+
   /// Decides about an operation, or a session, that starts now. Refuses it with
   /// kNoSuchDatabase if its route is not declared, and with kUnauthorized if
   /// the route requires a key and no workspace has the client's. An open route
@@ -55,13 +77,34 @@
       const OperationAccess& given,
       const DirectoryConfiguration* configuration) const;
 
+  /// What another daemon needs to decide about the operation again. The
+  /// configuration must be the one under which it was checked last.
+  AccessClaim Claim(const OperationAccess& given,
+                    const DirectoryConfiguration& configuration) const;
+
  private:
   OpenSession opening;
 };
-  /// Who the client is under a version of the configuration, whether or not it
-  /// may use the route. Empty if no workspace has its key.
-  common::WorkspaceId Caller(const DirectoryConfiguration* configuration) const;
 
+/// Decides about the statements of other daemons' clients. A daemon that is cut
+/// off from the store may have decided under a version that this daemon knows
+/// to be outdated.
+class ClaimJudge {
+ public:
+  /// Whether the client may still run a statement under the caller's name.
+  /// Refuses it like SessionAccess::Check, but only under a later version than
+  /// the sender's.
+  std::optional<AccessRefusal> Check(
+      const AccessClaim& claim, const std::string& caller,
+      const std::shared_ptr<const DirectoryConfiguration>& configuration);
+
+ private:
+  /// Takes over the keys of a version.
+  void Learn(const DirectoryConfiguration& configuration);
+
+  std::uint64_t learned_version = 0;
+  std::map<std::string, common::WorkspaceId> workspace_of_digest;
+};
 
 }  // namespace camphorferry::session
 
--- a/Source/Core/Session/proxy.cc
+++ b/Source/Core/Session/proxy.cc
@@ -72,9 +72,12 @@
           std::make_shared<LargeMessageQueue>(this->limits.large_messages)),
       large_responses(
           std::make_shared<LargeMessageQueue>(this->limits.large_responses)),
-      forwarded(loop, codec, [this](const common::ServiceId& service) {
-        return this->GroupOf(service);
-      }) {
+      forwarded(
+          loop, codec,
+          [this](const common::ServiceId& service) {
+            return this->GroupOf(service);
+          },
+          [this] { return this->Configuration(); }) {
   this->limiter.SetTolerance(this->settings.rate_tolerance);
   this->limiter.SetFleet({kMinAssumedFleetSize, 1}, common::SteadyNow());
   this->Listen();
--- a/Source/Core/Session/statement_messages.cc
+++ b/Source/Core/Session/statement_messages.cc
@@ -197,6 +197,12 @@
   message.set_channel_wait_ms(Milliseconds(attempt.channel_wait));
   message.set_statement_timeout_ms(Milliseconds(attempt.statement_timeout));
   message.set_transaction(request.transaction);
+  if (request.claim.has_value()) {
+    fleet::v1::AccessClaim* claim = message.mutable_claim();
+    claim->set_key_digest(request.claim->key_digest);
+    claim->set_open(request.claim->open);
+    claim->set_version(request.claim->version);
+  }
   const common::SteadyTime now = common::SteadyNow();
   if (attempt.waiting_since.has_value()) {
     message.set_waited_ms(Milliseconds(now - *attempt.waiting_since));
@@ -214,6 +220,11 @@
   request.service = common::ServiceId(message.service());
   request.endpoint = common::EndpointId(message.endpoint());
   request.transaction = message.transaction();
+  if (message.has_claim()) {
+    request.claim =
+        AccessClaim{message.claim().key_digest(), message.claim().open(),
+                    message.claim().version()};
+  }
   AttemptRequest& attempt = request.attempt;
   attempt.caller = message.workspace();
   attempt.statement.request_id = message.request_id();
--- a/Source/Core/Session/statement_run.cc
+++ b/Source/Core/Session/statement_run.cc
@@ -273,6 +273,7 @@
   forwarded.endpoint = this->endpoint;
   forwarded.attempt = this->request.attempt;
   forwarded.transaction = transaction;
+  forwarded.claim = this->request.claim_access();
   const common::Duration timeout = kForwardingReserve + kChannelWait +
                                    this->request.attempt.statement_timeout;
   this->sent_once = true;
@@ -449,7 +450,6 @@
       });
 }
 
-void StatementRun::OnFailure(AttemptFailure failure) {
 void StatementRun::OnAccessLost(AttemptFailure failure) {
   // Only some codes promise that nothing of a transaction is kept.
   const bool commit =
@@ -460,12 +460,13 @@
              ToString(failure));
 }
 
-  const bool may_have_run_now = MayHaveRun(failure);
+void StatementRun::OnFailure(AttemptFailure failure) {
   if (failure == AttemptFailure::kUnauthorized ||
       failure == AttemptFailure::kOtherCaller) {
     this->OnAccessLost(failure);
     return;
   }
+  const bool may_have_run_now = MayHaveRun(failure);
   if (may_have_run_now || failure == AttemptFailure::kPreparationUnanswered) {
     this->group->OnUnresponsive(this->endpoint);
   }
--- a/Source/Core/Session/statement_run.h
+++ b/Source/Core/Session/statement_run.h
@@ -46,6 +46,10 @@
   std::function<std::optional<AccessRefusal>()> check_access = [] {
     return std::nullopt;
   };
+  /// What a connection owner needs to check the same.
+  std::function<std::optional<AccessClaim>()> claim_access = [] {
+    return std::nullopt;
+  };
   /// Checks the operation against its workspace's rate again, because it counts
   /// at the time when it reaches an endpoint. Calls back with the time until
   /// the next attempt if it is refused.
@@ -119,12 +123,12 @@
   /// Delivers the answer to a commit if the client may be told of it.
   void Acknowledge(const EndpointAnswer& answer);
   void OnFailure(AttemptFailure failure);
+  /// The client may not run the statement any more.
+  void OnAccessLost(AttemptFailure failure);
   /// The endpoint can't serve the statement in time. Tries those that may, or
   /// refuses it at once.
   void OnOverloaded();
   void OnRefused(const EndpointAnswer& answer);
-  /// The client may not run the statement any more.
-  void OnAccessLost(AttemptFailure failure);
   /// Ends all attempts without using their results.
   void AbandonAttempts();
   /// Whether the statement can take effect and can't be taken back.
--- a/Source/UnitTests/Core/Session/operation_access_test.cc
+++ b/Source/UnitTests/Core/Session/operation_access_test.cc
@@ -107,5 +107,69 @@
   EXPECT_EQ(this->CodeOfCheck(access, given), std::nullopt);
 }
 
+// Guards against a second copy of a session's caller, which an idle session
+// would keep after its key has been withdrawn or has moved.
+TEST_F(SessionAccessTest, ChangedKey_Caller_IsHolderNow) {
+  const SessionAccess access = Open("open", "key");
+  EXPECT_EQ(access.Caller(&this->configuration), common::WorkspaceId("tenant"));
+  this->configuration.workspace_of_key["key"] = common::WorkspaceId("other");
+  EXPECT_EQ(access.Caller(&this->configuration), common::WorkspaceId("other"));
+  this->configuration.workspace_of_key.clear();
+  EXPECT_TRUE(access.Caller(&this->configuration).Empty());
+  EXPECT_TRUE(access.Caller(nullptr).Empty());
+}
+
+/// A daemon that judges the clients of another one.
+class ClaimJudgeTest : public SessionAccessTest {
+ protected:
+  ClaimJudgeTest() { this->configuration.version = 1; }
+
+  /// What the other daemon states under the present version.
+  AccessClaim Claim(const std::string& database) const {
+    const SessionAccess access = Open(database, "key");
+    return access.Claim(this->Given(access), this->configuration);
+  }
+
+  /// The code with which a statement is refused under the next version.
+  std::optional<StatementError> CodeOf(const AccessClaim& claim,
+                                       const std::string& caller) {
+    ++this->configuration.version;
+    const auto refusal = this->judge.Check(
+        claim, caller,
+        std::make_shared<const DirectoryConfiguration>(this->configuration));
+    if (!refusal.has_value()) return std::nullopt;
+    return refusal->code;
+  }
+
+  ClaimJudge judge;
+};
+
+// Guards against an owner that judges other daemons' clients otherwise than
+// they do themselves.
+TEST_F(ClaimJudgeTest, ChangedKeys_Check_RefusesLikeSessionAccess) {
+  const AccessClaim closed = this->Claim("closed");
+  const AccessClaim open = this->Claim("open");
+  EXPECT_EQ(this->CodeOf(closed, "tenant"), std::nullopt);
+  this->configuration.workspace_of_key["key"] = common::WorkspaceId("other");
+  EXPECT_EQ(this->CodeOf(closed, "tenant"), StatementError::kAborted);
+  EXPECT_EQ(this->CodeOf(open, "tenant"), StatementError::kAborted);
+  this->configuration.workspace_of_key.clear();
+  EXPECT_EQ(this->CodeOf(closed, "tenant"), StatementError::kUnauthorized);
+  EXPECT_EQ(this->CodeOf(open, "tenant"), StatementError::kAborted);
+  EXPECT_EQ(this->CodeOf(open, "-"), std::nullopt);
+}
+
+// Guards against a judgement that is taken back by a daemon that knows less.
+TEST_F(ClaimJudgeTest, EarlierVersion_Check_IsNotRefused) {
+  this->configuration.version = 7;
+  const AccessClaim claim = this->Claim("closed");
+  this->configuration.workspace_of_key.clear();
+  this->configuration.version = 5;
+  EXPECT_EQ(this->CodeOf(claim, "tenant"), std::nullopt);
+  EXPECT_EQ(this->CodeOf(claim, "tenant"), std::nullopt);
+  EXPECT_EQ(this->judge.Check(claim, "tenant", nullptr), std::nullopt);
+  EXPECT_EQ(this->CodeOf(claim, "tenant"), StatementError::kUnauthorized);
+}
+
 }  // namespace
 }  // namespace camphorferry::session
--- a/Source/UnitTests/Platform/forwarding_test.cc
+++ b/Source/UnitTests/Platform/forwarding_test.cc
@@ -176,6 +176,36 @@
   EXPECT_EQ(this->forwarded.size(), 1U);
 }
 
+// Guards against a client that is refused with an error that leaves open
+// whether its commit is kept, after the owner has refused it for its key.
+TEST_F(ForwardingTest, Commit_OwnerKnowsKeyWithdrawn_IsAborted) {
+  this->owner_behavior = [](const auto& request, const auto& done) {
+    if (request.transaction == 0) {
+      done(Answer(77));
+    } else {
+      done({AttemptFailure::kUnauthorized, 77});
+    }
+  };
+  const auto client = this->Connect("own");
+  client->Ask("QUERY 1 BEGIN");
+  client->Ask("QUERY 2 WRITE x y");
+  EXPECT_TRUE(HasLine(client->Ask("QUERY 3 COMMIT"), "ERROR ABORTED"));
+  this->RunFor(milliseconds(100));
+  EXPECT_EQ(this->ended, (std::vector<std::uint64_t>{77}));
+}
+
+// Guards against a connection owner that can't judge the clients of others.
+TEST_F(ForwardingTest, Statement_OwnerResponds_StatesItsClient) {
+  const auto client = this->Connect("latest");
+  client->Ask("QUERY 1 READ item");
+  ASSERT_EQ(this->forwarded.size(), 1U);
+  const auto& claim = this->forwarded[0].claim;
+  ASSERT_TRUE(claim.has_value());
+  EXPECT_EQ(claim->version, 2U);
+  EXPECT_EQ(claim->key_digest, common::Sha256Hex("key").substr(0, 16));
+  EXPECT_FALSE(claim->open);
+}
+
 // Guards against a commit that is reported as kept, or as unknown, although its
 // owner no longer had the transaction.
 TEST_F(ForwardingTest, Commit_TransactionGoneAtOwner_IsAborted) {
@@ -228,6 +258,16 @@
     return result;
   }
 
+  /// What a daemon states that has judged a client under a version.
+  static session::AccessClaim ClaimOf(const std::string& key,
+                                      std::uint64_t version) {
+    session::SessionAccess access;
+    access.SetOpening({"latest", key});
+    session::DirectoryConfiguration judged;
+    judged.version = version;
+    return access.Claim({}, judged);
+  }
+
   session::FleetReport report;
   std::unique_ptr<session::FleetTransport> peer;
 };
@@ -269,6 +309,43 @@
   EXPECT_EQ(this->primary_database.log.size(), 1U);
 }
 
+// Guards against a statement that its connection owner runs with a key that it
+// knows to be withdrawn, because the client's daemon has not learned of it.
+TEST_F(ConnectionOwnerTest, Statement_KeyWithdrawnInLaterVersion_IsRefused) {
+  session::ForwardedStatement request = this->Request("1", "WRITE x y");
+  request.claim = this->ClaimOf("key", 1);
+  this->PublishConfiguration(2, false);
+  EXPECT_EQ(std::get<AttemptFailure>(this->Run(request).outcome),
+            AttemptFailure::kUnauthorized);
+  EXPECT_TRUE(this->AllExecuted().empty());
+}
+
+// Guards against the same within a transaction, of which nothing may be kept.
+TEST_F(ConnectionOwnerTest, Commit_KeyWithdrawnInLaterVersion_IsRefused) {
+  session::ForwardedStatement first = this->Request("1", "WRITE x y");
+  first.claim = this->ClaimOf("key", 1);
+  first.attempt.use = session::TransactionUse::kOpens;
+  const std::uint64_t transaction = this->Run(first).transaction;
+  this->PublishConfiguration(2, false);
+  session::ForwardedStatement last = this->Request("2", "COMMIT");
+  last.claim = first.claim;
+  last.attempt.use = session::TransactionUse::kContinues;
+  last.attempt.writes = true;
+  last.transaction = transaction;
+  EXPECT_EQ(std::get<AttemptFailure>(this->Run(last).outcome),
+            AttemptFailure::kUnauthorized);
+  EXPECT_TRUE(this->primary_database.log.empty());
+}
+
+// Guards against statements that are refused because the connection owner has
+// not learned of their key yet.
+TEST_F(ConnectionOwnerTest, Statement_KeyOfLaterVersionThanOwn_Runs) {
+  session::ForwardedStatement request = this->Request("1", "READ x");
+  request.claim = this->ClaimOf("new key", 2);
+  EXPECT_TRUE(std::holds_alternative<session::EndpointAnswer>(
+      this->Run(request).outcome));
+}
+
 // Guards against transactions that keep a connection after the daemon of their
 // client has died.
 TEST_F(ConnectionOwnerTest, Transaction_RequesterSilent_IsRolledBackWhenIdle) {
