--- a/Source/Soak/main.cc
+++ b/Source/Soak/main.cc
@@ -5,6 +5,7 @@
 #include <filesystem>
 #include <iostream>
 
+#include "access_run.h"
 #include "rate_run.h"
 #include "soak_run.h"
 
@@ -14,6 +15,9 @@
 
 namespace {
 
+using camphorferry::soak::AccessRun;
+using camphorferry::soak::AccessRunResult;
+using camphorferry::soak::AccessRunSettings;
 using camphorferry::soak::RateRun;
 using camphorferry::soak::RateRunResult;
 using camphorferry::soak::RateRunSettings;
@@ -37,6 +41,7 @@
   int services = 2;
   int promotions = 0;
   int rates = 0;
+  int access = 0;
 };
 
 bool ReadOptions(int argc, const char** argv, Options* options) {
@@ -58,19 +63,24 @@
       {"rates", 0, POPT_ARG_NONE, &options->rates, 0,
        "Play a workspace that exceeds its rate while daemons are cut off",
        nullptr},
+      {"access", 0, POPT_ARG_NONE, &options->access, 0,
+       "Play keys that are withdrawn, moved and given back", nullptr},
       POPT_AUTOHELP POPT_TABLEEND};
   poptContext context = poptGetContext(nullptr, argc, argv, table, 0);
   const bool parsed =
       poptGetNextOpt(context) == -1 && poptPeekArg(context) == nullptr;
   poptFreeContext(context);
   constexpr int kMinSeconds = 15;
-  const bool rates_playable =
-      options->proxies >= camphorferry::soak::kMinRateRunProxies &&
-      options->proxies <= camphorferry::soak::kMaxRateRunProxies;
+  const bool relays_playable =
+      options->proxies >=
+          static_cast<int>(camphorferry::soak::kMinRelayedProxies) &&
+      options->proxies <=
+          static_cast<int>(camphorferry::soak::kMaxRelayedProxies);
   return parsed && options->program != nullptr && options->folder != nullptr &&
          options->seeds > 0 && options->seconds >= kMinSeconds &&
          options->proxies > 0 && options->clients > 0 &&
-         options->services > 0 && (options->rates == 0 || rates_playable);
+         options->services > 0 &&
+         ((options->rates == 0 && options->access == 0) || relays_playable);
 }
 
 /// Makes the folder for the settings and logs of a seed.
@@ -105,6 +115,36 @@
   return kept;
 }
 
+/// Prints the first violations of a run.
+void PrintViolations(const std::vector<std::string>& violations) {
+  constexpr std::size_t kMaxPrinted = 10;
+  for (std::size_t index = 0; index < std::min(violations.size(), kMaxPrinted);
+       ++index) {
+    std::cout << "  broken: " << violations[index] << "\n";
+  }
+  std::cout.flush();
+}
+
+/// Plays one seed with keys that change. Returns true if no client was handled
+/// as only an earlier version allows.
+bool RunAccess(const Options& options, int seed) {
+  AccessRunSettings settings;
+  settings.program = options.program;
+  settings.folder = MakeFolder(options, seed);
+  settings.seed = static_cast<std::uint64_t>(seed);
+  settings.proxies = static_cast<std::size_t>(options.proxies);
+  settings.length = std::chrono::seconds(options.seconds);
+  const AccessRunResult result = AccessRun(settings).Run();
+  std::cout << "access: seed=" << seed << " daemons=" << options.proxies
+            << " broken=" << result.violations.size()
+            << " versions=" << result.versions << " runs=" << result.executions
+            << " changed_callers=" << result.changed_callers
+            << " key_refusals=" << result.key_refusals << "\n";
+  PrintViolations(result.violations);
+  if (result.violations.empty()) std::filesystem::remove_all(settings.folder);
+  return result.violations.empty();
+}
+
 /// Executions one seed. Returns true if no guarantee was violated.
 bool RunSeed(const Options& options, int seed) {
   SoakSettings settings;
@@ -121,17 +161,18 @@
             << " acknowledged=" << result.acknowledged
             << " runs=" << result.executions
             << " promotion_calls=" << result.promotion_calls << "\n";
-  constexpr std::size_t kMaxPrintedViolations = 10;
-  for (std::size_t index = 0;
-       index < std::min(result.violations.size(), kMaxPrintedViolations);
-       ++index) {
-    std::cout << "  broken: " << result.violations[index] << "\n";
-  }
-  std::cout.flush();
+  PrintViolations(result.violations);
   if (result.violations.empty()) std::filesystem::remove_all(settings.folder);
   return result.violations.empty();
 }
 
+/// Plays one seed of the kind of run that the options name.
+bool Play(const Options& options, int seed) {
+  if (options.rates != 0) return RunRates(options, seed);
+  if (options.access != 0) return RunAccess(options, seed);
+  return RunSeed(options, seed);
+}
+
 }  // namespace
 
 int main(int argc, const char** argv) {
@@ -146,8 +187,7 @@
   int failed = 0;
   for (int seed = options.first_seed; seed < options.first_seed + options.seeds;
        ++seed) {
-    const bool held =
-        options.rates != 0 ? RunRates(options, seed) : RunSeed(options, seed);
+    const bool held = Play(options, seed);
     if (!held) ++failed;
   }
   std::cout << "soak: seeds=" << options.seeds << " failed=" << failed << "\n";
--- a/Source/Soak/rate_run.cc
+++ b/Source/Soak/rate_run.cc
@@ -1,7 +1,5 @@
 #include "rate_run.h"
 
-#include <unistd.h>
-
 #include <algorithm>
 #include <csignal>
 #include <utility>
@@ -25,7 +23,6 @@
 /// while it is hot.
 constexpr double kUsualLoad = 0.62;
 constexpr double kHotLoad = 7.5;
-constexpr std::size_t kDomains = 3;
 constexpr std::uint32_t kConnectionLimit = 128;
 constexpr std::size_t kConnectionsPerProxy = 16;
 constexpr milliseconds kStep(2);
@@ -38,33 +35,6 @@
 const common::ServiceId kService("service");
 const common::WorkspaceId kWorkspace("tenant");
 
-common::FailureDomainId DomainOf(std::size_t index) {
-  return common::FailureDomainId("domain-" + std::to_string(index % kDomains));
-}
-
-/// The first parts of the proxies' addresses, which no concurrent run uses.
-std::string ProxyNetwork() {
-  const auto id = static_cast<unsigned>(getpid());
-  constexpr unsigned kNetworks = 250;
-  return "127." + std::to_string(1 + id % kNetworks) + ".200.";
-}
-
-/// The same for the relays over which a daemon calls the others.
-std::string RelayNetwork(std::size_t from) {
-  std::string network = ProxyNetwork();
-  const std::string own = "200.";
-  return network.replace(network.size() - own.size(), own.size(),
-                         std::to_string(201 + from) + ".");
-}
-
-std::string HostPart(std::size_t index) { return std::to_string(100 + index); }
-
-/// Leads a daemon, which learns the others' addresses from the directory and
-/// from their reports, over its relays.
-TcpRelay::Replacement SeenBy(std::size_t daemon) {
-  return {ProxyNetwork(), RelayNetwork(daemon)};
-}
-
 }  // namespace
 
 /// A client connection that sends one read at a time.
@@ -122,10 +92,11 @@
 RateRun::RateRun(RateRunSettings settings)
     : settings(std::move(settings)),
       random(this->settings.seed),
+      store(&this->loop, [](const std::string& /*service*/,
+                            const std::string& /*id*/) { return false; }),
+      fleet(&this->loop, this->settings.program, this->settings.folder,
+            this->settings.proxies, this->store.Address()),
       due(this->settings.proxies) {
-  this->store = std::make_unique<platform::FakeStore>(
-      &this->loop, [](const std::string& /*service*/,
-                      const std::string& /*id*/) { return false; });
   this->result.limit = kWindowLimit;
   this->StartDatabases();
   this->PutConfiguration();
@@ -134,7 +105,7 @@
 RateRun::~RateRun() = default;
 
 void RateRun::StartDatabases() {
-  for (std::size_t index = 0; index < kDomains; ++index) {
+  for (std::size_t index = 0; index < RelayedFleet::kDomains; ++index) {
     this->databases.push_back(std::make_unique<platform::FakeDatabase>(
         &this->loop, kService.Value(), "db-" + std::to_string(index)));
     platform::FakeDatabase& database = *this->databases.back();
@@ -144,8 +115,8 @@
       this->OnExecuted();
     };
     session::GroupMember entry = database.Registration();
-    entry.domain = DomainOf(index);
-    this->store->Put(entry);
+    entry.domain = RelayedFleet::DomainOf(index);
+    this->store.Put(entry);
   }
 }
 
@@ -162,44 +133,17 @@
   configuration.routes["latest"] = route;
   configuration.workspaces[kWorkspace] = {kRate, kBurst};
   configuration.workspace_of_key["key"] = kWorkspace;
-  this->store->Put(configuration);
-}
-
-void RateRun::StartProxies() {
-  const std::size_t count = this->settings.proxies;
-  for (std::size_t index = 0; index < count; ++index) {
-    this->store_relays.push_back(
-        std::make_unique<TcpRelay>(&this->loop, this->store->Address()));
-    this->store_relays.back()->SetReplacement(false, SeenBy(index));
-    const auto store_address = this->store_relays.back()->Address();
-    this->proxies.push_back(std::make_unique<ProxyProcess>(
-        this->settings.program, this->settings.folder, static_cast<int>(index),
-        store_address, store_address, std::nullopt, DomainOf(index),
-        ProxyNetwork() + HostPart(index)));
-  }
-  this->peer_relays.resize(count);
-  for (std::size_t from = 0; from < count; ++from) {
-    for (std::size_t to = 0; to < count; ++to) {
-      const connection::SocketAddress peer = this->proxies[to]->PeerAddress();
-      auto relay = std::make_unique<TcpRelay>(
-          &this->loop, peer,
-          connection::SocketAddress{RelayNetwork(from) + HostPart(to),
-                                    peer.port});
-      relay->SetReplacement(true, SeenBy(to));
-      relay->SetReplacement(false, SeenBy(from));
-      this->peer_relays[from].push_back(std::move(relay));
-    }
-  }
-  for (const auto& proxy : this->proxies) proxy->Start();
+  this->store.Put(configuration);
 }
 
 void RateRun::StartLoad() {
   this->load_started = this->due_counted = common::SteadyNow();
-  for (const auto& proxy : this->proxies) {
+  for (std::size_t index = 0; index < this->fleet.Size(); ++index) {
     this->clients.emplace_back();
     for (std::size_t count = 0; count < kConnectionsPerProxy; ++count) {
       this->clients.back().push_back(std::make_unique<LoadConnection>(
-          &this->loop, proxy->ClientAddress(), &this->result));
+          &this->loop, this->fleet.Proxy(index).ClientAddress(),
+          &this->result));
     }
   }
 }
@@ -221,7 +165,7 @@
   const std::size_t kind = number(0, 2);
   for (std::size_t index = 0; index < count; ++index) {
     if (kind == 0 && number(0, 2) == 0) cut.parts[index].reset();
-    if (kind == 1 && index % kDomains == 0) cut.parts[index] = 1;
+    if (kind == 1 && index % RelayedFleet::kDomains == 0) cut.parts[index] = 1;
     if (kind == 2) cut.parts[index] = static_cast<int>(number(0, 1));
   }
   if (number(0, 2) == 0) cut.killed = number(0, count - 1);
@@ -259,34 +203,25 @@
     this->result.refused_whole = this->result.refused;
   }
   for (std::size_t from = 0; from < this->settings.proxies; ++from) {
-    if (cut.parts[from] != 0) this->store_relays[from]->SetState(cut.link);
+    if (cut.parts[from] != 0) this->fleet.SetStoreLink(from, cut.link);
     for (std::size_t to = 0; to < this->settings.proxies; ++to) {
       const bool reaches =
           cut.parts[from].has_value() && cut.parts[from] == cut.parts[to];
       if (from != to && !reaches) {
-        this->peer_relays[from][to]->SetState(cut.link);
+        this->fleet.SetPeerLink(from, to, cut.link);
       }
     }
   }
 }
 
-void RateRun::End() {
-  for (const auto& relay : this->store_relays) {
-    relay->SetState(LinkState::kOpen);
-  }
-  for (const auto& relays : this->peer_relays) {
-    for (const auto& relay : relays) relay->SetState(LinkState::kOpen);
-  }
-}
-
 void RateRun::Schedule(const Cut& cut) {
   this->loop.RunLater(cut.at, [this, cut] { this->Begin(cut); });
-  this->loop.RunLater(cut.at + cut.length, [this] { this->End(); });
+  this->loop.RunLater(cut.at + cut.length, [this] { this->fleet.OpenLinks(); });
   this->loop.RunLater(cut.hot_at, [this] { this->load = kHotLoad; });
   this->loop.RunLater(cut.hot_at + cut.hot_length, [this] { this->load = 1; });
   if (cut.killed.has_value()) {
     this->loop.RunLater(cut.at + cut.length / 2, [this, killed = *cut.killed] {
-      this->proxies[killed]->Signal(SIGKILL);
+      this->fleet.Proxy(killed).Signal(SIGKILL);
     });
   }
   const auto ms = [](common::Duration time) {
@@ -331,7 +266,7 @@
 }
 
 RateRunResult RateRun::Run() {
-  this->StartProxies();
+  this->fleet.Start();
   std::unique_ptr<connection::Timer> sending;
   this->loop.RunLater(kStartTime, [this, &sending] {
     this->StartLoad();
@@ -344,21 +279,11 @@
     this->loop.RunLater(end + seconds(3), [this] { this->loop.Stop(); });
   });
   constexpr milliseconds kRestartInterval(150);
-  const auto restarts = this->loop.Every(kRestartInterval, [this] {
-    for (const auto& proxy : this->proxies) {
-      if (!proxy->Running()) proxy->Start();
-    }
-  });
+  const auto restarts = this->loop.Every(
+      kRestartInterval, [this] { this->fleet.RestartEnded(); });
   this->loop.Run();
-  for (std::size_t one = 0; one < this->settings.proxies; ++one) {
-    for (std::size_t other = 0; other < one; ++other) {
-      const bool relayed = this->peer_relays[one][other]->Accepted() > 0 ||
-                           this->peer_relays[other][one]->Accepted() > 0;
-      if (!relayed) ++this->result.pairs_without_relay;
-    }
-  }
+  this->result.pairs_without_relay = this->fleet.PairsWithoutRelay();
   this->clients.clear();
-  this->proxies.clear();
   return this->result;
 }
 
--- a/Source/Soak/rate_run.h
+++ b/Source/Soak/rate_run.h
@@ -10,16 +10,10 @@
 
 #include "fake_database.h"
 #include "fake_store.h"
-#include "proxy_process.h"
-#include "tcp_relay.h"
+#include "relayed_fleet.h"
 
 namespace camphorferry::soak {
 
-/// Numbers of proxies that a run can have. The addresses of their relays must
-/// have the same number of digits.
-inline constexpr int kMinRateRunProxies = 4;
-inline constexpr int kMaxRateRunProxies = 50;
-
 /// Settings of a run.
 struct RateRunSettings {
   std::string program;
@@ -78,25 +72,20 @@
 
   void StartDatabases();
   void PutConfiguration();
-  void StartProxies();
   void StartLoad();
   std::vector<Cut> MakeCuts();
   Cut MakeCut(common::Duration at);
   void Schedule(const Cut& cut);
   void Begin(const Cut& cut);
-  void End();
   void SendDue();
   void OnExecuted();
 
   RateRunSettings settings;
   connection::EventLoop loop;
   std::mt19937_64 random;
-  std::unique_ptr<platform::FakeStore> store;
+  platform::FakeStore store;
   std::vector<std::unique_ptr<platform::FakeDatabase>> databases;
-  std::vector<std::unique_ptr<TcpRelay>> store_relays;
-  /// By the daemon that calls and the one that is called.
-  std::vector<std::vector<std::unique_ptr<TcpRelay>>> peer_relays;
-  std::vector<std::unique_ptr<ProxyProcess>> proxies;
+  RelayedFleet fleet;
   std::vector<std::vector<std::unique_ptr<LoadConnection>>> clients;
   common::SteadyTime load_started;
   double load = 1;
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -2,9 +2,10 @@
 # Runs proxy processes with randomized fault injection, one run per seed:
 #   scripts/soak.sh [--no-build] [--regression] [--seeds N] [--first-seed S]
 #                   [--seconds T] [--daemons D] [--clients C] [--services V]
-#                   [--promotions | --rates]
+#                   [--promotions | --rates | --access]
 # --promotions plays many promotions, some of whose orders arrive late. --rates
-# plays a workspace that exceeds its rate while daemons are cut off.
+# plays a workspace that exceeds its rate while daemons are cut off. --access
+# plays keys that are withdrawn, moved and given back to connected clients.
 # --regression runs the seeds of scripts/soak-seeds.txt instead. Prints one line
 # per seed and exits with 0 only if every guarantee held. Keeps the logs of
 # failed seeds.
