--- a/Source/Core/Common/common.h
+++ b/Source/Core/Common/common.h
@@ -4,6 +4,7 @@
 /// Public header of the Common library, which all other libraries use: time,
 /// clocks, identifiers, errors, hashes, validation of names and logging.
 
+#include "Common/build_info.h"
 #include "Common/clock.h"
 #include "Common/digest.h"
 #include "Common/error.h"
--- a/Source/Core/Session/proxy.cc
+++ b/Source/Core/Session/proxy.cc
@@ -205,7 +205,8 @@
   this->tick = loop->Every(kGroupTickInterval, [this] { this->Tick(); });
   common::Log(Subsystem::kProcess, LogLevel::kInfo, "started",
               {{"host", this->settings.location.host},
-               {"domain", this->settings.location.domain}});
+               {"domain", this->settings.location.domain},
+               {"sources", common::SourceDigest()}});
 }
 
 Proxy::~Proxy() {
