--- a/Source/Core/Session/fleet_transport.h
+++ b/Source/Core/Session/fleet_transport.h
@@ -67,6 +67,9 @@
   std::uint64_t transaction = 0;
   /// None from a daemon of an earlier version.
   std::optional<AccessClaim> claim = std::nullopt;
+  /// When the requester gives up. Set by the receiver; none if the requester
+  /// does not know the receiver's clock.
+  std::optional<common::SteadyTime> expires_at = std::nullopt;
 };
 
 /// A connection owner's reply.
@@ -118,7 +121,10 @@
 /// What came of asking a daemon to close terms.
 using ClosingAnswer = std::variant<CloseTermReply, HostRefuses, HostSilent>;
 
-/// Interface to the other daemons. Callbacks come from the event loop.
+/// Interface to the other daemons. Callbacks come from the event loop. A call
+/// that reaches its receiver after the caller has given up, because a link held
+/// it back, is not served; reports and the ends of transactions are, since they
+/// are true at any time.
 class FleetTransport {
  public:
   virtual ~FleetTransport() = default;
--- a/Source/Core/Session/forwarded_statements.cc
+++ b/Source/Core/Session/forwarded_statements.cc
@@ -48,23 +48,29 @@
 StatementAttempt::Observers ForwardedStatements::NewObservers(
     const ForwardedStatement& request) {
   StatementAttempt::Observers observers;
-  if (!request.claim.has_value()) return observers;
-  observers.barred = [this, still_alive = this->alive, claim = *request.claim,
+  observers.barred = [this, still_alive = this->alive,
+                      expires_at = request.expires_at, claim = request.claim,
                       caller = request.attempt.caller,
+                      requester = request.requester,
                       id = request.attempt.statement.request_id]()
       -> std::optional<AttemptFailure> {
     if (!*still_alive) return std::nullopt;
-    const auto refusal =
-        this->judge.Check(claim, caller, this->find_configuration());
-    if (refusal.has_value()) {
+    std::optional<AttemptFailure> failure;
+    if (expires_at.has_value() && common::SteadyNow() > *expires_at) {
+      failure = AttemptFailure::kExpired;
+    } else if (claim.has_value()) {
+      failure = FailureOf(
+          this->judge.Check(*claim, caller, this->find_configuration()));
+    }
+    if (failure.has_value()) {
       common::Log(Subsystem::kRequest, LogLevel::kInfo,
-                  "forwarded_access_refused",
+                  "forwarded_statement_refused",
                   {{"request", id},
+                   {"requester", requester},
                    {"workspace", caller},
-                   {"reason", refusal->reason},
-                   {"sender_version", claim.version}});
+                   {"reason", ToString(*failure)}});
     }
-    return FailureOf(refusal);
+    return failure;
   };
   return observers;
 }
--- a/Source/Core/Session/forwarded_statements.h
+++ b/Source/Core/Session/forwarded_statements.h
@@ -66,7 +66,7 @@
 
   void StartNew(const ForwardedStatement& request, ForwardedCallback done);
   void Continue(const ForwardedStatement& request, ForwardedCallback done);
-  /// Observers that have the statement judged under the configuration in force.
+  /// Observers that have the statement judged right before it is sent.
   StatementAttempt::Observers NewObservers(const ForwardedStatement& request);
   /// Rolls the transaction back and answers its statement in progress.
   static void Close(Transaction* ended);
--- a/Source/Core/Session/grpc_fleet_transport.cc
+++ b/Source/Core/Session/grpc_fleet_transport.cc
@@ -11,6 +11,7 @@
 
 #include "Session/closing_conversions.h"
 #include "Session/fleet_transport.h"
+#include "Session/peer_clocks.h"
 #include "Session/refusal_probe.h"
 #include "Session/statement_messages.h"
 #include "fleet.grpc.pb.h"
@@ -240,6 +241,35 @@
       message.held()};
 }
 
+fleet::v1::ProcessTime ToMessage(const ProcessTime& time) {
+  fleet::v1::ProcessTime message;
+  message.set_process(time.process);
+  message.set_time_ms(time.time.count());
+  return message;
+}
+
+ProcessTime FromMessage(const fleet::v1::ProcessTime& message) {
+  return {message.process(), std::chrono::milliseconds(message.time_ms())};
+}
+
+/// Key of the metadata that states when a call expires, by its receiver's
+/// clock.
+constexpr char kExpiryKey[] = "expires";
+
+/// When a call expires; none if its caller does not state it.
+std::optional<ProcessTime> ExpiryOf(
+    const grpc::CallbackServerContext& context) {
+  const auto found = context.client_metadata().find(kExpiryKey);
+  if (found == context.client_metadata().end()) return std::nullopt;
+  return ParseProcessTime({found->second.data(), found->second.size()});
+}
+
+/// A number that earlier processes of this host do not have.
+std::uint64_t NewProcessNumber() {
+  return static_cast<std::uint64_t>(common::WallNow().time_since_epoch() /
+                                    std::chrono::microseconds(1));
+}
+
 /// Largest number of peers with an open channel. Each channel takes about 70 KB
 /// at both ends together.
 constexpr std::size_t kMaxChannels = 80;
@@ -285,14 +315,23 @@
 /// server waits for every call.
 class FleetService : public fleet::v1::Fleet::CallbackService {
  public:
-  FleetService(connection::EventLoop* loop, FleetHandlers handlers)
-      : loop(loop), handlers(std::move(handlers)) {}
+  /// The clocks must outlive the service.
+  FleetService(connection::EventLoop* loop, FleetHandlers handlers,
+               const OwnClock* own_clock, PeerClocks* peer_clocks)
+      : loop(loop),
+        handlers(std::move(handlers)),
+        own_clock(own_clock),
+        peer_clocks(peer_clocks) {}
 
   grpc::ServerUnaryReactor* Exchange(grpc::CallbackServerContext* context,
                                      const fleet::v1::Report* request,
                                      fleet::v1::Report* reply) override {
     return this->ServeAtOnce(context, [this, request, reply] {
+      const common::SteadyTime now = common::SteadyNow();
+      this->peer_clocks->OnStated(request->peer_address(),
+                                  FromMessage(request->clock()), now);
       *reply = ToMessage(this->handlers.exchange(FromMessage(*request)));
+      *reply->mutable_clock() = ToMessage(this->own_clock->At(now));
     });
   }
 
@@ -330,17 +369,19 @@
       grpc::CallbackServerContext* context,
       const fleet::v1::StatementRequest* request,
       fleet::v1::StatementReply* reply) override {
-    return this->Serve(context, [this, context, request,
-                                 reply](const Finish& finish) {
+    // Its handler refuses it if it has expired, in words that say that it has
+    // not run.
+    const auto serve = [this, context, request, reply](const Finish& finish) {
       // A paused daemon gets many calls at once that nobody waits for any more.
       if (context->IsCancelled()) {
         finish([] {});
         return;
       }
+      ForwardedStatement statement = FromMessage(*request);
+      statement.expires_at = this->LocalExpiryOf(*context);
       this->handlers.run_statement(
-          FromMessage(*request),
-          [this, context, reply, finish,
-           host = request->host()](const ForwardedResult& result) {
+          statement, [this, context, reply, finish,
+                      host = request->host()](const ForwardedResult& result) {
             finish([&] {
               *reply = ToMessage(result);
               // The caller will never know the number of the transaction.
@@ -350,7 +391,8 @@
               });
             });
           });
-    });
+    };
+    return this->Start(context, serve);
   }
 
   grpc::ServerUnaryReactor* EndTransaction(
@@ -409,8 +451,8 @@
     std::set<grpc::ServerUnaryReactor*> reactors;
   };
 
-  /// Finishes a call with the reply that the given function writes. Does
-  /// nothing if the call has been refused meanwhile.
+  /// Finishes a call with the reply that the given function writes, or without
+  /// one if it is empty. Does nothing if the call has been refused meanwhile.
   using Finish = std::function<void(const std::function<void()>& write_reply)>;
 
   /// Has the event loop write the reply.
@@ -422,9 +464,38 @@
         });
   }
 
-  /// Has the event loop start the work of a call, which may finish it later.
+  /// When a call expires, by this process's clock; none if its caller does not
+  /// state it.
+  std::optional<common::SteadyTime> LocalExpiryOf(
+      const grpc::CallbackServerContext& context) const {
+    const std::optional<ProcessTime> stated = ExpiryOf(context);
+    if (!stated.has_value()) return std::nullopt;
+    return this->own_clock->FromPeer(*stated);
+  }
+
+  /// Has the event loop start the work of a call, which may finish it later,
+  /// unless the call has expired.
   grpc::ServerUnaryReactor* Serve(grpc::CallbackServerContext* context,
                                   std::function<void(const Finish&)> start) {
+    return this->Start(
+        context, [expires_at = this->LocalExpiryOf(*context),
+                  start = std::move(start)](const Finish& finish) {
+          const common::SteadyTime now = common::SteadyNow();
+          if (!expires_at.has_value() || now <= *expires_at) {
+            start(finish);
+            return;
+          }
+          common::Log(
+              common::Subsystem::kConnection, common::LogLevel::kInfo,
+              "peer_call_expired",
+              {{"late_ms", common::ToMilliseconds(now - *expires_at).count()}});
+          finish(nullptr);
+        });
+  }
+
+  /// Has the event loop start the work of a call.
+  grpc::ServerUnaryReactor* Start(grpc::CallbackServerContext* context,
+                                  std::function<void(const Finish&)> start) {
     grpc::ServerUnaryReactor* reactor = context->DefaultReactor();
     {
       const std::scoped_lock lock(this->open_calls->mutex);
@@ -444,6 +515,11 @@
           start([calls, reactor](const std::function<void()>& write_reply) {
             const std::scoped_lock lock(calls->mutex);
             if (calls->stopped || calls->reactors.erase(reactor) == 0) return;
+            if (write_reply == nullptr) {
+              reactor->Finish(
+                  grpc::Status(grpc::StatusCode::DEADLINE_EXCEEDED, ""));
+              return;
+            }
             write_reply();
             reactor->Finish(grpc::Status::OK);
           });
@@ -453,6 +529,8 @@
 
   connection::EventLoop* loop;
   FleetHandlers handlers;
+  const OwnClock* own_clock;
+  PeerClocks* peer_clocks;
   std::shared_ptr<OpenCalls> open_calls = std::make_shared<OpenCalls>();
 };
 
@@ -461,7 +539,9 @@
   GrpcFleetTransport(connection::EventLoop* loop,
                      const connection::SocketAddress& listen,
                      FleetHandlers handlers)
-      : loop(loop), service(loop, std::move(handlers)) {
+      : loop(loop),
+        service(loop, std::move(handlers), &this->own_clock,
+                &this->peer_clocks) {
     grpc::ServerBuilder builder;
     // With a shared port, two daemons would answer each other's calls.
     builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
@@ -490,8 +570,21 @@
   void Exchange(const std::string& address, const FleetReport& report,
                 common::Duration timeout,
                 std::function<void(std::optional<FleetReport>)> done) override {
-    this->Call<fleet::v1::Report, fleet::v1::Report>(
-        address, ToMessage(report), timeout, std::move(done),
+    fleet::v1::Report message = ToMessage(report);
+    *message.mutable_clock() =
+        ToMessage(this->own_clock.At(common::SteadyNow()));
+    this->CallWithStatus<fleet::v1::Report, fleet::v1::Report>(
+        address, std::move(message), std::nullopt, timeout,
+        [this, address, done = std::move(done)](
+            const grpc::Status& status, const fleet::v1::Report& reply) {
+          if (!status.ok()) {
+            done(std::nullopt);
+            return;
+          }
+          this->peer_clocks.OnStated(address, FromMessage(reply.clock()),
+                                     common::SteadyNow());
+          done(FromMessage(reply));
+        },
         [](auto* calls, auto* state, auto ended) {
           calls->Exchange(&state->context, &state->request, &state->reply,
                           std::move(ended));
@@ -541,7 +634,7 @@
       std::function<void(const ForwardingResult&)> done) override {
     this->CallWithStatus<fleet::v1::StatementRequest,
                          fleet::v1::StatementReply>(
-        address, ToMessage(request), timeout,
+        address, ToMessage(request), this->Expiry(address, timeout), timeout,
         [done = std::move(done)](const grpc::Status& status,
                                  const fleet::v1::StatementReply& reply) {
           if (status.ok()) {
@@ -560,7 +653,7 @@
                       common::Duration timeout) override {
     this->CallWithStatus<fleet::v1::EndTransactionRequest,
                          fleet::v1::EndTransactionReply>(
-        address, ToMessage(request), timeout,
+        address, ToMessage(request), std::nullopt, timeout,
         [](const grpc::Status& /*status*/,
            const fleet::v1::EndTransactionReply& /*reply*/) {},
         [](auto* calls, auto* state, auto ended) {
@@ -575,7 +668,7 @@
     fleet::v1::ProofRequest request;
     request.set_service(service.Value());
     this->CallWithStatus<fleet::v1::ProofRequest, fleet::v1::ProofReply>(
-        address, std::move(request), timeout,
+        address, std::move(request), this->Expiry(address, timeout), timeout,
         [done = std::move(done)](const grpc::Status& status,
                                  const fleet::v1::ProofReply& reply) {
           done(status.ok() ? FromMessage(reply) : std::nullopt);
@@ -591,7 +684,7 @@
                  std::function<void(const ClosingAnswer&)> done) override {
     this->CallWithStatus<fleet::v1::CloseTermRequest,
                          fleet::v1::CloseTermReply>(
-        address, ToMessage(request), timeout,
+        address, ToMessage(request), this->Expiry(address, timeout), timeout,
         [this, address, done = std::move(done)](
             const grpc::Status& status,
             const fleet::v1::CloseTermReply& reply) {
@@ -611,6 +704,7 @@
 
   void Disconnect(const std::string& address) override {
     this->channels.erase(address);
+    this->peer_clocks.Forget(address);
   }
 
  private:
@@ -649,13 +743,20 @@
         });
   }
 
+  /// When a call to a peer expires, by the peer's clock; none if the peer has
+  /// not stated its time.
+  std::optional<ProcessTime> Expiry(const std::string& address,
+                                    common::Duration timeout) const {
+    return this->peer_clocks.At(address, common::SteadyNow() + timeout);
+  }
+
   /// Starts a call. The result is delivered by the event loop.
   template <typename Request, typename Reply, typename Result, typename Start>
   void Call(const std::string& address, Request request,
             common::Duration timeout,
             std::function<void(std::optional<Result>)> done, Start start) {
     this->CallWithStatus<Request, Reply>(
-        address, std::move(request), timeout,
+        address, std::move(request), this->Expiry(address, timeout), timeout,
         [done = std::move(done)](const grpc::Status& status,
                                  const Reply& reply) {
           done(status.ok() ? std::optional<Result>(FromMessage(reply))
@@ -664,10 +765,12 @@
         std::move(start));
   }
 
-  /// Starts a call. The event loop delivers its status and the reply, which is
-  /// valid only if the status is good.
+  /// Starts a call, which is not served after its expiry. The event loop
+  /// delivers its status and the reply, which is valid only if the status is
+  /// good.
   template <typename Request, typename Reply, typename Done, typename Start>
   void CallWithStatus(const std::string& address, Request request,
+                      const std::optional<ProcessTime>& expiry,
                       common::Duration timeout, Done done, Start start) {
     PeerChannel& peer = this->channels[address];
     peer.last_use = ++this->uses;
@@ -685,6 +788,9 @@
     state->context.set_deadline(
         common::WallNow() +
         std::chrono::duration_cast<common::WallTime::duration>(timeout));
+    if (expiry.has_value()) {
+      state->context.AddMetadata(kExpiryKey, ToText(*expiry));
+    }
     {
       const std::scoped_lock lock(this->calls_mutex);
       this->calls.insert(&state->context);
@@ -711,6 +817,8 @@
   }
 
   connection::EventLoop* loop;
+  OwnClock own_clock{NewProcessNumber()};
+  PeerClocks peer_clocks;
   FleetService service;
   std::unique_ptr<grpc::Server> server;
   std::uint16_t port = 0;
--- a/Source/Core/Session/statement_attempt.cc
+++ b/Source/Core/Session/statement_attempt.cc
@@ -58,6 +58,8 @@
       return "unauthorized";
     case AttemptFailure::kOtherCaller:
       return "other_caller";
+    case AttemptFailure::kExpired:
+      return "expired";
     case AttemptFailure::kConnectionLost:
       return "connection_lost";
     case AttemptFailure::kNoAnswer:
--- a/Source/Core/Session/statement_attempt.h
+++ b/Source/Core/Session/statement_attempt.h
@@ -76,6 +76,8 @@
   kUnauthorized,
   /// The client is another caller now than when its operation started.
   kOtherCaller,
+  /// The statement has reached the connection owner too late.
+  kExpired,
   // The statement, or the begin of its transaction, may have run.
   kConnectionLost,
   kNoAnswer,
--- a/Source/Core/Session/statement_messages.cc
+++ b/Source/Core/Session/statement_messages.cc
@@ -78,6 +78,8 @@
       return fleet::v1::UNAUTHORIZED;
     case AttemptFailure::kOtherCaller:
       return fleet::v1::OTHER_CALLER;
+    case AttemptFailure::kExpired:
+      return fleet::v1::EXPIRED;
     case AttemptFailure::kConnectionLost:
       return fleet::v1::CONNECTION_LOST;
     case AttemptFailure::kNoAnswer:
@@ -110,6 +112,8 @@
       return AttemptFailure::kUnauthorized;
     case fleet::v1::OTHER_CALLER:
       return AttemptFailure::kOtherCaller;
+    case fleet::v1::EXPIRED:
+      return AttemptFailure::kExpired;
     case fleet::v1::CONNECTION_LOST:
       return AttemptFailure::kConnectionLost;
     case fleet::v1::NO_SIGNATURE:
--- a/Source/Core/Session/statement_run.cc
+++ b/Source/Core/Session/statement_run.cc
@@ -485,6 +485,7 @@
   if (may_have_run_now) this->may_have_run = true;
   switch (failure) {
     case AttemptFailure::kStopping:
+    case AttemptFailure::kExpired:
       this->avoided_owners.insert(this->owner);
       this->Retry(kNextMemberPause, ToString(failure));
       return;
--- a/Source/UnitTests/Platform/forwarding_test.cc
+++ b/Source/UnitTests/Platform/forwarding_test.cc
@@ -194,6 +194,16 @@
   EXPECT_EQ(this->ended, (std::vector<std::uint64_t>{77}));
 }
 
+// Guards against a statement that is lost, or reported as possibly kept, though
+// its owner has refused it as too late.
+TEST_F(ForwardingTest, Write_ExpiredAtOwner_RunsOnAnOwnConnection) {
+  this->owner_behavior = [](const auto&, const auto& done) {
+    done({AttemptFailure::kExpired, 0});
+  };
+  const auto client = this->Connect("latest");
+  EXPECT_TRUE(HasLine(client->Ask("QUERY 1 WRITE item x"), "COMPLETE sig.p"));
+}
+
 // Guards against a connection owner that can't judge the clients of others.
 TEST_F(ForwardingTest, Statement_OwnerResponds_StatesItsClient) {
   const auto client = this->Connect("latest");
@@ -346,6 +356,31 @@
       this->Run(request).outcome));
 }
 
+// Guards against a statement that runs after its client was told that it has
+// not, because a link has held it back.
+TEST_F(ConnectionOwnerTest, Statement_RequesterHasGivenUp_IsRefused) {
+  session::ForwardedStatements statements(
+      &this->loop, &this->format,
+      [this](const auto& service) { return this->proxy->GroupOf(service); },
+      [this] { return this->proxy->Configuration(); });
+  std::vector<AttemptFailure> failures;
+  const auto run = [&](common::Duration until_expiry) {
+    session::ForwardedStatement request = this->Request("1", "WRITE x y");
+    request.expires_at = common::SteadyNow() + until_expiry;
+    statements.Run(request, [&](const session::ForwardedResult& result) {
+      const auto* failure = std::get_if<AttemptFailure>(&result.outcome);
+      if (failure != nullptr) failures.push_back(*failure);
+    });
+    this->RunFor(milliseconds(100));
+  };
+  run(milliseconds(-1));
+  EXPECT_EQ(failures, (std::vector<AttemptFailure>{AttemptFailure::kExpired}));
+  EXPECT_TRUE(this->AllExecuted().empty());
+  run(seconds(1));
+  EXPECT_EQ(failures.size(), 1U);
+  EXPECT_EQ(this->AllExecuted().size(), 1U);
+}
+
 // Guards against transactions that keep a connection after the daemon of their
 // client has died.
 TEST_F(ConnectionOwnerTest, Transaction_RequesterSilent_IsRolledBackWhenIdle) {
