--- a/Source/Core/Session/fleet_transport.h
+++ b/Source/Core/Session/fleet_transport.h
@@ -13,6 +13,7 @@
 #include "Connection/connection.h"
 #include "Session/admission.h"
 #include "Session/closing_messages.h"
+#include "Session/departures.h"
 #include "Session/directory.h"
 #include "Session/evacuations.h"
 #include "Session/member_command.h"
@@ -47,6 +48,8 @@
   /// The daemon shuts down and takes no statements of others any more.
   bool stopping = false;
   Evacuations evacuations;
+  /// Members that leave, in replies only.
+  std::vector<DepartureNotice> departures = {};
   /// None if the daemon has not read the lease record.
   std::optional<RecordKnowledge> record = {};
   /// Number of daemons that there may be, as the daemon has seen itself; 0 if
--- a/Source/Core/Session/grpc_fleet_transport.cc
+++ b/Source/Core/Session/grpc_fleet_transport.cc
@@ -50,6 +50,14 @@
   }
   message.set_evacuations_era(report.evacuations.as_of.era);
   message.set_evacuations_revision(report.evacuations.as_of.number);
+  for (const DepartureNotice& notice : report.departures) {
+    fleet::v1::Departure* entry = message.add_departures();
+    entry->set_endpoint(notice.endpoint.Value());
+    entry->set_incarnation(notice.incarnation);
+    entry->set_age_ms(
+        static_cast<std::uint64_t>(common::ToMilliseconds(notice.age).count()) +
+        1);
+  }
   if (report.record.has_value()) {
     *message.mutable_record() = ToMessage(*report.record);
   }
@@ -77,6 +85,11 @@
   }
   report.evacuations.as_of = {message.evacuations_era(),
                               message.evacuations_revision()};
+  for (const auto& entry : message.departures()) {
+    report.departures.push_back({common::EndpointId(entry.endpoint()),
+                                 entry.incarnation(),
+                                 std::chrono::milliseconds(entry.age_ms())});
+  }
   if (message.has_record()) report.record = FromMessage(message.record());
   return report;
 }
--- a/Source/Core/Session/proxy.cc
+++ b/Source/Core/Session/proxy.cc
@@ -628,6 +628,9 @@
   }
   if (!with_proofs) return report;
   for (const auto& [service, group] : this->groups) {
+    const auto leaving = group->KnownDepartures().Notices(now);
+    report.departures.insert(report.departures.end(), leaving.begin(),
+                             leaving.end());
     if (auto proof = group->LatestProof(now)) {
       report.proofs.push_back({service, proof->position, proof->age});
     }
@@ -713,6 +716,11 @@
   if (report.record.has_value()) {
     this->acknowledgements.OnPeerKnowledge(*report.record, requested_at);
   }
+  for (const DepartureNotice& notice : report.departures) {
+    for (const auto& [service, group] : this->groups) {
+      group->OnPeerDeparture(notice, requested_at - notice.age);
+    }
+  }
   for (const SharedProof& proof : report.proofs) {
     const auto found = this->groups.find(proof.service);
     if (found == this->groups.end()) continue;
--- a/Source/Core/Session/service_group.cc
+++ b/Source/Core/Session/service_group.cc
@@ -37,9 +37,6 @@
 constexpr std::chrono::milliseconds kMaxFirstListingAge(3000);
 /// A commit is acknowledged within this time after a replica has confirmed it.
 constexpr std::chrono::milliseconds kMaxConfirmAge(500);
-/// A primary that leaves gets no statements after this time. It may end 7,000
-/// ms after its announcement, which may have been learned late.
-constexpr std::chrono::milliseconds kMaxUseAfterNotice(6000);
 /// A primary whose failure domain is to be evacuated gets no statements after
 /// this time. The bound is 5,000 ms from the operator's request, which a daemon
 /// may learn 2,500 ms late.
@@ -183,13 +180,7 @@
     this->context.loop->Post([old = std::move(it->second.pool)] {});
     it = this->members.erase(it);
   }
-  for (auto& [id, member] : this->members) {
-    if (member.entry.state != MemberState::kLeaving) {
-      member.leaving_since.reset();
-    } else if (!member.leaving_since.has_value()) {
-      member.leaving_since = updated_at;
-    }
-  }
+  this->departures.OnMembers(present, updated_at);
   this->stability.OnMembers(present, updated_at);
   this->view.OnMembers(present);
   this->UpdatePrimary();
@@ -260,12 +251,10 @@
 
 std::optional<common::EndpointId> ServiceGroup::UsablePrimary() const {
   if (!this->primary.has_value()) return std::nullopt;
-  const auto& leaving_since = this->members.at(*this->primary).leaving_since;
-  const bool ends_soon =
-      leaving_since.has_value() &&
-      common::SteadyNow() - *leaving_since >= kMaxUseAfterNotice;
-  if (ends_soon || !this->MayUse(*this->primary)) return std::nullopt;
-  return this->primary;
+  const bool usable =
+      this->departures.MayUse(*this->primary, common::SteadyNow()) &&
+      this->MayUse(*this->primary);
+  return usable ? this->primary : std::nullopt;
 }
 
 EndpointPool* ServiceGroup::PoolOf(const common::EndpointId& id) {
--- a/Source/Core/Session/service_group.h
+++ b/Source/Core/Session/service_group.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "Session/connection_plan.h"
+#include "Session/departures.h"
 #include "Session/directory.h"
 #include "Session/endpoint_pool.h"
 #include "Session/failure_estimate.h"
@@ -176,6 +177,14 @@
 
   const common::ServiceId& Service() const { return this->service; }
 
+  /// Since when members are known to leave, for peers that don't know.
+  const Departures& KnownDepartures() const { return this->departures; }
+  /// A peer had learned by the given time that a member leaves.
+  void OnPeerDeparture(const DepartureNotice& notice,
+                       common::SteadyTime learned) {
+    this->departures.OnPeerNotice(notice.endpoint, notice.incarnation, learned);
+  }
+
  private:
   struct Member {
     GroupMember entry;
@@ -184,8 +193,6 @@
     common::SteadyTime avoid_until;
     FailureEstimate failures;
     ResponseTimes response_times;
-    /// Since when the member has been known to leave.
-    std::optional<common::SteadyTime> leaving_since;
     /// The member gave no answer when it was last contacted.
     bool unresponsive = false;
     /// Peers are not asked before to send a command of the kind to the member.
@@ -282,6 +289,7 @@
   GroupContext context;
   common::ServiceId service;
   std::map<common::EndpointId, Member> members;
+  Departures departures;
   /// Processes of members that have disappeared, and until when a promotion
   /// takes them into account.
   std::map<FormerMembers::value_type, common::SteadyTime> former_members;
