--- a/Source/Soak/access_client.cc
+++ b/Source/Soak/access_client.cc
@@ -68,7 +68,7 @@
 std::string AccessClient::NextStatement() {
   const std::string item = "i" + std::to_string(this->random() % 4);
   const bool writes = this->random() % 3 == 0;
-  const std::string access = writes ? "WRITE " + item + " x" : "READ " + item;
+  std::string access = writes ? "WRITE " + item + " x" : "READ " + item;
   if (this->in_transaction) {
     if (std::exchange(this->failed, false)) {
       this->in_transaction = false;
