--- a/Source/Core/Session/peer_clocks.cc
+++ b/Source/Core/Session/peer_clocks.cc
@@ -42,7 +42,7 @@
 }
 
 common::SteadyTime OwnClock::FromPeer(const ProcessTime& time) const {
-  if (time.process != this->process) return common::SteadyTime::min();
+  if (time.process != this->process) return common::SteadyTime();
   return common::SteadyTime(time.time);
 }
 
