--- a/Source/Core/Session/peer_clocks.h
+++ b/Source/Core/Session/peer_clocks.h
@@ -34,8 +34,8 @@
 
   ProcessTime At(common::SteadyTime at) const;
 
-  /// The time at which a peer's call to this process expires; the earliest time
-  /// if it was meant for an earlier process.
+  /// The time at which a peer's call to this process expires; one that has
+  /// passed if it was meant for an earlier process.
   common::SteadyTime FromPeer(const ProcessTime& time) const;
 
  private:
